--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs all tests but those that KNOWN-RED.txt lists on lines "test: NAME"; these are printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+skips=()
+if [ -e KNOWN-RED.txt ]; then
+    while read -r name; do
+        echo "known red, passed over: $name"
+        skips+=(--skip "$name")
+    done < <(sed -n 's/^test: //p' KNOWN-RED.txt)
+fi
+cargo build --workspace --bins --all-features --locked --quiet
+cargo test --workspace --all-features --locked -- "${skips[@]}"
--- /dev/null
+++ b/src/bin/cloverrackd.rs
@@ -0,0 +1,79 @@
+//! Daemon of one entry VM.
+
+use std::process::ExitCode;
+
+use cloverrack::settings::SPECS;
+use cloverrack::{Node, Settings, telemetry};
+use tokio::signal::unix::{SignalKind, signal};
+
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args_os().skip(1).collect();
+    let has = |flag: &str| arguments.iter().any(|argument| argument == flag);
+    if has("--help") || has("-h") {
+        print_help();
+        return ExitCode::SUCCESS;
+    }
+    if has("--version") || has("-V") {
+        println!("cloverrackd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let settings = match Settings::parse(arguments, &|name| std::env::var(name).ok()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("cloverrackd: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if telemetry::init_logs(&settings.log).is_err() {
+        eprintln!("cloverrackd: --log {}: expected a log filter", settings.log);
+        return ExitCode::from(BAD_SETTINGS);
+    }
+    run(settings)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cloverrackd: cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(async {
+        let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+            eprintln!("cloverrackd: cannot listen for SIGTERM");
+            return ExitCode::FAILURE;
+        };
+        let node = match Node::bind(settings).await {
+            Ok(node) => node,
+            Err(report) => {
+                eprintln!("cloverrackd: {report:#}");
+                return ExitCode::FAILURE;
+            }
+        };
+        let node = tokio::select! {
+            node = node.ready() => node,
+            _ = terminate.recv() => return ExitCode::SUCCESS,
+        };
+        terminate.recv().await;
+        node.drain().await.stop().await;
+        ExitCode::SUCCESS
+    })
+}
+
+fn print_help() {
+    println!(
+        "Usage: cloverrackd FLAGS\n\nEach flag can be given as an environment variable instead.\n"
+    );
+    for spec in SPECS {
+        let default = spec
+            .default
+            .map_or("required".to_owned(), |text| format!("default '{text}'"));
+        println!(
+            "  {:<18} {:<26} {} ({default})",
+            spec.flag, spec.variable, spec.meaning
+        );
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,277 @@
+//! Compiled, immutable view of the fleet: services, layouts, leaves, VMs and owners in arenas.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::config::{ConfigFile, Policy, ServiceConfig};
+use crate::document::{CONFIG_PREFIX, Content, DocumentStore, VM_LIST, Version, VmEntry};
+use crate::ids::{LeafKey, ServiceKey, VmKey};
+use crate::placement::{Bundle, Candidate, Owners, assign};
+
+/// A VM of this region.
+#[derive(Clone, Debug)]
+pub struct Vm {
+    /// The platform's entry.
+    pub entry: VmEntry,
+    /// Whether the VM takes work, as this node sees it.
+    pub live: bool,
+}
+
+/// A leaf with its limits and owners.
+#[derive(Clone, Debug)]
+pub struct Leaf {
+    /// Service that the leaf belongs to.
+    pub service: ServiceKey,
+    /// Address, which identifies the leaf between VMs.
+    pub address: SocketAddr,
+    /// Failure domain of the leaf.
+    pub failure_domain: Box<str>,
+    /// Target that the leaf belongs to.
+    pub target: Box<str>,
+    /// Calls that the leaf executes at a time.
+    pub slots: u32,
+    /// Connections that the leaf accepts from all VMs together.
+    pub connections: u32,
+    /// Expected time to set up one connection.
+    pub connect_ms: u64,
+    /// Whether configuration or VM list takes the leaf away.
+    pub leaving: bool,
+    /// VMs that own the leaf.
+    pub owners: Owners,
+}
+
+/// One shard layout: for each shard, its replicas.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Layout id, named by snapshots.
+    pub id: u32,
+    /// Replicas of each shard.
+    pub shards: Vec<Vec<LeafKey>>,
+}
+
+/// A service of a configuration file in force.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Full name, `FILE/SERVICE`.
+    pub name: Box<str>,
+    /// Version of the file.
+    pub version: Version,
+    /// Trade between latency and coverage.
+    pub policy: Policy,
+    /// Longest deadline a caller may ask for.
+    pub max_deadline_ms: u64,
+    /// Largest request payload.
+    pub max_payload_bytes: usize,
+    /// Share of leaf calls that may be hedges or retries, in parts per million.
+    pub hedge_budget_ppm: u32,
+    /// Largest difference between the wall clocks of VMs and targets.
+    pub clock_skew_ms: u64,
+    /// Shard layouts.
+    pub layouts: Vec<Layout>,
+}
+
+impl Service {
+    /// Returns the layout with an id.
+    pub fn layout(&self, id: u32) -> Option<&Layout> {
+        self.layouts.iter().find(|layout| layout.id == id)
+    }
+}
+
+/// Immutable view that a request keeps from start to end.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    /// VMs of this region, by name.
+    pub vms: Vec<Vm>,
+    /// Services in force.
+    pub services: Vec<Service>,
+    /// Leaves of all services.
+    pub leaves: Vec<Leaf>,
+    service_names: HashMap<Box<str>, ServiceKey>,
+    leaf_addresses: HashMap<SocketAddr, LeafKey>,
+}
+
+impl Fleet {
+    /// Compiles the documents in force into a view for one region; `is_live` tells by internal
+    /// address whether a VM takes work.
+    pub fn compile(
+        store: &DocumentStore,
+        region: &str,
+        is_live: impl Fn(SocketAddr) -> bool,
+    ) -> Self {
+        let mut fleet = Self::default();
+        let mut leaving = Vec::new();
+        if let Some(Content::Vms(list)) = store.get(VM_LIST).map(|document| &document.content) {
+            leaving.clone_from(&list.leaving_targets);
+            for entry in &list.vms {
+                if &*entry.region != region {
+                    continue;
+                }
+                let live = !entry.leaving && is_live(entry.internal_address);
+                fleet.vms.push(Vm {
+                    entry: entry.clone(),
+                    live,
+                });
+            }
+        }
+        fleet.vms.sort_by(|a, b| a.entry.name.cmp(&b.entry.name));
+        for (name, document) in store.iter() {
+            let Content::Config(file) = &document.content else {
+                continue;
+            };
+            if &*file.region != region {
+                continue;
+            }
+            let file_name = name.trim_start_matches(CONFIG_PREFIX);
+            fleet.add_file(file_name, document.version, file, &leaving);
+        }
+        fleet.place();
+        fleet
+    }
+
+    fn add_file(
+        &mut self,
+        file_name: &str,
+        version: Version,
+        file: &ConfigFile,
+        leaving: &[SocketAddr],
+    ) {
+        for (name, config) in &file.services {
+            let key = ServiceKey::new(self.services.len());
+            let mut leaves: BTreeMap<&str, LeafKey> = BTreeMap::new();
+            for (leaf_name, leaf) in &config.leaves {
+                let leaf_key = LeafKey::new(self.leaves.len());
+                leaves.insert(leaf_name, leaf_key);
+                self.leaf_addresses.insert(leaf.address, leaf_key);
+                self.leaves.push(Leaf {
+                    service: key,
+                    address: leaf.address,
+                    failure_domain: leaf.failure_domain.clone(),
+                    target: leaf.target.clone(),
+                    slots: config.leaf_slots,
+                    connections: config.leaf_connections,
+                    connect_ms: config.connect_ms,
+                    leaving: leaf.leaving || leaving.contains(&leaf.address),
+                    owners: Owners {
+                        primary: None,
+                        standby: None,
+                    },
+                });
+            }
+            let full_name: Box<str> = format!("{file_name}/{name}").into();
+            self.service_names.insert(full_name.clone(), key);
+            self.services
+                .push(compile_service(full_name, version, config, &leaves));
+        }
+    }
+
+    /// Assigns owners to all leaves, bundle by bundle.
+    fn place(&mut self) {
+        let groups = self.bundles();
+        let candidates: Vec<Candidate<'_>> = self
+            .vms
+            .iter()
+            .enumerate()
+            .map(|(index, vm)| Candidate {
+                vm: VmKey::new(index),
+                name: &vm.entry.name,
+                failure_domain: &vm.entry.failure_domain,
+                live: vm.live,
+            })
+            .collect();
+        let mut bundles = Vec::with_capacity(groups.len());
+        for group in &groups {
+            let first = &self.leaves[group[0].index()];
+            bundles.push(Bundle {
+                hash: xxh3_64(first.address.to_string().as_bytes()),
+                failure_domain: &first.failure_domain,
+                leaves: u32::try_from(group.len()).unwrap_or(u32::MAX),
+            });
+        }
+        let owners = assign(&candidates, &bundles);
+        for (group, owners) in groups.iter().zip(owners) {
+            for leaf in group {
+                self.leaves[leaf.index()].owners = owners;
+            }
+        }
+    }
+
+    /// Cuts each service's leaves into bundles: leaves of one failure domain, in shard order.
+    fn bundles(&self) -> Vec<Vec<LeafKey>> {
+        let mut groups: BTreeMap<(usize, &str, usize), Vec<LeafKey>> = BTreeMap::new();
+        for (index, leaf) in self.leaves.iter().enumerate() {
+            let domain = &*leaf.failure_domain;
+            let group = groups
+                .entry((leaf.service.index(), domain, index))
+                .or_default();
+            group.push(LeafKey::new(index));
+        }
+        groups.into_values().collect()
+    }
+
+    /// Finds a service by its full name.
+    pub fn find_service(&self, name: &str) -> Option<ServiceKey> {
+        self.service_names.get(name).copied()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, key: ServiceKey) -> &Service {
+        &self.services[key.index()]
+    }
+
+    /// Returns a leaf.
+    pub fn leaf(&self, key: LeafKey) -> &Leaf {
+        &self.leaves[key.index()]
+    }
+
+    /// Finds a leaf by its address.
+    pub fn find_leaf(&self, address: SocketAddr) -> Option<&Leaf> {
+        self.leaf_addresses.get(&address).map(|key| self.leaf(*key))
+    }
+
+    /// Returns a VM.
+    pub fn vm(&self, key: VmKey) -> &Vm {
+        &self.vms[key.index()]
+    }
+
+    /// Finds a VM by its internal address.
+    pub fn find_vm(&self, internal_address: SocketAddr) -> Option<VmKey> {
+        let position = self
+            .vms
+            .iter()
+            .position(|vm| vm.entry.internal_address == internal_address);
+        position.map(VmKey::new)
+    }
+}
+
+fn compile_service(
+    name: Box<str>,
+    version: Version,
+    config: &ServiceConfig,
+    leaves: &BTreeMap<&str, LeafKey>,
+) -> Service {
+    let mut layouts = Vec::with_capacity(config.layouts.len());
+    for layout in &config.layouts {
+        let shards = layout.shards.iter().map(|shard| {
+            shard
+                .iter()
+                .filter_map(|leaf| leaves.get(&**leaf).copied())
+                .collect()
+        });
+        layouts.push(Layout {
+            id: layout.id,
+            shards: shards.collect(),
+        });
+    }
+    Service {
+        name,
+        version,
+        policy: config.policy,
+        max_deadline_ms: config.max_deadline_ms,
+        max_payload_bytes: config.max_payload_bytes,
+        hedge_budget_ppm: config.hedge_budget_ppm,
+        clock_skew_ms: config.clock_skew_ms,
+        layouts,
+    }
+}
--- /dev/null
+++ b/src/front.rs
@@ -0,0 +1,162 @@
+//! Callers' HTTP interface: addresses to use, tickets and queries.
+
+use std::sync::Arc;
+
+use http::{HeaderValue, Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use tracing::info;
+
+use crate::answer::{Answer, CallerRequest, Outcome, Reason};
+use crate::control::Control;
+use crate::entries::{Entries, rank};
+use crate::http_server::{BodyError, Handler, HttpError, HttpResponse, json, read_body};
+use crate::root::Root;
+
+/// Largest body of a query, in bytes.
+const MAX_BODY_BYTES: usize = 2 * 1_048_576;
+
+/// Status codes of answers by outcome.
+const OUTCOME_STATUS: &[(Outcome, StatusCode)] = &[
+    (Outcome::Complete, StatusCode::OK),
+    (Outcome::Partial, StatusCode::OK),
+    (Outcome::NotRun, StatusCode::SERVICE_UNAVAILABLE),
+    (Outcome::Unknown, StatusCode::BAD_GATEWAY),
+    (Outcome::Refused, StatusCode::UNPROCESSABLE_ENTITY),
+];
+
+/// Status codes of answers whose reason goes before the outcome.
+const REASON_STATUS: &[(Reason, StatusCode)] = &[
+    (Reason::BadRequest, StatusCode::BAD_REQUEST),
+    (Reason::BadDeadline, StatusCode::BAD_REQUEST),
+    (Reason::TooLarge, StatusCode::PAYLOAD_TOO_LARGE),
+    (Reason::UnknownService, StatusCode::NOT_FOUND),
+    (Reason::DuplicateRequestId, StatusCode::CONFLICT),
+    (Reason::TicketRequired, StatusCode::PRECONDITION_REQUIRED),
+    (Reason::Overloaded, StatusCode::TOO_MANY_REQUESTS),
+];
+
+/// Answer to a caller that asks for a ticket block.
+#[derive(Clone, Debug, Serialize)]
+struct BlockAnswer {
+    ticket_block: Option<Box<str>>,
+    numbers: u32,
+    valid_ms: u64,
+}
+
+/// Callers' interface of one process.
+pub struct Front {
+    control: Arc<Control>,
+    root: Arc<Root>,
+}
+
+impl Front {
+    /// Makes the interface.
+    pub fn new(control: Arc<Control>, root: Arc<Root>) -> Self {
+        Self { control, root }
+    }
+
+    fn entries(&self, request: &Request<Incoming>) -> HttpResponse {
+        let query = request.uri().query().unwrap_or("");
+        let parameter = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let domain = parameter("failure_domain");
+        let caller = parameter("caller").unwrap_or("");
+        let addresses = rank(&self.control.fleet(), domain, caller);
+        info!(
+            event = "entries",
+            caller,
+            domain,
+            addresses = addresses.len()
+        );
+        let keep_ms = self.control.settings.keep_ms;
+        json(
+            StatusCode::OK,
+            &Entries {
+                addresses,
+                keep_ms,
+                ticket_block: self.root.issue_block(),
+            },
+        )
+    }
+
+    fn tickets(&self) -> HttpResponse {
+        let ticket_block = self.root.issue_block();
+        let status = if ticket_block.is_some() {
+            StatusCode::OK
+        } else {
+            StatusCode::TOO_MANY_REQUESTS
+        };
+        let numbers = crate::ticket::BLOCK_NUMBERS;
+        let valid_ms = crate::ticket::BLOCK_VALID_MS;
+        json(
+            status,
+            &BlockAnswer {
+                ticket_block,
+                numbers,
+                valid_ms,
+            },
+        )
+    }
+
+    async fn query(&self, request: Request<Incoming>) -> HttpResponse {
+        let refuse = |reason| respond(&Answer::empty("", Outcome::NotRun, reason));
+        let body = match read_body(request.into_body(), MAX_BODY_BYTES).await {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => return refuse(Reason::TooLarge),
+            Err(BodyError::Incomplete) => return refuse(Reason::BadRequest),
+        };
+        match serde_json::from_slice::<CallerRequest>(&body) {
+            Ok(request) => respond(&self.root.run(request).await),
+            Err(error) => {
+                info!(
+                    event = "query_malformed",
+                    line = error.line(),
+                    column = error.column()
+                );
+                refuse(Reason::BadRequest)
+            }
+        }
+    }
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
+        let method = request.method().clone();
+        match (method, request.uri().path()) {
+            (Method::GET, "/v1/entries") => self.entries(&request),
+            (Method::POST, "/v1/tickets") => self.tickets(),
+            (Method::POST, "/v1/query") => self.query(request).await,
+            (_, "/v1/entries" | "/v1/tickets" | "/v1/query") => json(
+                StatusCode::METHOD_NOT_ALLOWED,
+                &HttpError {
+                    error: "method_not_allowed",
+                },
+            ),
+            _ => json(StatusCode::NOT_FOUND, &HttpError { error: "not_found" }),
+        }
+    }
+}
+
+fn respond(answer: &Answer) -> HttpResponse {
+    let by_reason = REASON_STATUS
+        .iter()
+        .find(|(reason, _)| Some(*reason) == answer.reason);
+    let by_outcome = OUTCOME_STATUS
+        .iter()
+        .find(|(outcome, _)| *outcome == answer.outcome);
+    let status = match (answer.outcome, by_reason) {
+        (Outcome::NotRun, Some((_, status))) => *status,
+        _ => by_outcome.map_or(StatusCode::INTERNAL_SERVER_ERROR, |(_, status)| *status),
+    };
+    let mut response = json(status, answer);
+    if let Some(wait_ms) = answer.retry_after_ms.filter(|_| status != StatusCode::OK) {
+        let value = HeaderValue::from(wait_ms.div_ceil(1_000));
+        response
+            .headers_mut()
+            .insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,173 @@
+//! Identifiers: arena keys, process incarnations, call ids and snapshots.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bincode::{Decode, Encode};
+use serde::{Deserialize, Serialize};
+
+macro_rules! arena_key {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(u32);
+
+        impl $name {
+            /// Makes the key of the arena entry at `index`.
+            pub fn new(index: usize) -> Self {
+                Self(u32::try_from(index).unwrap_or(u32::MAX))
+            }
+
+            /// Returns the index into the arena.
+            pub fn index(self) -> usize {
+                self.0 as usize
+            }
+        }
+    };
+}
+
+arena_key!(
+    /// Key of a VM in a [`Fleet`](crate::Fleet).
+    VmKey
+);
+arena_key!(
+    /// Key of a service in a [`Fleet`](crate::Fleet).
+    ServiceKey
+);
+arena_key!(
+    /// Key of a leaf in a [`Fleet`](crate::Fleet).
+    LeafKey
+);
+
+/// Identity of one process: start time and random bits, so a replaced process on an old address
+/// is told from its predecessor.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
+)]
+pub struct Incarnation(u64);
+
+/// Random low bits of an incarnation.
+const INCARNATION_RANDOM_BITS: u32 = 20;
+
+impl Incarnation {
+    /// Makes an incarnation from a start time and a random number.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::Incarnation;
+    /// assert!(Incarnation::new(2, 0) > Incarnation::new(1, u32::MAX));
+    /// ```
+    pub fn new(start_unix_ms: u64, random: u32) -> Self {
+        let low = u64::from(random) & ((1 << INCARNATION_RANDOM_BITS) - 1);
+        Self((start_unix_ms << INCARNATION_RANDOM_BITS) | low)
+    }
+
+    /// Returns the start time in milliseconds since the Unix epoch.
+    pub fn start_unix_ms(self) -> u64 {
+        self.0 >> INCARNATION_RANDOM_BITS
+    }
+
+    /// Parses the form that `Display` writes.
+    pub fn parse(text: &str) -> Option<Self> {
+        if text.len() != 16 {
+            return None;
+        }
+        u64::from_str_radix(text, 16).ok().map(Self)
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Identity of one leaf call, never used twice: an incarnation and a sequence within it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+pub struct CallId {
+    /// Process that issued the call.
+    pub incarnation: Incarnation,
+    /// Number within that process.
+    pub sequence: u64,
+}
+
+impl fmt::Display for CallId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.incarnation, self.sequence)
+    }
+}
+
+/// Issues call ids.
+#[derive(Debug)]
+pub struct CallIds {
+    incarnation: Incarnation,
+    next: AtomicU64,
+}
+
+impl CallIds {
+    /// Starts numbering for a process.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// Returns an id that was never returned before.
+    pub fn next(&self) -> CallId {
+        CallId {
+            incarnation: self.incarnation,
+            sequence: self.next.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
+
+/// Index version together with the shard layout that it was built for.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
+)]
+pub struct Snapshot {
+    /// Index version, increasing within a service.
+    pub version: u64,
+    /// Layout id, as declared in the configuration file.
+    pub layout: u32,
+}
+
+impl Snapshot {
+    /// Parses the form that `Display` writes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::Snapshot;
+    /// let snapshot = Snapshot { version: 7, layout: 1 };
+    /// assert_eq!(Snapshot::parse("7.1"), Some(snapshot));
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let (version, layout) = text.split_once('.')?;
+        Some(Self {
+            version: version.parse().ok()?,
+            layout: layout.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for Snapshot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.version, self.layout)
+    }
+}
+
+/// Hashes the content of a request: equal content has an equal fingerprint on every VM.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::fingerprint;
+/// assert_ne!(fingerprint("a/b", b"x"), fingerprint("a/c", b"x"));
+/// ```
+pub fn fingerprint(service: &str, payload: &[u8]) -> u64 {
+    let seed = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(payload, seed)
+}
--- /dev/null
+++ b/src/leaf.rs
@@ -0,0 +1,261 @@
+//! Connection to one leaf over HTTP/2, with its life cycle as typestate.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http2::{SendRequest, handshake};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use serde::Deserialize;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::ids::{CallId, Snapshot};
+use crate::wire::{LeafResult, NotStarted};
+
+/// Time allowed for setting up a connection to a leaf.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// Largest answer of a leaf, in bytes.
+const MAX_ANSWER_BYTES: usize = 1_048_576;
+
+/// Header with the id of a leaf call.
+pub const CALL_HEADER: &str = "x-call-id";
+/// Header with the shard number.
+pub const SHARD_HEADER: &str = "x-shard";
+/// Header with the snapshot.
+pub const SNAPSHOT_HEADER: &str = "x-snapshot";
+/// Header with the deadline in milliseconds since the Unix epoch.
+pub const DEADLINE_HEADER: &str = "x-deadline-unix-ms";
+/// Header by which a leaf says that it did not start a call, with the reason.
+pub const NOT_STARTED_HEADER: &str = "x-not-started";
+
+/// Reasons that a leaf may give for not starting a call.
+const NOT_STARTED: &[(&str, NotStarted)] = &[
+    ("deadline", NotStarted::Deadline),
+    ("draining", NotStarted::Draining),
+    ("shed", NotStarted::Shed),
+    ("snapshot", NotStarted::SnapshotGone),
+];
+
+/// State of a connection that takes calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Serving;
+
+/// State of a connection that only finishes calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Draining;
+
+/// A leaf could not be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum LeafError {
+    /// No connection could be set up in time.
+    #[error("leaf {0} can't be reached")]
+    Connect(SocketAddr),
+    /// The status endpoint failed.
+    #[error("leaf {0} gave no valid status")]
+    Status(SocketAddr),
+}
+
+/// Status that a leaf reports; it may lag.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct LeafStatus {
+    /// Whether the leaf takes no new work.
+    pub draining: bool,
+    /// Whether the leaf started recently.
+    #[serde(default)]
+    pub cold: bool,
+    /// Snapshots that the leaf holds.
+    pub snapshots: Vec<Snapshot>,
+}
+
+/// What is sent for one call.
+#[derive(Clone, Debug)]
+pub struct LeafRequest {
+    /// Identity of the call.
+    pub call: CallId,
+    /// Full name of the service.
+    pub service: Box<str>,
+    /// Member that the caller asks for.
+    pub member: Box<str>,
+    /// Caller's id of the request.
+    pub request_id: Box<str>,
+    /// Shard that the leaf answers for.
+    pub shard: u32,
+    /// Pinned snapshot.
+    pub snapshot: Snapshot,
+    /// Deadline on the wall clock.
+    pub deadline_unix_ms: u64,
+    /// Request content.
+    pub payload: Bytes,
+}
+
+/// Connection to a leaf in life-cycle state `S`.
+#[derive(Clone, Debug)]
+pub struct LeafConnection<S> {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    state: PhantomData<S>,
+}
+
+impl LeafConnection<Serving> {
+    /// Sets up a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the leaf can't be reached in time.
+    pub async fn open(address: SocketAddr) -> Result<Self, LeafError> {
+        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        let opened = timeout(limit, open(address)).await.ok().flatten();
+        let sender = opened.ok_or(LeafError::Connect(address))?;
+        Ok(Self {
+            address,
+            sender,
+            state: PhantomData,
+        })
+    }
+
+    /// Stops taking calls; calls in flight go on.
+    pub fn drain(self) -> LeafConnection<Draining> {
+        LeafConnection {
+            address: self.address,
+            sender: self.sender,
+            state: PhantomData,
+        }
+    }
+
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends one call and waits for its answer.
+    pub async fn execute(&self, request: &LeafRequest) -> LeafResult {
+        let Ok(message) = execute_request(self.address, request) else {
+            return LeafResult::NotStarted(NotStarted::Unreachable);
+        };
+        let mut sender = self.sender.clone();
+        if sender.ready().await.is_err() {
+            return LeafResult::NotStarted(NotStarted::Unreachable);
+        }
+        match sender.try_send_request(message).await {
+            Ok(response) => read_answer(response, request).await,
+            Err(error) => failed_send(error),
+        }
+    }
+
+    /// Asks for the leaf's status.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exchange breaks or the answer is malformed.
+    pub async fn status(&self) -> Result<LeafStatus, LeafError> {
+        let failed = LeafError::Status(self.address);
+        let request = Request::get(format!("http://{}/v1/status", self.address))
+            .body(Full::default())
+            .map_err(|_| failed)?;
+        let mut sender = self.sender.clone();
+        sender.ready().await.map_err(|_| failed)?;
+        let response = sender.send_request(request).await.map_err(|_| failed)?;
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let bytes = body.collect().await.map_err(|_| failed)?.to_bytes();
+        serde_json::from_slice(&bytes).map_err(|_| failed)
+    }
+}
+
+impl LeafConnection<Draining> {
+    /// Returns the address of the leaf.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn open(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .ok()?;
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Some(sender)
+}
+
+fn execute_request(
+    address: SocketAddr,
+    request: &LeafRequest,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    Request::post(format!("http://{address}/v1/execute"))
+        .header("x-service", &*request.service)
+        .header("x-member", &*request.member)
+        .header("x-request-id", &*request.request_id)
+        .header(CALL_HEADER, request.call.to_string())
+        .header(SHARD_HEADER, request.shard)
+        .header(SNAPSHOT_HEADER, request.snapshot.to_string())
+        .header(DEADLINE_HEADER, request.deadline_unix_ms)
+        .body(Full::new(request.payload.clone()))
+}
+
+/// Tells a call that provably did not start from one that may have run.
+fn failed_send(mut error: TrySendError<Request<Full<Bytes>>>) -> LeafResult {
+    if error.take_message().is_some() {
+        return LeafResult::NotStarted(NotStarted::Unreachable);
+    }
+    if is_refused_stream(error.error()) {
+        return LeafResult::NotStarted(NotStarted::Shed);
+    }
+    LeafResult::Lost
+}
+
+/// Returns whether the peer reset the stream in the way that HTTP/2 defines as not processed.
+fn is_refused_stream(error: &hyper::Error) -> bool {
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        if let Some(h2) = cause.downcast_ref::<h2::Error>() {
+            return h2.reason() == Some(h2::Reason::REFUSED_STREAM);
+        }
+        source = cause.source();
+    }
+    false
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+}
+
+async fn read_answer(response: Response<Incoming>, request: &LeafRequest) -> LeafResult {
+    let headers = response.headers();
+    let refusal = header(headers, NOT_STARTED_HEADER);
+    if !refusal.is_empty() {
+        let known = NOT_STARTED.iter().find(|(name, _)| *name == refusal);
+        return LeafResult::NotStarted(known.map_or(NotStarted::Shed, |(_, reason)| *reason));
+    }
+    if response.status() != StatusCode::OK {
+        return LeafResult::Failed;
+    }
+    let snapshot = Snapshot::parse(header(headers, SNAPSHOT_HEADER));
+    let matches = header(headers, CALL_HEADER) == request.call.to_string()
+        && header(headers, SHARD_HEADER) == request.shard.to_string()
+        && snapshot == Some(request.snapshot);
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let Ok(body) = body.collect().await else {
+        return LeafResult::Lost;
+    };
+    if !matches {
+        return LeafResult::Mismatch;
+    }
+    LeafResult::Done {
+        snapshot: request.snapshot,
+        body: body.to_bytes().to_vec(),
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,9 @@
+//! Command line of cloverrack.
+
+use std::process::ExitCode;
+
+mod cli;
+
+fn main() -> ExitCode {
+    cli::run(std::env::args_os().skip(1).collect())
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,211 @@
+//! A whole node: starts the services, and stops without cutting off a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use thiserror::Error;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tracing::info;
+
+use crate::clock::unix_ms;
+use crate::control::Control;
+use crate::dispatch::Dispatcher;
+use crate::front::Front;
+use crate::http_server::serve;
+use crate::ids::Incarnation;
+use crate::kernel::{CONTROL, Kernel, LINK, OWNER, ROOT, TELEMETRY};
+use crate::link::{Link, LinkServer};
+use crate::operator::Operator;
+use crate::owner::Owner;
+use crate::root::Root;
+use crate::settings::Settings;
+use crate::telemetry::Telemetry;
+
+/// Time between two looks at what is still in flight while the node stops.
+const DRAIN_CHECK_MS: u64 = 20;
+
+/// A node could not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NodeError {
+    /// A listener could not be bound.
+    #[error("cannot bind the {0} listener")]
+    Bind(&'static str),
+    /// Metrics could not be set up.
+    #[error("cannot set up metrics")]
+    Telemetry,
+}
+
+/// State of a node that listens but does not serve callers yet.
+#[derive(Debug)]
+pub struct Starting {
+    caller_listener: TcpListener,
+}
+
+/// State of a node that serves callers.
+#[derive(Debug)]
+pub struct Ready {
+    callers: tokio::task::JoinHandle<()>,
+}
+
+/// State of a node that takes no new work.
+#[derive(Debug)]
+pub struct Draining {
+    callers: tokio::task::JoinHandle<()>,
+}
+
+/// A node in life-cycle state `S`.
+pub struct Node<S> {
+    kernel: Arc<Kernel>,
+    control: Arc<Control>,
+    root: Arc<Root>,
+    settings: Arc<Settings>,
+    stop_callers: CancellationToken,
+    stop_internal: CancellationToken,
+    tasks: TaskTracker,
+    state: S,
+}
+
+async fn bind(
+    address: std::net::SocketAddr,
+    name: &'static str,
+) -> Result<TcpListener, Report<NodeError>> {
+    TcpListener::bind(address)
+        .await
+        .change_context(NodeError::Bind(name))
+}
+
+impl Node<Starting> {
+    /// Binds all listeners and starts the services; callers are not served yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a listener can't be bound.
+    pub async fn bind(settings: Settings) -> Result<Self, Report<NodeError>> {
+        let settings = Arc::new(settings);
+        let caller_listener = bind(settings.caller_address, "caller").await?;
+        let internal_listener = bind(settings.internal_address, "internal").await?;
+        let operator_listener = bind(settings.operator_address, "operator").await?;
+        let socket = UdpSocket::bind(settings.internal_address)
+            .await
+            .change_context(NodeError::Bind("internal UDP"))?;
+        let telemetry = Arc::new(Telemetry::open().change_context(NodeError::Telemetry)?);
+        let kernel = Arc::new(Kernel::default());
+        let tasks = TaskTracker::new();
+        let stop_internal = CancellationToken::new();
+        let incarnation = Incarnation::new(unix_ms(), rand::random());
+        let link = Arc::new(Link::new(incarnation, settings.internal_address));
+        let control = Control::spawn(
+            Arc::clone(&settings),
+            Arc::clone(&link),
+            incarnation,
+            socket,
+            &stop_internal,
+            &tasks,
+        );
+        let owner = Owner::spawn(Arc::clone(&control), &stop_internal, &tasks);
+        let dispatcher = Dispatcher::new(
+            settings.internal_address,
+            Arc::clone(&owner),
+            Arc::clone(&link),
+        );
+        let root = Root::spawn(
+            Arc::clone(&control),
+            dispatcher,
+            Arc::clone(&link),
+            Arc::clone(&telemetry),
+            &tasks,
+        );
+        kernel.register(TELEMETRY, Arc::clone(&telemetry));
+        kernel.register(CONTROL, Arc::clone(&control));
+        kernel.register(OWNER, owner);
+        kernel.register(ROOT, Arc::clone(&root));
+        kernel.register(LINK, link);
+        let server_kernel = Arc::clone(&kernel);
+        LinkServer::spawn(
+            server_kernel,
+            internal_listener,
+            stop_internal.clone(),
+            tasks.clone(),
+        );
+        let operator = Operator::new(Arc::clone(&control), Arc::clone(&root), telemetry);
+        tasks.spawn(serve(
+            operator_listener,
+            Arc::new(operator),
+            stop_internal.clone(),
+        ));
+        info!(event = "node_starting", vm = %settings.vm, incarnation = %incarnation);
+        Ok(Self {
+            kernel,
+            control,
+            root,
+            settings,
+            stop_callers: CancellationToken::new(),
+            stop_internal,
+            tasks,
+            state: Starting { caller_listener },
+        })
+    }
+
+    /// Learns the configuration and starts to serve callers.
+    pub async fn ready(self) -> Node<Ready> {
+        self.control.join().await;
+        let front = Arc::new(Front::new(
+            Arc::clone(&self.control),
+            Arc::clone(&self.root),
+        ));
+        let listener = self.state.caller_listener;
+        let callers = tokio::spawn(serve(listener, front, self.stop_callers.clone()));
+        info!(event = "node_ready", vm = %self.settings.vm);
+        Node {
+            kernel: self.kernel,
+            control: self.control,
+            root: self.root,
+            settings: self.settings,
+            stop_callers: self.stop_callers,
+            stop_internal: self.stop_internal,
+            tasks: self.tasks,
+            state: Ready { callers },
+        }
+    }
+}
+
+impl Node<Ready> {
+    /// Leaves the address answers, and serves on for as long as an answer may be kept.
+    pub async fn drain(self) -> Node<Draining> {
+        info!(event = "node_draining", vm = %self.settings.vm, keep_ms = self.settings.keep_ms);
+        self.control.leave();
+        tokio::time::sleep(Duration::from_millis(self.settings.keep_ms)).await;
+        Node {
+            kernel: self.kernel,
+            control: self.control,
+            root: self.root,
+            settings: self.settings,
+            stop_callers: self.stop_callers,
+            stop_internal: self.stop_internal,
+            tasks: self.tasks,
+            state: Draining {
+                callers: self.state.callers,
+            },
+        }
+    }
+}
+
+impl Node<Draining> {
+    /// Finishes what is in flight and ends all services.
+    pub async fn stop(self) {
+        self.root.drain();
+        self.stop_callers.cancel();
+        let _ = self.state.callers.await;
+        while self.root.in_flight() > 0 {
+            tokio::time::sleep(Duration::from_millis(DRAIN_CHECK_MS)).await;
+        }
+        self.stop_internal.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+        self.kernel.clear();
+        info!(event = "node_stopped", vm = %self.settings.vm);
+    }
+}
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,228 @@
+//! Operators' HTTP interface: status, metrics and a dry-run check of a file; nothing is changed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::config::{ConfigFile, MAX_FILE_BYTES};
+use crate::control::{Control, PeerCheck};
+use crate::document::{HistoryEntry, Version};
+use crate::fact::{LeafState, VmState};
+use crate::http_server::{BodyError, Handler, HttpError, HttpResponse, json, read_body};
+use crate::ids::Snapshot;
+use crate::root::Root;
+use crate::telemetry::Telemetry;
+
+/// Status of one node.
+#[derive(Clone, Debug, Serialize)]
+pub struct NodeStatus {
+    /// Name of the VM.
+    pub vm: Box<str>,
+    /// Incarnation of the process.
+    pub incarnation: Box<str>,
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// How documents were compared with peers: `pending`, `none` or `done`.
+    pub peer_check: &'static str,
+    /// Whether the platform serves older documents than those in force.
+    pub platform_behind: bool,
+    /// Documents in force, and as last announced by peers.
+    pub documents: Vec<DocumentStatus>,
+    /// Latest verdicts on documents.
+    pub history: Vec<HistoryEntry>,
+    /// VMs as gossip knows them.
+    pub vms: Vec<VmStatus>,
+    /// Leaves with their owners.
+    pub leaves: Vec<LeafStatusLine>,
+}
+
+/// Status of one document.
+#[derive(Clone, Debug, Serialize)]
+pub struct DocumentStatus {
+    /// Name of the document.
+    pub name: Box<str>,
+    /// Version in force here.
+    pub version: Version,
+    /// Newest version that gossip announced.
+    pub announced: Option<Version>,
+}
+
+/// Status of one VM.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct VmStatus {
+    /// Internal address.
+    pub address: SocketAddr,
+    /// State.
+    pub state: VmState,
+    /// Age of that fact.
+    pub age_ms: u64,
+}
+
+/// Status of one leaf.
+#[derive(Clone, Debug, Serialize)]
+pub struct LeafStatusLine {
+    /// Address of the leaf.
+    pub address: SocketAddr,
+    /// Full name of its service.
+    pub service: Box<str>,
+    /// Name of the VM that owns it.
+    pub owner: Option<Box<str>>,
+    /// State, if known.
+    pub state: Option<LeafState>,
+    /// Snapshots that it holds.
+    pub snapshots: Vec<Snapshot>,
+}
+
+#[derive(Serialize)]
+struct CheckAnswer {
+    valid: bool,
+    error: Option<Box<str>>,
+}
+
+/// Operators' interface of one process.
+pub struct Operator {
+    control: Arc<Control>,
+    root: Arc<Root>,
+    telemetry: Arc<Telemetry>,
+}
+
+impl Operator {
+    /// Makes the interface.
+    pub fn new(control: Arc<Control>, root: Arc<Root>, telemetry: Arc<Telemetry>) -> Self {
+        Self {
+            control,
+            root,
+            telemetry,
+        }
+    }
+
+    /// Returns the status of this node.
+    pub fn status(&self) -> NodeStatus {
+        let control = &self.control;
+        let mut documents = Vec::new();
+        for (name, version) in control.versions() {
+            let announced = control.announced(&name);
+            documents.push(DocumentStatus {
+                name,
+                version,
+                announced,
+            });
+        }
+        let mut vms = Vec::new();
+        for (address, state, age_ms) in control.vm_facts() {
+            vms.push(VmStatus {
+                address,
+                state,
+                age_ms,
+            });
+        }
+        NodeStatus {
+            vm: control.settings.vm.clone(),
+            incarnation: control.incarnation().to_string().into(),
+            in_flight: self.root.in_flight(),
+            peer_check: match control.peer_check() {
+                PeerCheck::Pending => "pending",
+                PeerCheck::None => "none",
+                PeerCheck::Done => "done",
+            },
+            platform_behind: control.is_platform_behind(),
+            documents,
+            history: control.history(),
+            vms,
+            leaves: self.leaves(),
+        }
+    }
+
+    fn leaves(&self) -> Vec<LeafStatusLine> {
+        let fleet = self.control.fleet();
+        let mut lines = Vec::with_capacity(fleet.leaves.len());
+        for leaf in &fleet.leaves {
+            let view = self.control.leaf_view(leaf.address);
+            lines.push(LeafStatusLine {
+                address: leaf.address,
+                service: fleet.service(leaf.service).name.clone(),
+                owner: leaf
+                    .owners
+                    .primary
+                    .map(|vm| fleet.vm(vm).entry.name.clone()),
+                state: view.as_ref().map(|view| view.state),
+                snapshots: view.map(|view| view.snapshots).unwrap_or_default(),
+            });
+        }
+        lines
+    }
+
+    fn metrics(&self) -> HttpResponse {
+        match self.telemetry.text() {
+            Ok(text) => Response::new(Full::new(Bytes::from(text))),
+            Err(_) => {
+                let error = HttpError {
+                    error: "metrics_failed",
+                };
+                json(StatusCode::INTERNAL_SERVER_ERROR, &error)
+            }
+        }
+    }
+
+    async fn check(&self, request: Request<Incoming>) -> HttpResponse {
+        let body = match read_body(request.into_body(), MAX_FILE_BYTES + 1).await {
+            Ok(body) => body,
+            Err(BodyError::TooLarge) => {
+                let error = HttpError { error: "too_large" };
+                return json(StatusCode::PAYLOAD_TOO_LARGE, &error);
+            }
+            Err(BodyError::Incomplete) => {
+                return json(
+                    StatusCode::BAD_REQUEST,
+                    &HttpError {
+                        error: "incomplete",
+                    },
+                );
+            }
+        };
+        let error = ConfigFile::parse(&body)
+            .err()
+            .map(|error| error.to_string().into());
+        json(
+            StatusCode::OK,
+            &CheckAnswer {
+                valid: error.is_none(),
+                error,
+            },
+        )
+    }
+}
+
+impl Handler for Operator {
+    async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
+        let method = request.method().clone();
+        match (method, request.uri().path()) {
+            (Method::GET, "/v1/status") => json(StatusCode::OK, &self.status()),
+            (Method::GET, "/metrics") => self.metrics(),
+            (Method::POST, "/v1/check") => self.check(request).await,
+            #[cfg(feature = "fault-injection")]
+            (Method::POST, "/v1/faults/cut") => cut(request).await,
+            _ => json(StatusCode::NOT_FOUND, &HttpError { error: "not_found" }),
+        }
+    }
+}
+
+/// Replaces the set of cut links by the JSON list of addresses in the body.
+#[cfg(feature = "fault-injection")]
+async fn cut(request: Request<Incoming>) -> HttpResponse {
+    let body = read_body(request.into_body(), MAX_FILE_BYTES)
+        .await
+        .unwrap_or_default();
+    match serde_json::from_slice::<Vec<SocketAddr>>(&body) {
+        Ok(peers) => {
+            crate::faults::set_cut(peers);
+            json(StatusCode::OK, &HttpError { error: "none" })
+        }
+        Err(_) => json(StatusCode::BAD_REQUEST, &HttpError { error: "malformed" }),
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,172 @@
+//! Client of the platform's configuration service: Consul's published KV HTTP API, reads and
+//! blocking watches only.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Prefix of all keys of the system.
+pub const KEY_PREFIX: &str = "cloverrack/";
+
+/// Largest answer of the service, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1_048_576;
+
+/// Longest wait for an answer beyond the time that a watch was asked to block.
+const ANSWER_TIMEOUT_MS: u64 = 2_000;
+
+/// A read or watch failed.
+#[derive(Debug, Error)]
+pub enum PlatformError {
+    /// No connection could be set up.
+    #[error("cannot connect to the platform at {address}")]
+    Connect {
+        /// Address of the service.
+        address: SocketAddr,
+    },
+    /// The exchange failed or took too long.
+    #[error("exchange with the platform at {address} failed")]
+    Exchange {
+        /// Address of the service.
+        address: SocketAddr,
+    },
+    /// The service answered with another status.
+    #[error("platform answered with status {status}")]
+    Status {
+        /// HTTP status.
+        status: u16,
+    },
+    /// The answer is not in the published form.
+    #[error("platform's answer is malformed")]
+    Malformed,
+}
+
+/// One value as the platform holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformValue {
+    /// Key without [`KEY_PREFIX`].
+    pub name: Box<str>,
+    /// Revision of the last change.
+    pub revision: u64,
+    /// Content.
+    pub body: Vec<u8>,
+}
+
+/// Answer of one read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformRead {
+    /// Index to watch from.
+    pub index: u64,
+    /// All values.
+    pub values: Vec<PlatformValue>,
+}
+
+#[derive(Deserialize)]
+struct KvEntry {
+    #[serde(rename = "Key")]
+    key: Box<str>,
+    #[serde(rename = "ModifyIndex")]
+    modify_index: u64,
+    #[serde(rename = "Value")]
+    value: Option<Box<str>>,
+}
+
+/// Client of the configuration service.
+#[derive(Clone, Copy, Debug)]
+pub struct Platform {
+    address: SocketAddr,
+}
+
+impl Platform {
+    /// Makes a client; nothing is sent yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+
+    /// Reads all values; with an `index`, blocks until one changed after it or `wait_ms` passed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service can't be reached, is late or answers out of form.
+    pub async fn read(&self, index: u64, wait_ms: u64) -> Result<PlatformRead, PlatformError> {
+        let limit = Duration::from_millis(wait_ms + ANSWER_TIMEOUT_MS);
+        let exchange = self.exchange(index, wait_ms);
+        let address = self.address;
+        timeout(limit, exchange)
+            .await
+            .unwrap_or(Err(PlatformError::Exchange { address }))
+    }
+
+    async fn exchange(&self, index: u64, wait_ms: u64) -> Result<PlatformRead, PlatformError> {
+        let address = self.address;
+        let failed = |_| PlatformError::Exchange { address };
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|_| PlatformError::Connect { address })?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(failed)?;
+        let driver = tokio::spawn(connection);
+        let path = format!("/v1/kv/{KEY_PREFIX}?recurse=true&index={index}&wait={wait_ms}ms");
+        let request = http::Request::get(path)
+            .header(http::header::HOST, address.to_string())
+            .body(Empty::<Bytes>::new())
+            .map_err(|_| PlatformError::Malformed)?;
+        let response = sender.send_request(request).await.map_err(failed)?;
+        let result = parse(response).await;
+        driver.abort();
+        result
+    }
+}
+
+async fn parse(
+    response: http::Response<hyper::body::Incoming>,
+) -> Result<PlatformRead, PlatformError> {
+    let status = response.status().as_u16();
+    let index = response
+        .headers()
+        .get("x-consul-index")
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    if status != 200 && status != 404 {
+        return Err(PlatformError::Status { status });
+    }
+    let index = index.ok_or(PlatformError::Malformed)?;
+    if status == 404 {
+        return Ok(PlatformRead {
+            index,
+            values: Vec::new(),
+        });
+    }
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|_| PlatformError::Malformed)?
+        .to_bytes();
+    let entries: Vec<KvEntry> =
+        serde_json::from_slice(&body).map_err(|_| PlatformError::Malformed)?;
+    let mut values = Vec::with_capacity(entries.len());
+    for entry in entries {
+        let Some(name) = entry.key.strip_prefix(KEY_PREFIX) else {
+            continue;
+        };
+        let encoded = entry.value.unwrap_or_default();
+        let body = STANDARD
+            .decode(&*encoded)
+            .map_err(|_| PlatformError::Malformed)?;
+        values.push(PlatformValue {
+            name: name.into(),
+            revision: entry.modify_index,
+            body,
+        });
+    }
+    Ok(PlatformRead { index, values })
+}
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,93 @@
+//! Queue of one leaf: slots in use and calls that wait, earliest deadline first.
+
+use std::collections::BTreeMap;
+
+/// Calls that may wait for each slot of a leaf.
+const WAITING_PER_SLOT: usize = 64;
+
+/// Why a call can't wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueFull;
+
+/// Slots and waiting calls of one leaf; `T` is handed back when a slot is free.
+#[derive(Debug)]
+pub struct Queue<T> {
+    slots: u32,
+    in_flight: u32,
+    next_ticket: u64,
+    waiting: BTreeMap<(u64, u64), T>,
+}
+
+impl<T> Queue<T> {
+    /// Makes an empty queue.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::Queue;
+    /// let mut queue: Queue<()> = Queue::new(1);
+    /// assert!(queue.try_start());
+    /// assert!(!queue.try_start());
+    /// ```
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            in_flight: 0,
+            next_ticket: 0,
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the number of slots.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
+    /// Returns the calls that hold a slot.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Takes a slot if one is free and nothing waits.
+    pub fn try_start(&mut self) -> bool {
+        if self.in_flight >= self.slots || !self.waiting.is_empty() {
+            return false;
+        }
+        self.in_flight += 1;
+        true
+    }
+
+    /// Lets a call wait until its deadline.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too many calls wait already.
+    pub fn wait(&mut self, deadline_ms: u64, item: T) -> Result<(), QueueFull> {
+        if self.waiting.len() >= self.slots as usize * WAITING_PER_SLOT {
+            return Err(QueueFull);
+        }
+        self.next_ticket += 1;
+        self.waiting.insert((deadline_ms, self.next_ticket), item);
+        Ok(())
+    }
+
+    /// Frees the slot of a call that ended.
+    pub fn finish(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Gives a free slot to the waiting call with the earliest deadline.
+    pub fn start_next(&mut self) -> Option<T> {
+        if self.in_flight >= self.slots {
+            return None;
+        }
+        let (_, item) = self.waiting.pop_first()?;
+        self.in_flight += 1;
+        Some(item)
+    }
+}
--- /dev/null
+++ b/src/root.rs
@@ -0,0 +1,526 @@
+//! Service that runs callers' requests from admission to the final answer.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use rand::rngs::ThreadRng;
+use tokio_util::task::TaskTracker;
+use tracing::{info, warn};
+
+use crate::admission::{Admission, RETRY_AFTER_MS};
+use crate::answer::{Answer, CallerRequest, Outcome, Reason};
+use crate::clock::{boot_ms, unix_ms};
+use crate::control::{Control, LeafView};
+use crate::dispatch::Dispatcher;
+use crate::fact::Fact;
+use crate::fleet::Fleet;
+use crate::hedge::Budget;
+use crate::ids::{CallId, CallIds, ServiceKey, Snapshot, fingerprint};
+use crate::latency::Distribution;
+use crate::link::{Link, LinkError};
+use crate::plan::{Choice, LeafLoad};
+use crate::quarantine::{QUARANTINE_MS, Quarantine};
+use crate::query::{Run, RunResult, Work, bounded_hedge_delay_us};
+use crate::snapshot::choose;
+use crate::telemetry::Telemetry;
+use crate::ticket::{Redeem, Ticket, Tickets};
+
+/// Runs of one request at different snapshots.
+const MAX_RUNS: usize = 3;
+
+/// Share of calls that end before the hedge delay.
+const HEDGE_QUANTILE: f64 = 0.95;
+
+/// Samples before the observed distribution decides the hedge delay.
+const MIN_SAMPLES: u64 = 50;
+
+/// Hedge delay without enough samples.
+const DEFAULT_HEDGE_DELAY_US: u64 = 20_000;
+
+/// Longest member name and request id.
+const MAX_NAME_BYTES: usize = 128;
+
+/// Time for which an owner that could not be reached is avoided.
+const AVOID_MS: u64 = 1_000;
+
+#[derive(Default)]
+struct ServiceState {
+    latency: Distribution,
+    budget: Budget,
+}
+
+#[derive(Default)]
+struct State {
+    services: HashMap<Box<str>, ServiceState>,
+    loads: HashMap<SocketAddr, LeafLoad>,
+    avoided: HashMap<SocketAddr, u64>,
+    in_flight_ids: HashSet<(Box<str>, Box<str>)>,
+    admission: Admission,
+    quarantine: Quarantine,
+    tickets: Option<Tickets>,
+}
+
+/// Service that runs callers' requests.
+pub struct Root {
+    control: Arc<Control>,
+    dispatcher: Dispatcher,
+    link: Arc<Link>,
+    telemetry: Arc<Telemetry>,
+    call_ids: CallIds,
+    state: Mutex<State>,
+    draining: AtomicBool,
+    tasks: TaskTracker,
+}
+
+/// A place in admission and a request id in flight; dropping it gives both back.
+struct Place<'a> {
+    root: &'a Root,
+    member: Box<str>,
+    request_id: Box<str>,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let mut state = self.root.state();
+        state.admission.release(&self.member);
+        let id = (
+            std::mem::take(&mut self.member),
+            std::mem::take(&mut self.request_id),
+        );
+        state.in_flight_ids.remove(&id);
+    }
+}
+
+impl Root {
+    /// Starts the service.
+    pub fn spawn(
+        control: Arc<Control>,
+        dispatcher: Dispatcher,
+        link: Arc<Link>,
+        telemetry: Arc<Telemetry>,
+        tasks: &TaskTracker,
+    ) -> Arc<Self> {
+        let incarnation = control.incarnation();
+        let tickets = Tickets::new(incarnation, control.settings.internal_address);
+        Arc::new(Self {
+            dispatcher,
+            link,
+            telemetry,
+            call_ids: CallIds::new(incarnation),
+            state: Mutex::new(State {
+                tickets: Some(tickets),
+                ..State::default()
+            }),
+            draining: AtomicBool::new(false),
+            tasks: tasks.clone(),
+            control,
+        })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Refuses new requests from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.state().admission.in_flight()
+    }
+
+    /// Issues a ticket block.
+    pub fn issue_block(&self) -> Option<Box<str>> {
+        let block = self.state().tickets.as_mut()?.issue(boot_ms())?;
+        Some(block.to_string().into())
+    }
+
+    /// Runs a request of a caller to its final answer.
+    pub async fn run(self: &Arc<Self>, request: CallerRequest) -> Answer {
+        let started_ms = boot_ms();
+        let answer = match self.admit(&request).await {
+            Ok(_place) if request.idempotent => self.execute(&request).await,
+            Ok(_place) => self.run_ticket(request.clone()).await,
+            Err(answer) => answer,
+        };
+        self.telemetry.count_answer(&answer, boot_ms() - started_ms);
+        info!(
+            event = "answer",
+            request = %answer.request_id,
+            service = %request.service,
+            outcome = ?answer.outcome,
+            reason = ?answer.reason,
+            snapshot = answer.snapshot.map(|s| s.to_string()),
+            covered = answer.covered.len(),
+            shards = answer.shards,
+            elapsed_ms = boot_ms() - started_ms,
+        );
+        answer
+    }
+
+    /// Runs a request under a ticket of this process, for a VM that received it.
+    pub async fn run_forwarded(self: &Arc<Self>, request: CallerRequest) -> Answer {
+        match Ticket::parse(&request.request_id) {
+            Some(ticket) if ticket.block.issuer == self.control.incarnation() => {
+                self.redeem(ticket, request).await
+            }
+            _ => issuer_lost(&request.request_id),
+        }
+    }
+
+    /// Checks a request and takes a place for it.
+    async fn admit(&self, request: &CallerRequest) -> Result<Place<'_>, Answer> {
+        let refuse = |reason| {
+            let answer = Answer::empty(&request.request_id, Outcome::NotRun, reason);
+            answer.retry_after(RETRY_AFTER_MS)
+        };
+        if self.draining.load(Ordering::SeqCst) {
+            return Err(refuse(Reason::Draining));
+        }
+        self.control.ensure_fresh().await;
+        self.check(request).map_err(|reason| match reason {
+            Reason::Quarantined => self.refuse_quarantined(request),
+            reason => refuse(reason),
+        })?;
+        let mut state = self.state();
+        let id = (request.member.clone(), request.request_id.clone());
+        if !request.request_id.is_empty() && state.in_flight_ids.contains(&id) && request.idempotent
+        {
+            return Err(refuse(Reason::DuplicateRequestId));
+        }
+        state.admission.admit(&request.member).map_err(refuse)?;
+        state.in_flight_ids.insert(id);
+        Ok(Place {
+            root: self,
+            member: request.member.clone(),
+            request_id: request.request_id.clone(),
+        })
+    }
+
+    fn check(&self, request: &CallerRequest) -> Result<(), Reason> {
+        if !is_token(&request.member) || !is_token(&request.request_id) {
+            return Err(Reason::BadRequest);
+        }
+        let fleet = self.control.fleet();
+        let key = fleet
+            .find_service(&request.service)
+            .ok_or(Reason::UnknownService)?;
+        let service = fleet.service(key);
+        if request.deadline_ms == 0 || request.deadline_ms > service.max_deadline_ms {
+            return Err(Reason::BadDeadline);
+        }
+        if request.payload.len() > service.max_payload_bytes {
+            return Err(Reason::TooLarge);
+        }
+        let content = fingerprint(&request.service, request.payload.as_bytes());
+        if self.control.quarantined_until(content, unix_ms()).is_some() {
+            return Err(Reason::Quarantined);
+        }
+        Ok(())
+    }
+
+    fn refuse_quarantined(&self, request: &CallerRequest) -> Answer {
+        let content = fingerprint(&request.service, request.payload.as_bytes());
+        let now_unix_ms = unix_ms();
+        let until = self.control.quarantined_until(content, now_unix_ms);
+        let wait_ms = until.map_or(QUARANTINE_MS, |until| until - now_unix_ms);
+        Answer::empty(&request.request_id, Outcome::Refused, Reason::Quarantined)
+            .retry_after(wait_ms)
+    }
+
+    /// Runs a request that is not idempotent, here or at the ticket's issuer.
+    async fn run_ticket(self: &Arc<Self>, request: CallerRequest) -> Answer {
+        let Some(ticket) = Ticket::parse(&request.request_id) else {
+            let mut answer =
+                Answer::empty(&request.request_id, Outcome::NotRun, Reason::TicketRequired);
+            answer.ticket_block = self.issue_block();
+            return answer.retry_after(0);
+        };
+        if ticket.block.issuer == self.control.incarnation() {
+            return self.redeem(ticket, request).await;
+        }
+        let issuer = ticket.block.address;
+        info!(event = "forward", request = %request.request_id, issuer = %issuer);
+        if issuer == self.control.settings.internal_address || !self.control.admits(issuer) {
+            return issuer_lost(&request.request_id);
+        }
+        let wait = std::time::Duration::from_millis(request.deadline_ms);
+        let call = self.link.call::<_, Answer>(issuer, "/forward", &request);
+        match tokio::time::timeout(wait, call).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => forward_failed(&request, &error),
+            Err(_) => Answer::empty(&request.request_id, Outcome::Unknown, Reason::Timeout),
+        }
+    }
+
+    /// Runs a request under a ticket of this process, at most once.
+    async fn redeem(self: &Arc<Self>, ticket: Ticket, request: CallerRequest) -> Answer {
+        let id = request.request_id.clone();
+        let deadline_ms = request.deadline_ms;
+        let redeemed = self
+            .state()
+            .tickets
+            .as_mut()
+            .map(|tickets| tickets.redeem(ticket, boot_ms()));
+        match redeemed {
+            Some(Redeem::Run) => {
+                let root = Arc::clone(self);
+                let running = self.tasks.spawn(async move {
+                    let answer = root.execute(&request).await;
+                    if let Some(tickets) = root.state().tickets.as_mut() {
+                        tickets.settle(ticket, &answer);
+                    }
+                    answer
+                });
+                let lost = Answer::empty(&id, Outcome::Unknown, Reason::Failed);
+                running.await.unwrap_or(lost)
+            }
+            Some(Redeem::Wait(mut outcome)) => {
+                let wait = std::time::Duration::from_millis(deadline_ms);
+                let settled = tokio::time::timeout(wait, outcome.wait_for(Option::is_some)).await;
+                let kept = settled
+                    .ok()
+                    .and_then(Result::ok)
+                    .and_then(|answer| answer.clone());
+                kept.unwrap_or(Answer::empty(&id, Outcome::Unknown, Reason::TicketUsed))
+            }
+            Some(Redeem::NotIssued) => {
+                Answer::empty(&id, Outcome::NotRun, Reason::TicketRequired).retry_after(0)
+            }
+            _ => Answer::empty(&id, Outcome::Unknown, Reason::TicketExpired),
+        }
+    }
+
+    /// Runs a request at one snapshot, and at another if the first vanishes.
+    async fn execute(&self, request: &CallerRequest) -> Answer {
+        let fleet = self.control.fleet();
+        let Some(service) = fleet.find_service(&request.service) else {
+            return Answer::empty(&request.request_id, Outcome::NotRun, Reason::UnknownService);
+        };
+        let work = Work {
+            service,
+            member: request.member.clone(),
+            request_id: request.request_id.clone(),
+            payload: request.payload.as_bytes().to_vec(),
+            fingerprint: fingerprint(&request.service, request.payload.as_bytes()),
+            idempotent: request.idempotent,
+            deadline_ms: boot_ms() + request.deadline_ms,
+        };
+        let mut excluded = Vec::new();
+        let mut uncertain = false;
+        for _ in 0..MAX_RUNS {
+            let snapshot = self
+                .control
+                .with_leaf_views(|views| choose(&fleet, fleet.service(service), views, &excluded));
+            let Some(snapshot) = snapshot else {
+                break;
+            };
+            info!(event = "pin", request = %request.request_id, snapshot = %snapshot);
+            let Some(result) = Run::run(self, Arc::clone(&fleet), &work, snapshot).await else {
+                break;
+            };
+            uncertain |= result.uncertain;
+            let restart = result.snapshot_gone && work.idempotent;
+            if !restart || boot_ms() >= work.deadline_ms {
+                return answer(request, &work, snapshot, result, uncertain);
+            }
+            excluded.push(snapshot);
+        }
+        let outcome = if uncertain {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        let reason = if excluded.is_empty() {
+            Reason::Unreachable
+        } else {
+            Reason::SnapshotGone
+        };
+        Answer::empty(&request.request_id, outcome, reason).retry_after(RETRY_AFTER_MS)
+    }
+
+    pub(crate) fn dispatcher(&self) -> &Dispatcher {
+        &self.dispatcher
+    }
+
+    pub(crate) fn next_call(&self) -> CallId {
+        self.call_ids.next()
+    }
+
+    /// Calls `choose` with the state that replica choice reads.
+    pub(crate) fn with_choice(
+        &self,
+        fleet: &Fleet,
+        snapshot: Snapshot,
+        choose: impl FnOnce(Choice<'_>, &mut ThreadRng),
+    ) {
+        let state = self.state();
+        let loads = &state.loads;
+        self.control
+            .with_leaf_views(|views: &HashMap<SocketAddr, LeafView>| {
+                choose(
+                    Choice {
+                        fleet,
+                        views,
+                        loads,
+                        snapshot,
+                    },
+                    &mut rand::rng(),
+                );
+            });
+    }
+
+    pub(crate) fn call_started(&self, leaf: SocketAddr) {
+        self.state().loads.entry(leaf).or_default().in_flight += 1;
+    }
+
+    pub(crate) fn call_cancelled(&self, leaf: SocketAddr) {
+        let mut state = self.state();
+        let load = state.loads.entry(leaf).or_default();
+        load.in_flight = load.in_flight.saturating_sub(1);
+    }
+
+    pub(crate) fn call_ended(
+        &self,
+        service: ServiceKey,
+        fleet: &Fleet,
+        leaf: SocketAddr,
+        latency_us: u64,
+        done: bool,
+    ) {
+        let mut state = self.state();
+        let load = state.loads.entry(leaf).or_default();
+        load.in_flight = load.in_flight.saturating_sub(1);
+        if !done {
+            return;
+        }
+        load.latency.record(latency_us);
+        let name = fleet.service(service).name.clone();
+        state
+            .services
+            .entry(name)
+            .or_default()
+            .latency
+            .record(latency_us);
+    }
+
+    pub(crate) fn hedge_delay_us(&self, service: ServiceKey, fleet: &Fleet) -> u64 {
+        let state = self.state();
+        let latency = state
+            .services
+            .get(&fleet.service(service).name)
+            .map(|s| &s.latency);
+        let observed = latency
+            .filter(|latency| latency.samples() >= MIN_SAMPLES)
+            .and_then(|latency| latency.quantile_us(HEDGE_QUANTILE));
+        let limit_ms = fleet.service(service).max_deadline_ms;
+        bounded_hedge_delay_us(observed.unwrap_or(DEFAULT_HEDGE_DELAY_US), limit_ms)
+    }
+
+    pub(crate) fn earn_budget(&self, service: ServiceKey, fleet: &Fleet, calls: u64) {
+        let service = fleet.service(service);
+        let mut state = self.state();
+        let budget = &mut state
+            .services
+            .entry(service.name.clone())
+            .or_default()
+            .budget;
+        budget.earn(calls, service.hedge_budget_ppm);
+    }
+
+    pub(crate) fn spend_budget(&self, service: ServiceKey, fleet: &Fleet) -> bool {
+        let name = fleet.service(service).name.clone();
+        let spent = self
+            .state()
+            .services
+            .entry(name)
+            .or_default()
+            .budget
+            .try_spend();
+        self.telemetry.count_extra_call(spent);
+        spent
+    }
+
+    pub(crate) fn count_unexpected_reply(&self) {
+        self.telemetry.count_unexpected_reply();
+    }
+
+    /// Avoids an owner that could not be reached for a while.
+    pub(crate) fn avoid(&self, owner: SocketAddr) {
+        info!(event = "owner_avoided", owner = %owner);
+        self.state().avoided.insert(owner, boot_ms() + AVOID_MS);
+    }
+
+    pub(crate) fn is_avoided(&self, owner: SocketAddr) -> bool {
+        let state = self.state();
+        state
+            .avoided
+            .get(&owner)
+            .is_some_and(|until_ms| boot_ms() < *until_ms)
+    }
+
+    /// Records that a leaf was lost while it ran the request.
+    pub(crate) fn record_loss(&self, work: &Work, leaf: SocketAddr, shared: bool) {
+        let blamed = self
+            .state()
+            .quarantine
+            .record_loss(work.fingerprint, leaf, shared, boot_ms());
+        warn!(event = "leaf_lost", leaf = %leaf, fingerprint = work.fingerprint, shared, blamed);
+        if blamed {
+            self.control.publish(Fact::Quarantine {
+                fingerprint: work.fingerprint,
+                until_unix_ms: unix_ms() + QUARANTINE_MS,
+            });
+        }
+    }
+}
+
+/// Returns whether a name can be carried in a header: 1 to 128 visible ASCII characters.
+fn is_token(text: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn issuer_lost(request_id: &str) -> Answer {
+    Answer::empty(request_id, Outcome::Unknown, Reason::TicketIssuerLost)
+}
+
+fn forward_failed(request: &CallerRequest, error: &LinkError) -> Answer {
+    warn!(event = "forward_failed", request = %request.request_id, %error);
+    issuer_lost(&request.request_id)
+}
+
+/// Makes the final answer of a run.
+fn answer(
+    request: &CallerRequest,
+    work: &Work,
+    snapshot: Snapshot,
+    result: RunResult,
+    uncertain: bool,
+) -> Answer {
+    let covered: Vec<u32> = result.results.iter().map(|result| result.shard).collect();
+    let first_lack = result.lacking.first().map(|lack| lack.reason);
+    let outcome = match (covered.is_empty(), result.lacking.is_empty(), uncertain) {
+        (_, true, _) => Outcome::Complete,
+        (_, false, true) if !work.idempotent => Outcome::Unknown,
+        (true, false, true) => Outcome::Unknown,
+        (true, false, false) => Outcome::NotRun,
+        (false, false, _) => Outcome::Partial,
+    };
+    let retry_after_ms = (outcome != Outcome::Complete).then_some(RETRY_AFTER_MS);
+    Answer {
+        request_id: request.request_id.clone(),
+        outcome,
+        reason: first_lack,
+        snapshot: Some(snapshot),
+        shards: (result.results.len() + result.lacking.len()) as u32,
+        covered,
+        lacking: result.lacking,
+        results: result.results,
+        retry_after_ms,
+        ticket_block: None,
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,253 @@
+//! Process settings from flags and environment variables, checked at start.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+
+use pico_args::Arguments;
+use thiserror::Error;
+
+/// One setting: flag, environment variable, default and meaning.
+#[derive(Clone, Copy, Debug)]
+pub struct SettingSpec {
+    /// Name of the flag.
+    pub flag: &'static str,
+    /// Name of the environment variable; the flag goes before it.
+    pub variable: &'static str,
+    /// Value used without flag and variable; `None` if one is required.
+    pub default: Option<&'static str>,
+    /// Meaning, for the help text.
+    pub meaning: &'static str,
+}
+
+macro_rules! spec {
+    ($flag:literal, $variable:literal, $default:expr, $meaning:literal) => {
+        SettingSpec {
+            flag: $flag,
+            variable: $variable,
+            default: $default,
+            meaning: $meaning,
+        }
+    };
+}
+
+/// All settings of the daemon.
+pub const SPECS: &[SettingSpec] = &[
+    spec!("--vm", "CLOVERRACK_VM", None, "name of this VM"),
+    spec!("--region", "CLOVERRACK_REGION", None, "region of this VM"),
+    spec!(
+        "--failure-domain",
+        "CLOVERRACK_FAILURE_DOMAIN",
+        None,
+        "failure domain of this VM"
+    ),
+    spec!("--listen", "CLOVERRACK_LISTEN", None, "IP:PORT for callers"),
+    spec!(
+        "--internal",
+        "CLOVERRACK_INTERNAL",
+        None,
+        "IP:PORT for other VMs, TCP and UDP"
+    ),
+    spec!(
+        "--operator",
+        "CLOVERRACK_OPERATOR",
+        None,
+        "IP:PORT for operators"
+    ),
+    spec!(
+        "--platform",
+        "CLOVERRACK_PLATFORM",
+        None,
+        "IP:PORT of the configuration service"
+    ),
+    spec!(
+        "--peers",
+        "CLOVERRACK_PEERS",
+        Some(""),
+        "IP:PORT,... of VMs to ask at start"
+    ),
+    spec!(
+        "--keep-ms",
+        "CLOVERRACK_KEEP_MS",
+        Some("5000"),
+        "time callers may keep addresses"
+    ),
+    spec!(
+        "--log",
+        "CLOVERRACK_LOG",
+        Some("info"),
+        "log filter, such as info or cloverrack=debug"
+    ),
+];
+
+/// Longest time for which callers may keep addresses.
+const MAX_KEEP_MS: u64 = 600_000;
+
+/// Checked settings of one process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: Box<str>,
+    /// Region of this VM.
+    pub region: Box<str>,
+    /// Failure domain of this VM.
+    pub failure_domain: Box<str>,
+    /// Address of the listener for callers.
+    pub caller_address: SocketAddr,
+    /// Address of the internal listener.
+    pub internal_address: SocketAddr,
+    /// Address of the listener for operators.
+    pub operator_address: SocketAddr,
+    /// Address of the configuration service.
+    pub platform: SocketAddr,
+    /// VMs to ask at start, besides those on the VM list.
+    pub peers: Vec<SocketAddr>,
+    /// Time for which callers may keep addresses.
+    pub keep_ms: u64,
+    /// Log filter.
+    pub log: Box<str>,
+}
+
+/// A setting is missing or malformed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SettingsError {
+    /// A required setting is missing.
+    #[error("{flag} or {variable} is required")]
+    Missing {
+        /// Name of the flag.
+        flag: &'static str,
+        /// Name of the environment variable.
+        variable: &'static str,
+    },
+    /// A value is malformed.
+    #[error("{flag} {value}: expected {expected}")]
+    Malformed {
+        /// Name of the flag.
+        flag: &'static str,
+        /// Value given.
+        value: Box<str>,
+        /// What would be accepted.
+        expected: &'static str,
+    },
+    /// An argument is not known.
+    #[error("unknown argument {0}")]
+    Unknown(Box<str>),
+}
+
+struct Source<'a> {
+    arguments: Arguments,
+    variable: &'a dyn Fn(&str) -> Option<String>,
+}
+
+impl Source<'_> {
+    fn text(&mut self, flag: &'static str) -> Result<Box<str>, SettingsError> {
+        let Some(spec) = SPECS.iter().find(|spec| spec.flag == flag) else {
+            return Err(SettingsError::Unknown(flag.into()));
+        };
+        let malformed = |_| SettingsError::Malformed {
+            flag,
+            value: "".into(),
+            expected: "a value after the flag",
+        };
+        let given: Option<String> = self.arguments.opt_value_from_str(flag).map_err(malformed)?;
+        let value = given.or_else(|| (self.variable)(spec.variable));
+        let value = value.or_else(|| spec.default.map(str::to_owned));
+        let missing = SettingsError::Missing {
+            flag,
+            variable: spec.variable,
+        };
+        value.map(String::into_boxed_str).ok_or(missing)
+    }
+
+    fn name(&mut self, flag: &'static str) -> Result<Box<str>, SettingsError> {
+        let value = self.text(flag)?;
+        let valid = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if !value.is_empty() && value.len() <= 63 && value.chars().all(valid) {
+            return Ok(value);
+        }
+        let expected = "1 to 63 letters, digits, '-', '_' or '.'";
+        Err(SettingsError::Malformed {
+            flag,
+            value,
+            expected,
+        })
+    }
+
+    fn address(&mut self, flag: &'static str) -> Result<SocketAddr, SettingsError> {
+        let value = self.text(flag)?;
+        let parsed = value.parse();
+        parsed.map_err(|_| SettingsError::Malformed {
+            flag,
+            value,
+            expected: "IP:PORT",
+        })
+    }
+
+    fn addresses(&mut self, flag: &'static str) -> Result<Vec<SocketAddr>, SettingsError> {
+        let value = self.text(flag)?;
+        let mut addresses = Vec::new();
+        for part in value.split(',').filter(|part| !part.is_empty()) {
+            let expected = "IP:PORT,IP:PORT,...";
+            let malformed = || SettingsError::Malformed {
+                flag,
+                value: value.clone(),
+                expected,
+            };
+            addresses.push(part.parse().map_err(|_| malformed())?);
+        }
+        Ok(addresses)
+    }
+
+    fn number(&mut self, flag: &'static str, max: u64) -> Result<u64, SettingsError> {
+        let value = self.text(flag)?;
+        match value.parse() {
+            Ok(number) if number <= max => Ok(number),
+            _ => Err(SettingsError::Malformed {
+                flag,
+                value,
+                expected: "a number in range",
+            }),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads settings from arguments, and from `variable` where a flag is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting that is missing, malformed or unknown.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::{Settings, SettingsError};
+    /// let result = Settings::parse(vec![], &|_| None);
+    /// assert!(matches!(result, Err(SettingsError::Missing { flag: "--vm", .. })));
+    /// ```
+    pub fn parse(
+        arguments: Vec<OsString>,
+        variable: &dyn Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let arguments = Arguments::from_vec(arguments);
+        let mut source = Source {
+            arguments,
+            variable,
+        };
+        let settings = Self {
+            vm: source.name("--vm")?,
+            region: source.name("--region")?,
+            failure_domain: source.name("--failure-domain")?,
+            caller_address: source.address("--listen")?,
+            internal_address: source.address("--internal")?,
+            operator_address: source.address("--operator")?,
+            platform: source.address("--platform")?,
+            peers: source.addresses("--peers")?,
+            keep_ms: source.number("--keep-ms", MAX_KEEP_MS)?,
+            log: source.text("--log")?,
+        };
+        match source.arguments.finish().first() {
+            Some(extra) => Err(SettingsError::Unknown(extra.to_string_lossy().into())),
+            None => Ok(settings),
+        }
+    }
+}
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,119 @@
+//! Logs, one key=value line an event, and metrics in Prometheus text.
+
+use error_stack::{Report, ResultExt};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use thiserror::Error;
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+
+use crate::answer::Answer;
+
+/// Logs or metrics could not be set up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum TelemetryError {
+    /// The log filter is malformed.
+    #[error("log filter is malformed")]
+    Filter,
+    /// A log subscriber is installed already.
+    #[error("a log subscriber is installed already")]
+    Installed,
+    /// The metrics exporter could not be built.
+    #[error("metrics exporter could not be built")]
+    Exporter,
+    /// The metrics could not be written as text.
+    #[error("metrics could not be encoded")]
+    Encode,
+}
+
+/// Sends log events that pass `filter` to standard error, one key=value line each.
+///
+/// # Errors
+///
+/// Fails on a malformed filter, and if logs were set up before.
+pub fn init_logs(filter: &str) -> Result<(), Report<TelemetryError>> {
+    let filter = EnvFilter::try_new(filter).change_context(TelemetryError::Filter)?;
+    let layer = tracing_logfmt::builder()
+        .with_target(false)
+        .with_span_name(false)
+        .layer()
+        .with_writer(std::io::stderr);
+    tracing_subscriber::registry()
+        .with(filter)
+        .with(layer)
+        .try_init()
+        .change_context(TelemetryError::Installed)
+}
+
+/// Counters and histograms of one process.
+#[derive(Debug)]
+pub struct Telemetry {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    answer_ms: Histogram<u64>,
+    lacking_shards: Counter<u64>,
+    extra_calls: Counter<u64>,
+    unexpected_replies: Counter<u64>,
+}
+
+impl Telemetry {
+    /// Opens the metrics of this process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be built.
+    pub fn open() -> Result<Self, Report<TelemetryError>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .change_context(TelemetryError::Exporter)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cloverrack");
+        Ok(Self {
+            answers: meter.u64_counter("cloverrack_answers").build(),
+            answer_ms: meter.u64_histogram("cloverrack_answer_ms").build(),
+            lacking_shards: meter.u64_counter("cloverrack_lacking_shards").build(),
+            extra_calls: meter.u64_counter("cloverrack_extra_calls").build(),
+            unexpected_replies: meter.u64_counter("cloverrack_unexpected_replies").build(),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a final answer.
+    pub fn count_answer(&self, answer: &Answer, elapsed_ms: u64) {
+        let outcome = KeyValue::new("outcome", format!("{:?}", answer.outcome));
+        self.answers.add(1, std::slice::from_ref(&outcome));
+        self.answer_ms.record(elapsed_ms, &[outcome]);
+        self.lacking_shards.add(answer.lacking.len() as u64, &[]);
+    }
+
+    /// Counts a hedge or retry that the budget allowed or denied.
+    pub fn count_extra_call(&self, allowed: bool) {
+        self.extra_calls
+            .add(1, &[KeyValue::new("allowed", allowed)]);
+    }
+
+    /// Counts a reply that no request waited for.
+    pub fn count_unexpected_reply(&self) {
+        self.unexpected_replies.add(1, &[]);
+    }
+
+    /// Returns all metrics as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn text(&self) -> Result<Vec<u8>, Report<TelemetryError>> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .change_context(TelemetryError::Encode)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/standins/src/leaf.rs
@@ -0,0 +1,443 @@
+//! Stand-in for one leaf of a target: slots, connection limit, drain, snapshots, faults and a
+//! record of what it ran.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::server::{Body, json, read, status};
+
+/// A way in which a leaf answers wrongly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Misbehaviour {
+    /// Names another call.
+    WrongCall,
+    /// Names another snapshot.
+    WrongSnapshot,
+    /// Names another shard.
+    WrongShard,
+    /// Runs the call and never answers.
+    Silent,
+    /// Answers with an internal error.
+    Error,
+}
+
+/// Behaviour of a leaf; all of it may change while it runs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LeafOptions {
+    /// Calls executed at a time; more are shed.
+    pub slots: u32,
+    /// Connections accepted at a time; more are closed.
+    pub connections: u32,
+    /// Time to set up a connection.
+    pub connect_ms: u64,
+    /// Time to execute a call.
+    pub service_us: u64,
+    /// Share of calls that are slow.
+    pub straggler_ppm: u32,
+    /// Factor on the time of a slow call.
+    pub straggler_factor: u32,
+    /// Whether new work is refused.
+    pub draining: bool,
+    /// Whether the leaf reports that it started recently.
+    pub cold: bool,
+    /// Snapshots held, as (version, layout).
+    pub snapshots: Vec<(u64, u32)>,
+    /// Way in which answers are wrong.
+    pub misbehaviour: Option<Misbehaviour>,
+    /// Whether all connections are cut and new ones refused.
+    pub cut: bool,
+    /// Whether the status endpoint goes on reporting the first status.
+    pub status_frozen: bool,
+}
+
+impl Default for LeafOptions {
+    fn default() -> Self {
+        Self {
+            slots: 3,
+            connections: 30,
+            connect_ms: 0,
+            service_us: 500,
+            straggler_ppm: 0,
+            straggler_factor: 20,
+            draining: false,
+            cold: false,
+            snapshots: vec![(1, 1)],
+            misbehaviour: None,
+            cut: false,
+            status_frozen: false,
+        }
+    }
+}
+
+/// One execution of a call: the truth that outcomes are judged against.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Id of the call.
+    pub call: String,
+    /// Id of the caller's request.
+    pub request: String,
+    /// Shard asked for.
+    pub shard: u32,
+    /// Snapshot asked for.
+    pub snapshot: String,
+    /// Content.
+    pub payload: String,
+    /// Wall-clock time of the start.
+    pub started_unix_ms: u64,
+    /// Whether the execution ran to its end.
+    pub finished: bool,
+}
+
+/// Counts of a leaf.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeafCounts {
+    /// Connections open now.
+    pub connections: u32,
+    /// Most connections open or asked for at one time.
+    pub max_connections: u32,
+    /// Calls executing now.
+    pub in_flight: u32,
+    /// Most calls executing at one time.
+    pub max_in_flight: u32,
+    /// Calls shed because all slots were in use.
+    pub shed: u64,
+    /// Calls refused because the leaf drains.
+    pub refused_draining: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    options: LeafOptions,
+    frozen_status: Option<serde_json::Value>,
+    counts: LeafCounts,
+    executions: Vec<Execution>,
+    crash_exits_process: bool,
+}
+
+/// A running stand-in for one leaf.
+#[derive(Clone, Debug)]
+pub struct LeafStandin {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    cut: Arc<Mutex<CancellationToken>>,
+    stop: CancellationToken,
+}
+
+/// Content that makes the leaf crash.
+pub const CRASH_WORD: &str = "crash-target";
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    elapsed.as_millis() as u64
+}
+
+impl LeafStandin {
+    /// Binds a leaf and serves until [`LeafStandin::stop`] or the end of the runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn bind(address: SocketAddr, options: LeafOptions) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let standin = Self {
+            address: listener.local_addr()?,
+            state: Arc::new(Mutex::new(State {
+                options,
+                ..State::default()
+            })),
+            cut: Arc::default(),
+            stop: CancellationToken::new(),
+        };
+        tokio::spawn(standin.clone().accept(listener));
+        Ok(standin)
+    }
+
+    /// Makes a crash end the whole process instead of this leaf alone.
+    pub fn crash_exits_process(&self) {
+        self.state().crash_exits_process = true;
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the behaviour.
+    pub fn options(&self) -> LeafOptions {
+        self.state().options.clone()
+    }
+
+    /// Changes the behaviour.
+    pub fn set(&self, change: impl FnOnce(&mut LeafOptions)) {
+        let frozen = self.status_content();
+        let cut = {
+            let mut state = self.state();
+            let was_frozen = state.options.status_frozen;
+            change(&mut state.options);
+            if !state.options.status_frozen {
+                state.frozen_status = None;
+            } else if !was_frozen {
+                state.frozen_status = Some(frozen);
+            }
+            state.options.cut
+        };
+        if cut {
+            self.cut_connections();
+        }
+    }
+
+    fn cut_connections(&self) {
+        let mut token = self.cut.lock().unwrap_or_else(PoisonError::into_inner);
+        token.cancel();
+        *token = CancellationToken::new();
+    }
+
+    /// Returns all executions so far.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.state().executions.clone()
+    }
+
+    /// Returns the counts.
+    pub fn counts(&self) -> LeafCounts {
+        self.state().counts
+    }
+
+    /// Ends the leaf at once, as a crash does.
+    pub fn stop(&self) {
+        self.stop.cancel();
+        self.cut_connections();
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.stop.cancelled() => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                continue;
+            };
+            if self.state().options.cut {
+                continue;
+            }
+            tokio::spawn(self.clone().serve(stream));
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Some(_guard) = ConnectionGuard::open(&self) else {
+            return;
+        };
+        let cut = self
+            .cut
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let connect_ms = self.options().connect_ms;
+        tokio::time::sleep(Duration::from_millis(connect_ms)).await;
+        let leaf = self.clone();
+        let service = service_fn(move |request| {
+            let leaf = leaf.clone();
+            async move { leaf.handle(request).await }
+        });
+        let serving = hyper::server::conn::http2::Builder::new(TokioExecutor::new())
+            .serve_connection(TokioIo::new(stream), service);
+        let _ = cut.run_until_cancelled(serving).await;
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        Ok(match request.uri().path() {
+            "/v1/execute" => self.execute(request).await,
+            "/v1/status" => json(&self.status()),
+            _ => status(StatusCode::NOT_FOUND),
+        })
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let frozen = self.state().frozen_status.clone();
+        frozen.unwrap_or_else(|| self.status_content())
+    }
+
+    fn status_content(&self) -> serde_json::Value {
+        let options = self.options();
+        let mut snapshots = Vec::new();
+        for (version, layout) in &options.snapshots {
+            snapshots.push(json!({ "version": version, "layout": layout }));
+        }
+        json!({ "draining": options.draining, "cold": options.cold, "snapshots": snapshots })
+    }
+
+    async fn execute(&self, request: Request<Incoming>) -> Response<Body> {
+        let (parts, body) = request.into_parts();
+        let payload = String::from_utf8_lossy(&read(body).await).into_owned();
+        let guard = match ExecutionGuard::start(self, &parts.headers, &payload) {
+            Ok(guard) => guard,
+            Err(reason) => return not_started(reason),
+        };
+        if payload.contains(CRASH_WORD) {
+            self.crash();
+            return std::future::pending().await;
+        }
+        let options = self.options();
+        tokio::time::sleep(service_time(&options)).await;
+        if options.misbehaviour == Some(Misbehaviour::Silent) {
+            return std::future::pending().await;
+        }
+        guard.finish();
+        respond(&options, &parts.headers, &payload)
+    }
+
+    fn crash(&self) {
+        if self.state().crash_exits_process {
+            std::process::exit(101);
+        }
+        self.stop();
+    }
+}
+
+fn service_time(options: &LeafOptions) -> Duration {
+    let slow = rand::rng().random_range(0..1_000_000) < options.straggler_ppm;
+    let factor = if slow {
+        u64::from(options.straggler_factor)
+    } else {
+        1
+    };
+    Duration::from_micros(options.service_us * factor)
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+}
+
+fn not_started(reason: &'static str) -> Response<Body> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+    response
+        .headers_mut()
+        .insert("x-not-started", http::HeaderValue::from_static(reason));
+    response
+}
+
+fn respond(options: &LeafOptions, headers: &HeaderMap, payload: &str) -> Response<Body> {
+    let mut call = header(headers, "x-call-id").to_owned();
+    let mut shard = header(headers, "x-shard").to_owned();
+    let mut snapshot = header(headers, "x-snapshot").to_owned();
+    match options.misbehaviour {
+        Some(Misbehaviour::WrongCall) => call.push('9'),
+        Some(Misbehaviour::WrongShard) => shard.push('9'),
+        Some(Misbehaviour::WrongSnapshot) => snapshot.push('9'),
+        Some(Misbehaviour::Error) => return status(StatusCode::INTERNAL_SERVER_ERROR),
+        _ => {}
+    }
+    let body = format!("{snapshot}:{shard}:{payload}");
+    Response::builder()
+        .header("x-call-id", call)
+        .header("x-shard", shard)
+        .header("x-snapshot", snapshot)
+        .body(Full::new(body.into()))
+        .unwrap_or_else(|_| status(StatusCode::INTERNAL_SERVER_ERROR))
+}
+
+struct ConnectionGuard<'a>(&'a LeafStandin);
+
+impl<'a> ConnectionGuard<'a> {
+    fn open(leaf: &'a LeafStandin) -> Option<Self> {
+        let mut state = leaf.state();
+        let wanted = state.counts.connections + 1;
+        state.counts.max_connections = state.counts.max_connections.max(wanted);
+        if wanted > state.options.connections {
+            return None;
+        }
+        state.counts.connections = wanted;
+        Some(Self(leaf))
+    }
+}
+
+impl Drop for ConnectionGuard<'_> {
+    fn drop(&mut self) {
+        self.0.state().counts.connections -= 1;
+    }
+}
+
+struct ExecutionGuard<'a> {
+    leaf: &'a LeafStandin,
+    index: usize,
+}
+
+impl<'a> ExecutionGuard<'a> {
+    /// Records the start of an execution, or says why it does not start.
+    fn start(
+        leaf: &'a LeafStandin,
+        headers: &HeaderMap,
+        payload: &str,
+    ) -> Result<Self, &'static str> {
+        let snapshot = header(headers, "x-snapshot");
+        let deadline: u64 = header(headers, "x-deadline-unix-ms").parse().unwrap_or(0);
+        let mut state = leaf.state();
+        if state.options.draining {
+            state.counts.refused_draining += 1;
+            return Err("draining");
+        }
+        if deadline <= unix_ms() {
+            return Err("deadline");
+        }
+        let held = &state.options.snapshots;
+        if !held
+            .iter()
+            .any(|(version, layout)| format!("{version}.{layout}") == snapshot)
+        {
+            return Err("snapshot");
+        }
+        if state.counts.in_flight >= state.options.slots {
+            state.counts.shed += 1;
+            return Err("shed");
+        }
+        state.counts.in_flight += 1;
+        state.counts.max_in_flight = state.counts.max_in_flight.max(state.counts.in_flight);
+        state.executions.push(Execution {
+            call: header(headers, "x-call-id").to_owned(),
+            request: header(headers, "x-request-id").to_owned(),
+            shard: header(headers, "x-shard").parse().unwrap_or(u32::MAX),
+            snapshot: snapshot.to_owned(),
+            payload: payload.to_owned(),
+            started_unix_ms: unix_ms(),
+            finished: false,
+        });
+        let index = state.executions.len() - 1;
+        Ok(Self { leaf, index })
+    }
+
+    fn finish(&self) {
+        self.leaf.state().executions[self.index].finished = true;
+    }
+}
+
+impl Drop for ExecutionGuard<'_> {
+    fn drop(&mut self) {
+        self.leaf.state().counts.in_flight -= 1;
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for the platform and the targets, and a load tool; never part of the product.
+//!
+//! Each stand-in runs inside a test process or as a process of its own.
+
+pub mod leaf;
+pub mod load;
+pub mod platform;
+pub mod server;
+
+pub use leaf::{Execution, LeafOptions, LeafStandin, Misbehaviour};
+pub use platform::PlatformStandin;
--- /dev/null
+++ b/standins/src/load.rs
@@ -0,0 +1,164 @@
+//! Open-loop load: seeded arrivals, latency counted from the intended start.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http2::{SendRequest, handshake};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio_util::task::TaskTracker;
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Entry addresses, used in turn.
+    pub entries: Vec<SocketAddr>,
+    /// Full name of the service.
+    pub service: String,
+    /// Mean arrivals a second.
+    pub rate: f64,
+    /// Time over which requests arrive.
+    pub duration: Duration,
+    /// Deadline of each request.
+    pub deadline_ms: u64,
+    /// Seed of the arrivals.
+    pub seed: u64,
+}
+
+/// What came back.
+#[derive(Debug)]
+pub struct LoadReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Answers by outcome: complete, partial, not run, unknown, refused, none.
+    pub outcomes: [u64; 6],
+    /// Shards covered by all answers.
+    pub covered: u64,
+    /// Shards in the layouts of all answers.
+    pub shards: u64,
+    /// Latency of complete and partial answers, in microseconds from the intended start.
+    pub served_us: Histogram<u64>,
+    /// Latency of refusals, in microseconds from the intended start.
+    pub refused_us: Histogram<u64>,
+}
+
+/// Names of the outcomes in [`LoadReport::outcomes`].
+pub const OUTCOMES: [&str; 6] = [
+    "complete", "partial", "not_run", "unknown", "refused", "none",
+];
+
+#[derive(Deserialize)]
+struct AnswerLine {
+    outcome: String,
+    shards: u64,
+    covered: Vec<u32>,
+}
+
+/// Sends the load and waits for all answers.
+///
+/// # Errors
+///
+/// Fails if an entry address can't be reached at the start.
+pub async fn run(plan: &LoadPlan) -> std::io::Result<LoadReport> {
+    let mut senders = Vec::new();
+    for entry in &plan.entries {
+        senders.push((*entry, connect(*entry).await?));
+    }
+    let report = Arc::new(Mutex::new(empty_report()));
+    let tasks = TaskTracker::new();
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let start = Instant::now();
+    let mut at = Duration::ZERO;
+    let mut number = 0_usize;
+    while at < plan.duration {
+        tokio::time::sleep_until((start + at).into()).await;
+        let (entry, sender) = senders[number % senders.len()].clone();
+        let body = json!({
+            "service": plan.service, "member": "load", "request_id": format!("l{}-{number}", plan.seed),
+            "deadline_ms": plan.deadline_ms, "payload": format!("q{number}"),
+        });
+        let report = Arc::clone(&report);
+        let intended = start + at;
+        tasks.spawn(async move {
+            let answer = send(entry, sender, body.to_string()).await;
+            record(&report, answer, intended);
+        });
+        number += 1;
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        at += Duration::from_secs_f64(-uniform.ln() / plan.rate);
+    }
+    tasks.close();
+    tasks.wait().await;
+    let mut report = Arc::try_unwrap(report)
+        .map(|report| report.into_inner().unwrap_or_else(PoisonError::into_inner))
+        .unwrap_or_else(|_| empty_report());
+    report.sent = number as u64;
+    Ok(report)
+}
+
+fn empty_report() -> LoadReport {
+    let histogram = || Histogram::new(3).expect("three digits are valid");
+    LoadReport {
+        sent: 0,
+        outcomes: [0; 6],
+        covered: 0,
+        shards: 0,
+        served_us: histogram(),
+        refused_us: histogram(),
+    }
+}
+
+async fn connect(entry: SocketAddr) -> std::io::Result<SendRequest<Full<Bytes>>> {
+    let stream = TcpStream::connect(entry).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+async fn send(
+    entry: SocketAddr,
+    mut sender: SendRequest<Full<Bytes>>,
+    body: String,
+) -> Option<AnswerLine> {
+    let request = Request::post(format!("http://{entry}/v1/query"))
+        .body(Full::new(Bytes::from(body)))
+        .ok()?;
+    sender.ready().await.ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let bytes = response.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
+
+fn record(report: &Mutex<LoadReport>, answer: Option<AnswerLine>, intended: Instant) {
+    let elapsed_us = intended.elapsed().as_micros() as u64;
+    let mut report = report.lock().unwrap_or_else(PoisonError::into_inner);
+    let outcome = answer.as_ref().map_or("none", |answer| &answer.outcome);
+    let index = OUTCOMES
+        .iter()
+        .position(|name| *name == outcome)
+        .unwrap_or(OUTCOMES.len() - 1);
+    report.outcomes[index] += 1;
+    let Some(answer) = answer else {
+        return;
+    };
+    report.covered += answer.covered.len() as u64;
+    report.shards += answer.shards;
+    let histogram = if index < 2 {
+        &mut report.served_us
+    } else {
+        &mut report.refused_us
+    };
+    histogram.saturating_record(elapsed_us);
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,222 @@
+//! Stand-in for the configuration service: Consul's KV reads with blocking queries.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::server::{Body, read, status};
+
+/// Prefix of the control paths of a stand-in that runs as a process.
+const CONTROL_PREFIX: &str = "/control/";
+
+#[derive(Clone, Debug)]
+struct Value {
+    revision: u64,
+    body: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    index: u64,
+    values: BTreeMap<String, Value>,
+    stale: Option<(u64, BTreeMap<String, Value>)>,
+    down: bool,
+    calls: u64,
+}
+
+/// A running stand-in for the configuration service.
+#[derive(Clone, Debug)]
+pub struct PlatformStandin {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl PlatformStandin {
+    /// Binds the stand-in and serves until the runtime ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let standin = Self {
+            address: listener.local_addr()?,
+            state: Arc::default(),
+            changed: watch::Sender::new(0),
+        };
+        tokio::spawn(standin.clone().accept(listener));
+        Ok(standin)
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Publishes a value and returns its revision.
+    pub fn put(&self, key: &str, body: impl Into<Bytes>) -> u64 {
+        let index = {
+            let mut state = self.state();
+            state.index += 1;
+            let value = Value {
+                revision: state.index,
+                body: body.into(),
+            };
+            state.values.insert(key.to_owned(), value);
+            state.index
+        };
+        self.changed.send_replace(index);
+        index
+    }
+
+    /// Makes the service unreachable, or reachable again.
+    pub fn set_down(&self, down: bool) {
+        self.state().down = down;
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Freezes what readers see at the present state, or shows the newest again.
+    pub fn set_stale(&self, stale: bool) {
+        {
+            let mut state = self.state();
+            state.stale = stale.then(|| (state.index, state.values.clone()));
+        }
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Returns the calls counted so far; a waiting watch is one.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let standin = self.clone();
+            tokio::spawn(async move {
+                let service = service_fn(|request| standin.handle(request));
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        let path = request.uri().path().to_owned();
+        if let Some(rest) = path.strip_prefix(CONTROL_PREFIX) {
+            return Ok(self.control(rest, request).await);
+        }
+        if request.method() != Method::GET || !path.starts_with("/v1/kv/") {
+            return Ok(status(StatusCode::METHOD_NOT_ALLOWED));
+        }
+        self.state().calls += 1;
+        let prefix = path.trim_start_matches("/v1/kv/").to_owned();
+        let query = request.uri().query().unwrap_or("").to_owned();
+        Ok(self.read(&prefix, &query).await)
+    }
+
+    async fn control(&self, action: &str, request: Request<Incoming>) -> Response<Body> {
+        let body = read(request.into_body()).await;
+        match action.split_once('/') {
+            Some(("put", key)) => {
+                let revision = self.put(key, body);
+                crate::server::json(&json!({ "revision": revision }))
+            }
+            Some(("down", value)) => {
+                self.set_down(value == "true");
+                status(StatusCode::OK)
+            }
+            Some(("stale", value)) => {
+                self.set_stale(value == "true");
+                status(StatusCode::OK)
+            }
+            _ => match action {
+                "calls" => crate::server::json(&json!({ "calls": self.calls() })),
+                _ => status(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+
+    async fn read(&self, prefix: &str, query: &str) -> Response<Body> {
+        let parameter = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+        };
+        let index: u64 = parameter("index")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let wait_ms: u64 = parameter("wait")
+            .and_then(|text| text.trim_end_matches("ms").parse().ok())
+            .unwrap_or(0);
+        let mut changed = self.changed.subscribe();
+        let newer = async {
+            while !self.state().down && self.visible_index() <= index {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = timeout(Duration::from_millis(wait_ms), newer).await;
+        self.answer(prefix)
+    }
+
+    fn visible_index(&self) -> u64 {
+        let state = self.state();
+        state
+            .stale
+            .as_ref()
+            .map_or(state.index, |(index, _)| *index)
+    }
+
+    fn answer(&self, prefix: &str) -> Response<Body> {
+        let state = self.state();
+        if state.down {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let (index, values) = match &state.stale {
+            Some((index, values)) => (*index, values),
+            None => (state.index, &state.values),
+        };
+        let mut entries = Vec::new();
+        for (key, value) in values {
+            if !key.starts_with(prefix) {
+                continue;
+            }
+            let encoded = STANDARD.encode(&value.body);
+            entries.push(json!({
+                "Key": key, "ModifyIndex": value.revision, "Value": encoded,
+            }));
+        }
+        let found = !entries.is_empty();
+        let mut response = crate::server::json(&entries);
+        if !found {
+            *response.status_mut() = StatusCode::NOT_FOUND;
+        }
+        response
+            .headers_mut()
+            .insert("x-consul-index", index.into());
+        response
+    }
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,22 @@
+//! The whole path on separate processes: a query is served, and stays complete when a leaf is lost.
+
+mod support;
+
+use cloverrack::Outcome;
+use support::{Cluster, Shape, request};
+
+/// Guards against a path that serves nothing, or that gives up a shard which has other replicas.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_leaf_leaves_answers_complete() {
+    let cluster = Cluster::start(Shape::default()).await;
+    cluster.leaves[0][0].stop();
+    for number in 0..20 {
+        let answer = cluster
+            .query(number % 3, &request(&format!("q-{number}")))
+            .await
+            .unwrap();
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+        assert_eq!(answer.covered, vec![0, 1, 2]);
+        assert_eq!(&*answer.request_id, format!("q-{number}"));
+    }
+}
