--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -11,7 +11,10 @@
 daemons=()
 
 cleanup() {
-    for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+    for pid in "${pids[@]}"; do
+        kill -9 "$pid" 2>/dev/null || true
+        wait "$pid" 2>/dev/null || true
+    done
     rm -rf "$logs"
 }
 trap cleanup EXIT
@@ -77,9 +80,11 @@
 
 echo "== one target process is killed; replicas serve its shards"
 kill -9 "${targets[0]}"
+wait "${targets[0]}" 2>/dev/null || true
 for number in $(seq 20); do
-    complete "127.1.0.$((number % 3 + 1)):7000" "after-kill-$number" ||
-        fail "answer $number after the kill is not complete"
+    answer=$(query "127.1.0.$((number % 3 + 1)):7000" "after-kill-$number" || true)
+    grep -q '"outcome": "complete"' <<<"$answer" ||
+        fail "answer $number after the kill is not complete: $answer"
 done
 "$bin/cloverrack" query --entry 127.1.0.2:7000 --service cooperative/spec-desk "panel system"
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -176,7 +176,7 @@
         let text = std::str::from_utf8(body).map_err(|_| ConfigError::NotText)?;
         let file: Self = toml::from_str(text).map_err(|error| ConfigError::Syntax {
             line: error.span().map_or(1, |span| line_of(text, span.start)),
-            message: error.message().into(),
+            message: message_with_key(text, &error),
         })?;
         for (name, service) in &file.services {
             service.validate(text, name)?;
@@ -288,6 +288,31 @@
     }
 }
 
+/// Messages of value parsers that do not say what they expect.
+const EXPECTED: &[(&str, &str)] = &[("invalid socket address syntax", "expected IP:PORT")];
+
+/// Returns the parser's message, after the key whose value it is about.
+fn message_with_key(text: &str, error: &toml::de::Error) -> Box<str> {
+    let replaced = EXPECTED
+        .iter()
+        .find(|(message, _)| *message == error.message());
+    let message = replaced.map_or(error.message(), |(_, expected)| expected);
+    let start = error.span().map_or(0, |span| span.start);
+    match key_before(text, start) {
+        Some(key) => format!("key {key}: {message}").into(),
+        None => message.into(),
+    }
+}
+
+/// Returns the key on the line of `offset` whose value starts at or before it.
+fn key_before(text: &str, offset: usize) -> Option<&str> {
+    let before = text.get(..offset)?;
+    let line = &before[before.rfind('\n').map_or(0, |end| end + 1)..];
+    let (left, _) = line.rsplit_once('=')?;
+    let key = left.trim_end().rsplit([' ', '\t', ',', '{']).next()?;
+    (!key.is_empty()).then_some(key)
+}
+
 /// Returns the line, from 1, of a byte offset.
 fn line_of(text: &str, offset: usize) -> usize {
     let end = offset.min(text.len());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -197,14 +197,15 @@
         Ok(addresses)
     }
 
-    fn number(&mut self, flag: &'static str, max: u64) -> Result<u64, SettingsError> {
+    fn keep_ms(&mut self) -> Result<u64, SettingsError> {
+        let flag = "--keep-ms";
         let value = self.text(flag)?;
         match value.parse() {
-            Ok(number) if number <= max => Ok(number),
+            Ok(number) if number <= MAX_KEEP_MS => Ok(number),
             _ => Err(SettingsError::Malformed {
                 flag,
                 value,
-                expected: "a number in range",
+                expected: "0 to 600000",
             }),
         }
     }
@@ -242,7 +243,7 @@
             operator_address: source.address("--operator")?,
             platform: source.address("--platform")?,
             peers: source.addresses("--peers")?,
-            keep_ms: source.number("--keep-ms", MAX_KEEP_MS)?,
+            keep_ms: source.keep_ms()?,
             log: source.text("--log")?,
         };
         match source.arguments.finish().first() {
