Report tail latency, coverage and extra load of each service

Cause: the three measures that operators weigh could not be read from a node; metrics count answers of all services together.

Ruled out: one Prometheus series for each service, outcome and quantile: the member files decide how many services there are, and the coverage of an answer is no counter of its own.

Conclusion: reports cover the last one to two minutes and are kept in two windows a service.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,8 +12,7 @@
 
 cleanup() {
     for pid in "${pids[@]}"; do
-        kill -9 "$pid" 2>/dev/null || true
-        wait "$pid" 2>/dev/null || true
+        { kill -9 "$pid" && wait "$pid"; } 2>/dev/null || true
     done
     rm -rf "$logs"
 }
@@ -79,8 +78,7 @@
 complete 127.1.0.1:7000 check || fail "the answer is not complete"
 
 echo "== one target process is killed; replicas serve its shards"
-kill -9 "${targets[0]}"
-wait "${targets[0]}" 2>/dev/null || true
+{ kill -9 "${targets[0]}" && wait "${targets[0]}"; } 2>/dev/null || true
 for number in $(seq 20); do
     answer=$(query "127.1.0.$((number % 3 + 1)):7000" "after-kill-$number" || true)
     grep -q '"outcome": "complete"' <<<"$answer" ||
@@ -88,6 +86,9 @@
 done
 "$bin/cloverrack" query --entry 127.1.0.2:7000 --service cooperative/spec-desk "panel system"
 
+echo "== what the node measured"
+"$bin/cloverrack" services --operator 127.1.0.2:7002
+
 echo "== graceful stop"
 for pid in "${daemons[@]}"; do kill -TERM "$pid"; done
 for pid in "${daemons[@]}"; do
--- a/src/answer.rs
+++ b/src/answer.rs
@@ -52,7 +52,9 @@
 }
 
 /// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Encode, Decode)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// All shards of the snapshot are covered.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,7 @@
 
 mod client;
 mod query;
+mod services;
 mod status;
 
 /// Exit code of a bad command line, an invalid file and a node that gives no answer.
@@ -33,6 +34,8 @@
   status --operator IP:PORT [--operator IP:PORT ...] [--leaves] [--json]
       Shows what nodes report about themselves; --leaves adds a line for each leaf.
       Exits 1 if nodes have different configuration in force or one gives no answer.
+  services --operator IP:PORT [--operator IP:PORT ...] [--json]
+      Shows tail latency, coverage and extra load of each service over the last minutes.
   check FILE [FILE ...]
       Checks configuration files and changes nothing; exits 2 if one is invalid.
 
@@ -94,6 +97,7 @@
         Some("query") => query::query(arguments).await,
         Some("entries") => query::entries(arguments).await,
         Some("status") => status::status(arguments).await,
+        Some("services") => services::services(arguments).await,
         Some("check") => check(arguments),
         Some(other) => Err(CliError::Command(other.into())),
         None => Err(CliError::NoCommand),
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -203,6 +203,9 @@
         let method = request.method().clone();
         match (method, request.uri().path()) {
             (Method::GET, "/v1/status") => json(StatusCode::OK, &self.status()),
+            (Method::GET, "/v1/services") => {
+                json(StatusCode::OK, &self.telemetry.service_reports())
+            }
             (Method::GET, "/metrics") => self.metrics(),
             (Method::POST, "/v1/check") => self.check(request).await,
             #[cfg(feature = "fault-injection")]
--- a/src/query.rs
+++ b/src/query.rs
@@ -393,6 +393,10 @@
     }
 
     fn finish(mut self) -> RunResult {
+        let made: usize = self.shards.iter().map(|shard| shard.tried.len()).sum();
+        let service = &self.fleet.service(self.work.service).name;
+        self.root
+            .count_calls(service, self.shards.len() as u64, made as u64);
         let mut result = RunResult {
             uncertain: self.uncertain,
             snapshot_gone: self.snapshot_gone,
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,174 @@
+//! The three measures of each service as operators read them: tail latency, coverage, extra load.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::answer::{Answer, Outcome};
+
+/// Length of one window; a report covers the current window and the one before.
+pub const WINDOW_MS: u64 = 60_000;
+
+/// Largest latency recorded.
+const MAX_LATENCY_US: u64 = 600_000_000;
+
+const PPM: u64 = 1_000_000;
+
+/// Report on one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceReport {
+    /// Full name of the service.
+    pub service: Box<str>,
+    /// Answers with all shards covered.
+    pub complete: u64,
+    /// Answers with some shards covered.
+    pub partial: u64,
+    /// Requests that no leaf started.
+    pub not_run: u64,
+    /// Requests that may have run.
+    pub unknown: u64,
+    /// Requests refused for their content.
+    pub refused: u64,
+    /// Median latency of complete and partial answers.
+    pub p50_us: u64,
+    /// Latency that 99 of 100 complete and partial answers do not exceed.
+    pub p99_us: u64,
+    /// Latency that 999 of 1,000 complete and partial answers do not exceed.
+    pub p999_us: u64,
+    /// Covered shards of all shards in complete and partial answers.
+    pub coverage_ppm: u64,
+    /// Leaf calls beyond one for each shard, of the calls needed.
+    pub extra_load_ppm: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    outcomes: BTreeMap<Outcome, u64>,
+    covered: u64,
+    shards: u64,
+    calls: u64,
+    calls_needed: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Window {
+    counts: Counts,
+    latency_us: Histogram<u32>,
+}
+
+impl Default for Window {
+    fn default() -> Self {
+        let bounds = Histogram::new_with_bounds(1, MAX_LATENCY_US, 2);
+        Self {
+            counts: Counts::default(),
+            latency_us: bounds.expect("constant bounds are valid"),
+        }
+    }
+}
+
+/// Windows of one service.
+#[derive(Clone, Debug, Default)]
+struct Windows {
+    number: u64,
+    current: Window,
+    previous: Window,
+}
+
+impl Windows {
+    fn at(&mut self, now_ms: u64) -> &mut Window {
+        let number = now_ms / WINDOW_MS;
+        if number > self.number {
+            let ended = std::mem::take(&mut self.current);
+            let adjacent = number == self.number + 1;
+            self.previous = if adjacent { ended } else { Window::default() };
+            self.number = number;
+        }
+        &mut self.current
+    }
+}
+
+/// Reports on all services of one node.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::Reports;
+/// let mut reports = Reports::default();
+/// reports.record_calls("pnw/spec-desk", 10, 11, 0);
+/// assert_eq!(reports.all(0)[0].extra_load_ppm, 100_000);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Reports {
+    services: BTreeMap<Box<str>, Windows>,
+}
+
+impl Reports {
+    fn window(&mut self, service: &str, now_ms: u64) -> &mut Window {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.into(), Windows::default());
+        }
+        let windows = self.services.entry(service.into()).or_default();
+        windows.at(now_ms)
+    }
+
+    /// Records a final answer.
+    pub fn record_answer(&mut self, service: &str, answer: &Answer, elapsed_us: u64, now_ms: u64) {
+        let window = self.window(service, now_ms);
+        *window.counts.outcomes.entry(answer.outcome).or_default() += 1;
+        if !matches!(answer.outcome, Outcome::Complete | Outcome::Partial) {
+            return;
+        }
+        window.counts.covered += answer.covered.len() as u64;
+        window.counts.shards += u64::from(answer.shards);
+        let latency_us = elapsed_us.clamp(1, MAX_LATENCY_US);
+        window.latency_us.saturating_record(latency_us);
+    }
+
+    /// Records the leaf calls of one request: those needed, one for each shard, and those made.
+    pub fn record_calls(&mut self, service: &str, needed: u64, made: u64, now_ms: u64) {
+        let counts = &mut self.window(service, now_ms).counts;
+        counts.calls_needed += needed;
+        counts.calls += made;
+    }
+
+    /// Returns the reports on all services, by name.
+    pub fn all(&mut self, now_ms: u64) -> Vec<ServiceReport> {
+        let mut reports = Vec::with_capacity(self.services.len());
+        for (service, windows) in &mut self.services {
+            windows.at(now_ms);
+            reports.push(report(service, windows));
+        }
+        reports
+    }
+}
+
+fn report(service: &str, windows: &Windows) -> ServiceReport {
+    let (new, old) = (&windows.current.counts, &windows.previous.counts);
+    let outcome = |outcome| {
+        let of = |counts: &Counts| counts.outcomes.get(&outcome).copied().unwrap_or(0);
+        of(new) + of(old)
+    };
+    let mut latency_us = windows.current.latency_us.clone();
+    let same_bounds = latency_us.add(&windows.previous.latency_us);
+    debug_assert!(same_bounds.is_ok(), "all windows have the same bounds");
+    let needed = new.calls_needed + old.calls_needed;
+    let extra = (new.calls + old.calls).saturating_sub(needed);
+    ServiceReport {
+        service: service.into(),
+        complete: outcome(Outcome::Complete),
+        partial: outcome(Outcome::Partial),
+        not_run: outcome(Outcome::NotRun),
+        unknown: outcome(Outcome::Unknown),
+        refused: outcome(Outcome::Refused),
+        p50_us: latency_us.value_at_quantile(0.5),
+        p99_us: latency_us.value_at_quantile(0.99),
+        p999_us: latency_us.value_at_quantile(0.999),
+        coverage_ppm: ppm(new.covered + old.covered, new.shards + old.shards),
+        extra_load_ppm: ppm(extra, needed),
+    }
+}
+
+fn ppm(part: u64, whole: u64) -> u64 {
+    (part * PPM).checked_div(whole).unwrap_or(0)
+}
--- a/src/root.rs
+++ b/src/root.rs
@@ -148,6 +148,16 @@
             Err(answer) => answer,
         };
         self.telemetry.count_answer(&answer, boot_ms() - started_ms);
+        if self
+            .control
+            .fleet()
+            .find_service(&request.service)
+            .is_some()
+        {
+            let elapsed_us = (boot_ms() - started_ms) * 1_000;
+            self.telemetry
+                .report_answer(&request.service, &answer, elapsed_us);
+        }
         info!(
             event = "answer",
             request = %answer.request_id,
@@ -445,6 +455,10 @@
         spent
     }
 
+    pub(crate) fn count_calls(&self, service: &str, needed: u64, made: u64) {
+        self.telemetry.count_calls(service, needed, made);
+    }
+
     pub(crate) fn count_unexpected_reply(&self) {
         self.telemetry.count_unexpected_reply();
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,7 @@
 //! Logs, one key=value line an event, and metrics in Prometheus text.
 
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
 use error_stack::{Report, ResultExt};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
@@ -11,6 +13,8 @@
 use tracing_subscriber::util::SubscriberInitExt;
 
 use crate::answer::Answer;
+use crate::clock::boot_ms;
+use crate::report::{Reports, ServiceReport};
 
 /// Logs or metrics could not be set up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -52,6 +56,7 @@
 #[derive(Debug)]
 pub struct Telemetry {
     registry: Registry,
+    reports: Mutex<Reports>,
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
     answer_ms: Histogram<u64>,
@@ -81,10 +86,32 @@
             extra_calls: meter.u64_counter("cloverrack_extra_calls").build(),
             unexpected_replies: meter.u64_counter("cloverrack_unexpected_replies").build(),
             registry,
+            reports: Mutex::default(),
             _provider: provider,
         })
     }
 
+    fn reports(&self) -> MutexGuard<'_, Reports> {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the three measures of each service over the last one to two minutes.
+    pub fn service_reports(&self) -> Vec<ServiceReport> {
+        self.reports().all(boot_ms())
+    }
+
+    /// Counts the leaf calls of one request: those needed, one for each shard, and those made.
+    pub fn count_calls(&self, service: &str, needed: u64, made: u64) {
+        self.reports()
+            .record_calls(service, needed, made, boot_ms());
+    }
+
+    /// Counts a final answer of a service that is in force.
+    pub fn report_answer(&self, service: &str, answer: &Answer, elapsed_us: u64) {
+        self.reports()
+            .record_answer(service, answer, elapsed_us, boot_ms());
+    }
+
     /// Counts a final answer.
     pub fn count_answer(&self, answer: &Answer, elapsed_ms: u64) {
         let outcome = KeyValue::new("outcome", format!("{:?}", answer.outcome));
