Move the at-most-once path of the root into once.rs

Change: run_ticket, redeem, run_forwarded, issuer_lost and forward_failed move as they are; the fields they read become visible in the crate. No behaviour changes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod leaf;
 pub mod link;
 pub mod node;
+mod once;
 pub mod operator;
 pub mod owner;
 pub mod placement;
--- a/src/root.rs
+++ b/src/root.rs
@@ -19,13 +19,13 @@
 use crate::hedge::Budget;
 use crate::ids::{CallId, CallIds, ServiceKey, Snapshot, fingerprint};
 use crate::latency::Distribution;
-use crate::link::{Link, LinkError};
+use crate::link::Link;
 use crate::plan::{Choice, LeafLoad};
 use crate::quarantine::{QUARANTINE_MS, Quarantine};
 use crate::query::{Run, RunResult, Work, bounded_hedge_delay_us};
 use crate::snapshot::choose;
 use crate::telemetry::Telemetry;
-use crate::ticket::{Redeem, Ticket, Tickets};
+use crate::ticket::Tickets;
 
 /// Runs of one request at different snapshots.
 const MAX_RUNS: usize = 3;
@@ -52,26 +52,26 @@
 }
 
 #[derive(Default)]
-struct State {
+pub(crate) struct State {
     services: HashMap<Box<str>, ServiceState>,
     loads: HashMap<SocketAddr, LeafLoad>,
     avoided: HashMap<SocketAddr, u64>,
     in_flight_ids: HashSet<(Box<str>, Box<str>)>,
     admission: Admission,
     quarantine: Quarantine,
-    tickets: Option<Tickets>,
+    pub(crate) tickets: Option<Tickets>,
 }
 
 /// Service that runs callers' requests.
 pub struct Root {
-    control: Arc<Control>,
+    pub(crate) control: Arc<Control>,
     dispatcher: Dispatcher,
-    link: Arc<Link>,
+    pub(crate) link: Arc<Link>,
     telemetry: Arc<Telemetry>,
     call_ids: CallIds,
     state: Mutex<State>,
     draining: AtomicBool,
-    tasks: TaskTracker,
+    pub(crate) tasks: TaskTracker,
 }
 
 /// A place in admission and a request id in flight; dropping it gives both back.
@@ -119,7 +119,7 @@
         })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -162,16 +162,6 @@
         answer
     }
 
-    /// Runs a request under a ticket of this process, for a VM that received it.
-    pub async fn run_forwarded(self: &Arc<Self>, request: CallerRequest) -> Answer {
-        match Ticket::parse(&request.request_id) {
-            Some(ticket) if ticket.block.issuer == self.control.incarnation() => {
-                self.redeem(ticket, request).await
-            }
-            _ => issuer_lost(&request.request_id),
-        }
-    }
-
     /// Checks a request and takes a place for it.
     async fn admit(&self, request: &CallerRequest) -> Result<Place<'_>, Answer> {
         let refuse = |reason| {
@@ -232,71 +222,8 @@
             .retry_after(wait_ms)
     }
 
-    /// Runs a request that is not idempotent, here or at the ticket's issuer.
-    async fn run_ticket(self: &Arc<Self>, request: CallerRequest) -> Answer {
-        let Some(ticket) = Ticket::parse(&request.request_id) else {
-            let mut answer =
-                Answer::empty(&request.request_id, Outcome::NotRun, Reason::TicketRequired);
-            answer.ticket_block = self.issue_block();
-            return answer.retry_after(0);
-        };
-        if ticket.block.issuer == self.control.incarnation() {
-            return self.redeem(ticket, request).await;
-        }
-        let issuer = ticket.block.address;
-        info!(event = "forward", request = %request.request_id, issuer = %issuer);
-        if issuer == self.control.settings.internal_address || !self.control.admits(issuer) {
-            return issuer_lost(&request.request_id);
-        }
-        let wait = std::time::Duration::from_millis(request.deadline_ms);
-        let call = self.link.call::<_, Answer>(issuer, "/forward", &request);
-        match tokio::time::timeout(wait, call).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => forward_failed(&request, &error),
-            Err(_) => Answer::empty(&request.request_id, Outcome::Unknown, Reason::Timeout),
-        }
-    }
-
-    /// Runs a request under a ticket of this process, at most once.
-    async fn redeem(self: &Arc<Self>, ticket: Ticket, request: CallerRequest) -> Answer {
-        let id = request.request_id.clone();
-        let deadline_ms = request.deadline_ms;
-        let redeemed = self
-            .state()
-            .tickets
-            .as_mut()
-            .map(|tickets| tickets.redeem(ticket, boot_ms()));
-        match redeemed {
-            Some(Redeem::Run) => {
-                let root = Arc::clone(self);
-                let running = self.tasks.spawn(async move {
-                    let answer = root.execute(&request).await;
-                    if let Some(tickets) = root.state().tickets.as_mut() {
-                        tickets.settle(ticket, &answer);
-                    }
-                    answer
-                });
-                let lost = Answer::empty(&id, Outcome::Unknown, Reason::Failed);
-                running.await.unwrap_or(lost)
-            }
-            Some(Redeem::Wait(mut outcome)) => {
-                let wait = std::time::Duration::from_millis(deadline_ms);
-                let settled = tokio::time::timeout(wait, outcome.wait_for(Option::is_some)).await;
-                let kept = settled
-                    .ok()
-                    .and_then(Result::ok)
-                    .and_then(|answer| answer.clone());
-                kept.unwrap_or(Answer::empty(&id, Outcome::Unknown, Reason::TicketUsed))
-            }
-            Some(Redeem::NotIssued) => {
-                Answer::empty(&id, Outcome::NotRun, Reason::TicketRequired).retry_after(0)
-            }
-            _ => Answer::empty(&id, Outcome::Unknown, Reason::TicketExpired),
-        }
-    }
-
     /// Runs a request at one snapshot, and at another if the first vanishes.
-    async fn execute(&self, request: &CallerRequest) -> Answer {
+    pub(crate) async fn execute(&self, request: &CallerRequest) -> Answer {
         let fleet = self.control.fleet();
         let Some(service) = fleet.find_service(&request.service) else {
             return Answer::empty(&request.request_id, Outcome::NotRun, Reason::UnknownService);
@@ -484,15 +411,6 @@
     (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic())
 }
 
-fn issuer_lost(request_id: &str) -> Answer {
-    Answer::empty(request_id, Outcome::Unknown, Reason::TicketIssuerLost)
-}
-
-fn forward_failed(request: &CallerRequest, error: &LinkError) -> Answer {
-    warn!(event = "forward_failed", request = %request.request_id, %error);
-    issuer_lost(&request.request_id)
-}
-
 /// Makes the final answer of a run.
 fn answer(
     request: &CallerRequest,
