Bind tickets to their content and issue blocks without state

Change: a block carries its expiry and a SipHash check with a key of the process (library siphasher), and state begins with the first redemption. The ticket is looked up before admission; a VM that is not the issuer reports its own refusals as unknown. Forwarded requests carry an absolute deadline; the leaf connection checks the boot-time clock again after it has waited for a stream. Ruled out: evicting used tickets under pressure, since an evicted one could run again; xxh3 for the content, since a caller could make two contents collide.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -85,8 +85,10 @@
     DuplicateRequestId,
     /// A request that is not idempotent needs a ticket.
     TicketRequired,
-    /// The ticket was used; its outcome is no longer kept.
+    /// The ticket was used; of the answer, only the outcome and the snapshot are still kept.
     TicketUsed,
+    /// The ticket was used for a request with other content, which alone may have run.
+    TicketOtherContent,
     /// The ticket's issuer is another process that can't be reached or has ended.
     TicketIssuerLost,
     /// The ticket is past its time.
--- a/src/front.rs
+++ b/src/front.rs
@@ -32,6 +32,7 @@
     (Reason::TooLarge, StatusCode::PAYLOAD_TOO_LARGE),
     (Reason::UnknownService, StatusCode::NOT_FOUND),
     (Reason::DuplicateRequestId, StatusCode::CONFLICT),
+    (Reason::TicketOtherContent, StatusCode::CONFLICT),
     (Reason::TicketRequired, StatusCode::PRECONDITION_REQUIRED),
     (Reason::Overloaded, StatusCode::TOO_MANY_REQUESTS),
 ];
@@ -84,15 +85,10 @@
 
     fn tickets(&self) -> HttpResponse {
         let ticket_block = self.root.issue_block();
-        let status = if ticket_block.is_some() {
-            StatusCode::OK
-        } else {
-            StatusCode::TOO_MANY_REQUESTS
-        };
         let numbers = crate::ticket::BLOCK_NUMBERS;
         let valid_ms = crate::ticket::BLOCK_VALID_MS;
         json(
-            status,
+            StatusCode::OK,
             &BlockAnswer {
                 ticket_block,
                 numbers,
--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::clock::boot_ms;
 use crate::ids::{CallId, Snapshot};
 use crate::wire::{LeafResult, NotStarted};
 
@@ -92,6 +93,8 @@
     pub snapshot: Snapshot,
     /// Deadline on the wall clock.
     pub deadline_unix_ms: u64,
+    /// Deadline on the boot-time clock.
+    pub deadline_ms: u64,
     /// Request content.
     pub payload: Bytes,
 }
@@ -144,6 +147,10 @@
         if sender.ready().await.is_err() {
             return LeafResult::NotStarted(NotStarted::Unreachable);
         }
+        // Waiting for a free stream takes time, and the process may have been paused meanwhile.
+        if boot_ms() >= request.deadline_ms {
+            return LeafResult::NotStarted(NotStarted::Deadline);
+        }
         match sender.try_send_request(message).await {
             Ok(response) => read_answer(response, request).await,
             Err(error) => failed_send(error),
--- a/src/link.rs
+++ b/src/link.rs
@@ -19,7 +19,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
 
-use crate::answer::{Answer, CallerRequest};
+use crate::answer::Answer;
 use crate::control::Control;
 use crate::faults::is_cut;
 use crate::ids::Incarnation;
@@ -27,7 +27,8 @@
 use crate::owner::Owner;
 use crate::root::Root;
 use crate::wire::{
-    BatchCommand, DocumentRequest, FrameReader, LeafReply, PROTOCOL_VERSION, WireError, frame,
+    BatchCommand, DocumentRequest, Forwarded, FrameReader, LeafReply, PROTOCOL_VERSION, WireError,
+    frame,
 };
 
 /// Time allowed for setting up a connection to a peer.
@@ -424,8 +425,8 @@
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), LinkStreamError> {
         let root: Arc<Root> = self.kernel.find(ROOT)?;
-        let request: CallerRequest = frames.next().await?.ok_or(LinkStreamError::Unexpected)?;
-        let answer: Answer = root.run_forwarded(request).await;
+        let forwarded: Forwarded = frames.next().await?.ok_or(LinkStreamError::Unexpected)?;
+        let answer: Answer = root.run_forwarded(forwarded).await;
         reply(respond, &answer)
     }
 }
--- a/src/once.rs
+++ b/src/once.rs
@@ -1,95 +1,175 @@
 //! Runs requests that are not idempotent, at most once each, under the tickets of their issuer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use tokio::sync::watch;
+use tokio::time::timeout;
 use tracing::{info, warn};
 
 use crate::answer::{Answer, CallerRequest, Outcome, Reason};
-use crate::clock::boot_ms;
-use crate::link::LinkError;
+use crate::clock::{boot_ms, unix_ms};
 use crate::root::Root;
 use crate::ticket::{Redeem, Ticket};
+use crate::wire::Forwarded;
+
+/// Settles a redeemed ticket, also if the task that runs its request panics or is dropped.
+struct Settling {
+    root: Arc<Root>,
+    ticket: Ticket,
+    answer: Option<Answer>,
+}
+
+impl Drop for Settling {
+    fn drop(&mut self) {
+        let lost = || {
+            let id = self.ticket.to_string();
+            Answer::empty(&id, Outcome::Unknown, Reason::Failed)
+        };
+        let answer = self.answer.take().unwrap_or_else(lost);
+        if let Some(tickets) = self.root.state().tickets.as_mut() {
+            tickets.settle(self.ticket, &answer);
+        }
+    }
+}
 
 impl Root {
     /// Runs a request that is not idempotent, here or at the ticket's issuer.
-    pub(crate) async fn run_ticket(self: &Arc<Self>, request: CallerRequest) -> Answer {
-        let Some(ticket) = Ticket::parse(&request.request_id) else {
-            let mut answer =
-                Answer::empty(&request.request_id, Outcome::NotRun, Reason::TicketRequired);
-            answer.ticket_block = self.issue_block();
-            return answer.retry_after(0);
+    pub(crate) async fn run_once(self: &Arc<Self>, request: CallerRequest) -> Answer {
+        let id = &request.request_id;
+        let Some(ticket) = Ticket::parse(id) else {
+            return match self.admit(&request).await {
+                Ok(_place) => self.ticket_required(id),
+                Err(answer) => answer,
+            };
         };
         if ticket.block.issuer == self.control.incarnation() {
             return self.redeem(ticket, request).await;
         }
-        let issuer = ticket.block.address;
-        info!(event = "forward", request = %request.request_id, issuer = %issuer);
-        if issuer == self.control.settings.internal_address || !self.control.admits(issuer) {
-            return issuer_lost(&request.request_id);
-        }
-        let wait = std::time::Duration::from_millis(request.deadline_ms);
-        let call = self.link.call::<_, Answer>(issuer, "/forward", &request);
-        match tokio::time::timeout(wait, call).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => forward_failed(&request, &error),
-            Err(_) => Answer::empty(&request.request_id, Outcome::Unknown, Reason::Timeout),
+        match self.admit(&request).await {
+            Ok(_place) => self.forward(ticket.block.address, request).await,
+            Err(answer) => undecided(answer),
         }
     }
 
-    /// Runs a request under a ticket of this process, at most once.
-    async fn redeem(self: &Arc<Self>, ticket: Ticket, request: CallerRequest) -> Answer {
+    fn ticket_required(&self, request_id: &str) -> Answer {
+        let mut answer = Answer::empty(request_id, Outcome::NotRun, Reason::TicketRequired);
+        answer.ticket_block = self.issue_block();
+        answer.retry_after(0)
+    }
+
+    /// Hands a request to the VM that issued its ticket.
+    async fn forward(&self, issuer: SocketAddr, request: CallerRequest) -> Answer {
         let id = request.request_id.clone();
-        let deadline_ms = request.deadline_ms;
-        let redeemed = self
-            .state()
-            .tickets
-            .as_mut()
-            .map(|tickets| tickets.redeem(ticket, boot_ms()));
-        match redeemed {
-            Some(Redeem::Run) => {
-                let root = Arc::clone(self);
-                let running = self.tasks.spawn(async move {
-                    let answer = root.execute(&request).await;
-                    if let Some(tickets) = root.state().tickets.as_mut() {
-                        tickets.settle(ticket, &answer);
-                    }
-                    answer
-                });
-                let lost = Answer::empty(&id, Outcome::Unknown, Reason::Failed);
-                running.await.unwrap_or(lost)
-            }
-            Some(Redeem::Wait(mut outcome)) => {
-                let wait = std::time::Duration::from_millis(deadline_ms);
-                let settled = tokio::time::timeout(wait, outcome.wait_for(Option::is_some)).await;
-                let kept = settled
-                    .ok()
-                    .and_then(Result::ok)
-                    .and_then(|answer| answer.clone());
-                kept.unwrap_or(Answer::empty(&id, Outcome::Unknown, Reason::TicketUsed))
-            }
-            Some(Redeem::NotIssued) => {
-                Answer::empty(&id, Outcome::NotRun, Reason::TicketRequired).retry_after(0)
+        info!(event = "forward", request = %id, issuer = %issuer);
+        if issuer == self.control.settings.internal_address || !self.control.admits(issuer) {
+            return Answer::empty(&id, Outcome::Unknown, Reason::TicketIssuerLost);
+        }
+        let wait = Duration::from_millis(request.deadline_ms);
+        let forwarded = Forwarded {
+            deadline_unix_ms: unix_ms() + request.deadline_ms,
+            request,
+        };
+        let call = self.link.call(issuer, "/forward", &forwarded);
+        match timeout(wait, call).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                warn!(event = "forward_failed", request = %id, %error);
+                Answer::empty(&id, Outcome::Unknown, Reason::TicketIssuerLost)
             }
-            _ => Answer::empty(&id, Outcome::Unknown, Reason::TicketExpired),
+            Err(_) => Answer::empty(&id, Outcome::Unknown, Reason::Timeout),
         }
     }
 
     /// Runs a request under a ticket of this process, for a VM that received it.
-    pub async fn run_forwarded(self: &Arc<Self>, request: CallerRequest) -> Answer {
+    pub async fn run_forwarded(self: &Arc<Self>, forwarded: Forwarded) -> Answer {
+        let mut request = forwarded.request;
+        let remaining_ms = forwarded.deadline_unix_ms.saturating_sub(unix_ms());
+        request.deadline_ms = request.deadline_ms.min(remaining_ms);
         match Ticket::parse(&request.request_id) {
             Some(ticket) if ticket.block.issuer == self.control.incarnation() => {
                 self.redeem(ticket, request).await
             }
-            _ => issuer_lost(&request.request_id),
+            _ => Answer::empty(
+                &request.request_id,
+                Outcome::Unknown,
+                Reason::TicketIssuerLost,
+            ),
         }
     }
+
+    /// Runs a request under a ticket of this process, at most once.
+    ///
+    /// The ticket is redeemed before admission, so that a refusal never says "not run" of a request
+    /// that ran when it was sent before.
+    async fn redeem(self: &Arc<Self>, ticket: Ticket, request: CallerRequest) -> Answer {
+        let id = request.request_id.clone();
+        let redeemed = self.state().tickets.as_mut().map(|tickets| {
+            let content = tickets.content_of(&request);
+            tickets.redeem(ticket, content, boot_ms())
+        });
+        let not_run = |reason| Answer::empty(&id, Outcome::NotRun, reason).retry_after(0);
+        match redeemed {
+            Some(Redeem::Run) => self.run_redeemed(ticket, request).await,
+            Some(Redeem::Wait(outcome)) => wait_for(outcome, &id, request.deadline_ms).await,
+            Some(Redeem::Settled(answer)) => Answer::clone(&answer),
+            Some(Redeem::OtherContent) => not_run(Reason::TicketOtherContent),
+            Some(Redeem::NotIssued) => self.ticket_required(&id),
+            Some(Redeem::Full) => not_run(Reason::Overloaded),
+            Some(Redeem::Expired) | None => {
+                Answer::empty(&id, Outcome::Unknown, Reason::TicketExpired)
+            }
+        }
+    }
+
+    /// Runs a request whose ticket was redeemed just now.
+    ///
+    /// It runs in a task of its own, so that it is settled also if the caller hangs up.
+    async fn run_redeemed(self: &Arc<Self>, ticket: Ticket, request: CallerRequest) -> Answer {
+        let id = request.request_id.clone();
+        let mut settling = Settling {
+            root: Arc::clone(self),
+            ticket,
+            answer: None,
+        };
+        let root = Arc::clone(self);
+        let running = self.tasks.spawn(async move {
+            let answer = match root.admit(&request).await {
+                Ok(_place) => root.execute(&request).await,
+                Err(answer) => answer,
+            };
+            settling.answer = Some(answer.clone());
+            drop(settling);
+            answer
+        });
+        let lost = Answer::empty(&id, Outcome::Unknown, Reason::Failed);
+        running.await.unwrap_or(lost)
+    }
 }
 
-fn issuer_lost(request_id: &str) -> Answer {
-    Answer::empty(request_id, Outcome::Unknown, Reason::TicketIssuerLost)
+/// Waits for the outcome of a request that was sent before and still runs.
+async fn wait_for(
+    mut outcome: watch::Receiver<Option<Arc<Answer>>>,
+    id: &str,
+    deadline_ms: u64,
+) -> Answer {
+    let wait = Duration::from_millis(deadline_ms);
+    let settled = timeout(wait, outcome.wait_for(Option::is_some)).await;
+    let answer = match &settled {
+        Ok(Ok(answer)) => answer.as_deref().cloned(),
+        _ => None,
+    };
+    answer.unwrap_or(Answer::empty(id, Outcome::Unknown, Reason::Timeout))
 }
 
-fn forward_failed(request: &CallerRequest, error: &LinkError) -> Answer {
-    warn!(event = "forward_failed", request = %request.request_id, %error);
-    issuer_lost(&request.request_id)
+/// Makes the refusal of a request whose ticket another process issued.
+///
+/// The request may have run when it was sent before, so "not run" can't be said of it. A malformed
+/// request is admitted nowhere.
+fn undecided(mut answer: Answer) -> Answer {
+    if answer.outcome == Outcome::NotRun && answer.reason != Some(Reason::BadRequest) {
+        answer.outcome = Outcome::Unknown;
+    }
+    answer
 }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -281,6 +281,7 @@
                 shard: call.shard,
                 snapshot: batch.snapshot,
                 deadline_unix_ms: batch.deadline_unix_ms,
+                deadline_ms,
                 payload: payload.clone(),
             };
             let owner = Arc::clone(self);
--- a/src/root.rs
+++ b/src/root.rs
@@ -75,7 +75,7 @@
 }
 
 /// A place in admission and a request id in flight; dropping it gives both back.
-struct Place<'a> {
+pub(crate) struct Place<'a> {
     root: &'a Root,
     member: Box<str>,
     request_id: Box<str>,
@@ -103,7 +103,11 @@
         tasks: &TaskTracker,
     ) -> Arc<Self> {
         let incarnation = control.incarnation();
-        let tickets = Tickets::new(incarnation, control.settings.internal_address);
+        let tickets = Tickets::new(
+            incarnation,
+            control.settings.internal_address,
+            rand::random(),
+        );
         Arc::new(Self {
             dispatcher,
             link,
@@ -135,17 +139,20 @@
 
     /// Issues a ticket block.
     pub fn issue_block(&self) -> Option<Box<str>> {
-        let block = self.state().tickets.as_mut()?.issue(boot_ms())?;
+        let block = self.state().tickets.as_mut()?.issue(boot_ms());
         Some(block.to_string().into())
     }
 
     /// Runs a request of a caller to its final answer.
     pub async fn run(self: &Arc<Self>, request: CallerRequest) -> Answer {
         let started_ms = boot_ms();
-        let answer = match self.admit(&request).await {
-            Ok(_place) if request.idempotent => self.execute(&request).await,
-            Ok(_place) => self.run_ticket(request.clone()).await,
-            Err(answer) => answer,
+        let answer = if request.idempotent {
+            match self.admit(&request).await {
+                Ok(_place) => self.execute(&request).await,
+                Err(answer) => answer,
+            }
+        } else {
+            self.run_once(request.clone()).await
         };
         self.telemetry.count_answer(&answer, boot_ms() - started_ms);
         info!(
@@ -163,7 +170,7 @@
     }
 
     /// Checks a request and takes a place for it.
-    async fn admit(&self, request: &CallerRequest) -> Result<Place<'_>, Answer> {
+    pub(crate) async fn admit(&self, request: &CallerRequest) -> Result<Place<'_>, Answer> {
         let refuse = |reason| {
             let answer = Answer::empty(&request.request_id, Outcome::NotRun, reason);
             answer.retry_after(RETRY_AFTER_MS)
@@ -255,6 +262,8 @@
             if !restart || boot_ms() >= work.deadline_ms {
                 return answer(request, &work, snapshot, result, uncertain);
             }
+            // Leaves that answered ran the request, even if their answers are dropped now.
+            uncertain |= !result.results.is_empty();
             excluded.push(snapshot);
         }
         let outcome = if uncertain {
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -1,25 +1,37 @@
 //! Tickets for requests that run at most once, redeemable only at the process that issued them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
+use std::hash::Hasher;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use siphasher::sip::SipHasher24;
+use siphasher::sip128::{Hasher128, SipHasher24 as SipHasher128};
 use tokio::sync::watch;
 
-use crate::answer::{Answer, Outcome};
+use crate::answer::{Answer, CallerRequest, Outcome, Reason};
 use crate::ids::Incarnation;
 
 /// Time for which a block may be used after it was issued.
 pub const BLOCK_VALID_MS: u64 = 600_000;
 
-/// Blocks that one process keeps; beyond it none is issued.
-pub const MAX_BLOCKS: usize = 100_000;
-
 /// Requests in one block.
 pub const BLOCK_NUMBERS: u32 = 1_000;
 
-/// Longest body of an outcome that is kept for a resent request, in bytes.
-const MAX_KEPT_BYTES: usize = 65_536;
+/// Used tickets that one process remembers; beyond it new ones are refused until old ones expire.
+///
+/// 180,000 requests a second over 760 nodes are 142,000 for one node within [`BLOCK_VALID_MS`].
+pub const MAX_USED: usize = 200_000;
+
+/// Bytes of all answers kept for resent requests; beyond it the oldest are reduced to their outcome.
+pub const MAX_KEPT_BYTES: usize = 16 * 1_048_576;
+
+/// Largest answer kept for a resent request, in bytes.
+pub const MAX_KEPT_ANSWER_BYTES: usize = 65_536;
+
+/// Key of the checks that protect blocks from being invented.
+pub type TicketKey = [u8; 16];
 
 /// A block of numbers issued to one caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -30,11 +42,22 @@
     pub address: SocketAddr,
     /// Number of the block at the issuer.
     pub block: u64,
+    /// Time on the issuer's boot-time clock at which the block ends.
+    pub expires_ms: u64,
+    /// Keyed hash of the other fields, which only the issuer can compute.
+    pub check: u64,
 }
 
 impl fmt::Display for Block {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/{}", self.issuer, self.address, self.block)
+        let Self {
+            issuer,
+            address,
+            block,
+            expires_ms,
+            check,
+        } = self;
+        write!(f, "{issuer}/{address}/{block}-{expires_ms}-{check:016x}")
     }
 }
 
@@ -47,14 +70,21 @@
     pub number: u32,
 }
 
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.block, self.number)
+    }
+}
+
 impl Ticket {
-    /// Parses `BLOCK.NUMBER`.
+    /// Parses `BLOCK.NUMBER`; only the form that `Display` writes is accepted.
     ///
     /// # Examples
     ///
     /// ```
     /// use cloverrack::Ticket;
-    /// let ticket = Ticket::parse("00000000000000ff/127.0.0.1:7000/3.12").unwrap();
+    /// let text = "00000000000000ff/127.0.0.1:7000/3-600000-00000000000000aa.12";
+    /// let ticket = Ticket::parse(text).unwrap();
     /// assert_eq!((ticket.block.block, ticket.number), (3, 12));
     /// ```
     pub fn parse(text: &str) -> Option<Self> {
@@ -62,15 +92,17 @@
         let issuer = Incarnation::parse(parts.next()?)?;
         let address = parts.next()?.parse().ok()?;
         let (block, number) = parts.next()?.split_once('.')?;
+        let mut fields = block.splitn(3, '-');
         let block = Block {
             issuer,
             address,
-            block: block.parse().ok()?,
+            block: fields.next()?.parse().ok()?,
+            expires_ms: fields.next()?.parse().ok()?,
+            check: u64::from_str_radix(fields.next()?, 16).ok()?,
         };
-        Some(Self {
-            block,
-            number: number.parse().ok()?,
-        })
+        let number = number.parse().ok()?;
+        let ticket = Self { block, number };
+        (ticket.to_string() == text).then_some(ticket)
     }
 }
 
@@ -79,104 +111,214 @@
 pub enum Redeem {
     /// The request runs now; its outcome must be settled.
     Run,
-    /// The request is running or has run; its outcome appears here.
-    Wait(watch::Receiver<Option<Answer>>),
+    /// The request is running; its outcome appears here.
+    Wait(watch::Receiver<Option<Arc<Answer>>>),
+    /// The request has run; its answer was kept as far as it was small enough.
+    Settled(Arc<Answer>),
+    /// The ticket was used for other content; the content of this request did not run.
+    OtherContent,
     /// The block's time has passed; whether the request ran is no longer known.
     Expired,
     /// No such number was issued; a request under it never ran.
     NotIssued,
+    /// Too many tickets are in use; the request did not run.
+    Full,
+}
+
+/// Place of a ticket among the used ones, in order of expiry.
+type UseKey = (u64, u64, u32);
+
+#[derive(Debug)]
+enum Progress {
+    Running(watch::Sender<Option<Arc<Answer>>>),
+    Settled(Arc<Answer>),
 }
 
 #[derive(Debug)]
-struct IssuedBlock {
-    expires_ms: u64,
-    used: HashMap<u32, watch::Sender<Option<Answer>>>,
+struct Use {
+    content: u128,
+    progress: Progress,
 }
 
-/// Tickets that this process issued.
+/// Tickets that this process issued; state is kept for used ones only.
 #[derive(Debug)]
 pub struct Tickets {
     issuer: Incarnation,
     address: SocketAddr,
+    key: TicketKey,
     next_block: u64,
-    blocks: BTreeMap<u64, IssuedBlock>,
+    used: BTreeMap<UseKey, Use>,
+    kept: VecDeque<(UseKey, usize)>,
+    kept_bytes: usize,
 }
 
 impl Tickets {
-    /// Starts issuing for a process.
-    pub fn new(issuer: Incarnation, address: SocketAddr) -> Self {
+    /// Starts issuing for a process; `key` must be random and known to no one else.
+    pub fn new(issuer: Incarnation, address: SocketAddr, key: TicketKey) -> Self {
         Self {
             issuer,
             address,
+            key,
             next_block: 0,
-            blocks: BTreeMap::new(),
+            used: BTreeMap::new(),
+            kept: VecDeque::new(),
+            kept_bytes: 0,
         }
     }
 
-    /// Issues a block, or `None` if too many are valid.
-    pub fn issue(&mut self, now_ms: u64) -> Option<Block> {
-        self.expire(now_ms);
-        if self.blocks.len() >= MAX_BLOCKS {
-            return None;
-        }
-        let block = self.next_block;
-        self.next_block += 1;
-        let expires_ms = now_ms + BLOCK_VALID_MS;
-        self.blocks.insert(
-            block,
-            IssuedBlock {
-                expires_ms,
-                used: HashMap::new(),
-            },
-        );
-        Some(Block {
+    /// Issues a block; nothing is stored until a number of it is redeemed.
+    pub fn issue(&mut self, now_ms: u64) -> Block {
+        let mut block = Block {
             issuer: self.issuer,
             address: self.address,
-            block,
-        })
+            block: self.next_block,
+            expires_ms: now_ms + BLOCK_VALID_MS,
+            check: 0,
+        };
+        block.check = self.check(block.block, block.expires_ms);
+        self.next_block += 1;
+        block
+    }
+
+    /// Returns the check of a block; issuer and address are bound by the key, which no other
+    /// process has.
+    fn check(&self, block: u64, expires_ms: u64) -> u64 {
+        let mut hasher = SipHasher24::new_with_key(&self.key);
+        hasher.write_u64(block);
+        hasher.write_u64(expires_ms);
+        hasher.finish()
+    }
+
+    /// Returns the identity of what a request asks for; deadline and preference may differ when it
+    /// is sent again.
+    pub fn content_of(&self, request: &CallerRequest) -> u128 {
+        let mut hasher = SipHasher128::new_with_key(&self.key);
+        for part in [&request.service, &request.member, &request.payload] {
+            hasher.write_usize(part.len());
+            hasher.write(part.as_bytes());
+        }
+        hasher.finish128().as_u128()
     }
 
-    /// Forgets blocks whose time has passed; they are in order of issue.
+    /// Returns how many used tickets are remembered.
+    pub fn used(&self) -> usize {
+        self.used.len()
+    }
+
+    /// Returns the bytes of all kept answers.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
+    }
+
+    /// Forgets tickets whose time has passed.
     fn expire(&mut self, now_ms: u64) {
-        while let Some(entry) = self.blocks.first_entry() {
-            if entry.get().expires_ms > now_ms {
+        while let Some(entry) = self.used.first_entry() {
+            if entry.key().0 > now_ms {
                 break;
             }
             entry.remove();
         }
+        while let Some((key, bytes)) = self.kept.front() {
+            if key.0 > now_ms {
+                break;
+            }
+            self.kept_bytes -= bytes;
+            self.kept.pop_front();
+        }
     }
 
     /// Redeems a ticket that names this process.
-    pub fn redeem(&mut self, ticket: Ticket, now_ms: u64) -> Redeem {
+    pub fn redeem(&mut self, ticket: Ticket, content: u128, now_ms: u64) -> Redeem {
         self.expire(now_ms);
-        if ticket.block.block >= self.next_block || ticket.number >= BLOCK_NUMBERS {
+        let Block {
+            issuer,
+            address,
+            block,
+            expires_ms,
+            check,
+        } = ticket.block;
+        let ours = (issuer, address) == (self.issuer, self.address);
+        let issued = ours && block < self.next_block && check == self.check(block, expires_ms);
+        if !issued || ticket.number >= BLOCK_NUMBERS {
             return Redeem::NotIssued;
         }
-        let Some(block) = self.blocks.get_mut(&ticket.block.block) else {
+        if expires_ms <= now_ms {
             return Redeem::Expired;
-        };
-        if let Some(used) = block.used.get(&ticket.number) {
-            return Redeem::Wait(used.subscribe());
         }
-        block.used.insert(ticket.number, watch::Sender::new(None));
+        let key = (expires_ms, block, ticket.number);
+        if let Some(found) = self.used.get(&key) {
+            if found.content != content {
+                return Redeem::OtherContent;
+            }
+            return match &found.progress {
+                Progress::Running(outcome) => Redeem::Wait(outcome.subscribe()),
+                Progress::Settled(answer) => Redeem::Settled(Arc::clone(answer)),
+            };
+        }
+        if self.used.len() >= MAX_USED {
+            return Redeem::Full;
+        }
+        let progress = Progress::Running(watch::Sender::new(None));
+        self.used.insert(key, Use { content, progress });
         Redeem::Run
     }
 
     /// Records the outcome of a redeemed ticket; one that did not run may be redeemed again.
     pub fn settle(&mut self, ticket: Ticket, answer: &Answer) {
-        let Some(block) = self.blocks.get_mut(&ticket.block.block) else {
+        let key = (ticket.block.expires_ms, ticket.block.block, ticket.number);
+        let Some(found) = self.used.get_mut(&key) else {
             return;
         };
-        let mut kept = answer.clone();
-        let bytes: usize = kept.results.iter().map(|result| result.body.len()).sum();
-        if bytes > MAX_KEPT_BYTES {
-            kept.results.clear();
+        let Progress::Running(outcome) = &found.progress else {
+            return;
+        };
+        outcome.send_replace(Some(Arc::new(answer.clone())));
+        if matches!(answer.outcome, Outcome::NotRun | Outcome::Refused) {
+            self.used.remove(&key);
+            return;
         }
-        if let Some(used) = block.used.get(&ticket.number) {
-            used.send_replace(Some(kept));
+        let bytes = kept_bytes_of(answer);
+        if bytes > MAX_KEPT_ANSWER_BYTES {
+            found.progress = Progress::Settled(Arc::new(outcome_of(answer)));
+            return;
         }
-        if answer.outcome == Outcome::NotRun {
-            block.used.remove(&ticket.number);
+        found.progress = Progress::Settled(Arc::new(answer.clone()));
+        self.kept.push_back((key, bytes));
+        self.kept_bytes += bytes;
+        self.reduce_oldest();
+    }
+
+    /// Reduces the oldest kept answers to their outcome until all fit.
+    fn reduce_oldest(&mut self) {
+        while self.kept_bytes > MAX_KEPT_BYTES {
+            let Some((key, bytes)) = self.kept.pop_front() else {
+                return;
+            };
+            self.kept_bytes -= bytes;
+            if let Some(Use { progress, .. }) = self.used.get_mut(&key)
+                && let Progress::Settled(answer) = progress
+            {
+                *answer = Arc::new(outcome_of(answer));
+            }
         }
     }
 }
+
+/// Returns about how much memory a kept answer takes, in bytes.
+fn kept_bytes_of(answer: &Answer) -> usize {
+    let mut bytes = size_of::<Answer>() + answer.request_id.len();
+    bytes += size_of_val(&*answer.covered) + size_of_val(&*answer.lacking);
+    bytes += size_of_val(&*answer.results);
+    for result in &answer.results {
+        bytes += result.body.len();
+    }
+    bytes
+}
+
+/// Reduces an answer to what is kept of it without its content.
+fn outcome_of(answer: &Answer) -> Answer {
+    Answer {
+        snapshot: answer.snapshot,
+        ..Answer::empty(&answer.request_id, answer.outcome, Reason::TicketUsed)
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,6 +6,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use thiserror::Error;
 
+use crate::answer::CallerRequest;
 use crate::ids::{CallId, Snapshot};
 
 /// Version of the internal protocol; a peer with another version is refused.
@@ -118,6 +119,15 @@
     pub shared_leaf: bool,
 }
 
+/// Request that is not idempotent, on its way to the VM that issued its ticket.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Forwarded {
+    /// Request as the caller sent it.
+    pub request: CallerRequest,
+    /// Deadline on the wall clock, so that an issuer that was paused does not run it late.
+    pub deadline_unix_ms: u64,
+}
+
 /// Request for a document that gossip announced.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct DocumentRequest {
