Test "not run", at-most-once and response ownership by histories under faults

Cause: no test judged what callers were told by what the leaves ran. Seen red with the mechanism off: broken leaf connection counts as not started (2 red), open calls at the deadline not uncertain (7), dropped first run forgotten (1), calls left open by an owner count as not started (1), leaf answers not matched (2), ids in flight without member (1). Not seen red: taking only LinkError::Broken as not started, since a stream that breaks after the response ends without error. Conclusion: no "not run" of a request that ran in the histories run.

--- /dev/null
+++ b/tests/not_run.rs
@@ -0,0 +1,172 @@
+//! "Not run" is said only of requests that no leaf started.
+
+#[path = "support/history.rs"]
+mod history;
+mod support;
+
+use std::time::Duration;
+
+use cloverrack::answer::CallerRequest;
+use cloverrack::{Outcome, Reason};
+use history::{FAULTS, Fault, Told, ask, judge, run, seed};
+use support::{Cluster, Shape, eventually, request};
+
+/// Callers of a history test.
+const CALLERS: usize = 6;
+
+/// Faults injected in one history.
+const ROUNDS: usize = 12;
+
+/// Guards against "not run" of what ran, a second run of what is not idempotent, and answers of
+/// another request, under random faults of all kinds.
+#[tokio::test(flavor = "multi_thread")]
+async fn random_faults_of_all_kinds_leave_the_history_true() {
+    let seed = seed("all kinds");
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let told = run(&mut cluster, CALLERS, FAULTS, ROUNDS, seed).await;
+    let outcomes = judge(&cluster, &told);
+    println!("{} requests: {outcomes:?}", told.len());
+    assert!(outcomes.contains_key(&Outcome::Complete), "{outcomes:?}");
+}
+
+/// Runs one kind of fault again and again.
+async fn one_kind(fault: Fault) {
+    let seed = seed(&format!("{fault:?}"));
+    let mut shape = Shape {
+        shards: 1,
+        replicas: 2,
+        ..Shape::default()
+    };
+    shape.leaf.service_us = 5_000;
+    let mut cluster = Cluster::start(shape).await;
+    let told = run(&mut cluster, CALLERS, &[fault], 8, seed).await;
+    let outcomes = judge(&cluster, &told);
+    println!("{fault:?}, {} requests: {outcomes:?}", told.len());
+}
+
+/// Guards against "not run" of calls that an owner had sent when it was killed in mid-batch.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_owners_leave_the_history_true() {
+    one_kind(Fault::KillVm).await;
+}
+
+/// Guards against a second run, or "not run", of calls that a killed owner had sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn owners_killed_in_mid_batch_leave_calls_unknown() {
+    let mut shape = Shape::default();
+    shape.leaf.service_us = 300_000;
+    shape.leaf.slots = 9;
+    let mut cluster = Cluster::start(shape).await;
+    let block = cluster.ticket_block(0).await.unwrap();
+    let mut running = Vec::new();
+    for number in 0..6 {
+        let sent = CallerRequest {
+            idempotent: false,
+            ..request(&format!("{block}.{number}"))
+        };
+        let caller = cluster.daemons[0].caller;
+        running.push(tokio::spawn(async move {
+            let answer = ask(caller, &sent).await;
+            (sent, answer)
+        }));
+    }
+    eventually("all requests run", async || {
+        let started = (0..6).map(|number| cluster.executions_of(&format!("{block}.{number}")));
+        started.sum::<usize>() == 18
+    })
+    .await;
+    cluster.daemons[1].kill();
+    cluster.daemons[2].kill();
+    let mut told = Vec::new();
+    for running in running {
+        let (request, answer) = running.await.unwrap();
+        let answers = answer.into_iter().collect();
+        told.push(Told { request, answers });
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let outcomes = judge(&cluster, &told);
+    assert!(outcomes.contains_key(&Outcome::Unknown), "{outcomes:?}");
+    assert!(!outcomes.contains_key(&Outcome::NotRun), "{outcomes:?}");
+}
+
+/// Guards against "not run" of calls that a frozen owner sends late.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_owners_leave_the_history_true() {
+    one_kind(Fault::FreezeVm).await;
+}
+
+/// Guards against "not run" of calls whose internal link was cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_links_leave_the_history_true() {
+    one_kind(Fault::CutVm).await;
+}
+
+/// Guards against "not run" of calls whose leaf connection broke in mid-call.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_leaf_connections_leave_the_history_true() {
+    one_kind(Fault::BreakLeaf).await;
+    one_kind(Fault::CutAll).await;
+}
+
+/// Guards against a leaf's refusal that is taken for a run, or a run for a refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn draining_and_shedding_leaves_leave_the_history_true() {
+    one_kind(Fault::DrainLeaf).await;
+    one_kind(Fault::ShedLeaf).await;
+    one_kind(Fault::DrainAll).await;
+}
+
+/// Guards against a refusal of all leaves that is reported as something that may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_of_all_leaves_are_not_run() {
+    let cluster = Cluster::start(Shape::default()).await;
+    for leaf in cluster.leaves.iter().flatten() {
+        leaf.set(|options| {
+            options.status_frozen = true;
+            options.draining = true;
+        });
+    }
+    for vm in 0..3 {
+        let sent = request(&format!("refused-{vm}"));
+        let answer = cluster.query(vm, &sent).await.unwrap();
+        assert_eq!(answer.outcome, Outcome::NotRun, "{answer:?}");
+        assert_eq!(cluster.executions_of(&sent.request_id), 0);
+    }
+}
+
+/// Guards against "not run" of a request whose first run was dropped with its snapshot.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dropped_first_run_is_not_called_not_run() {
+    let cluster = Cluster::start(Shape::default()).await;
+    // Shard 0 answers; shard 1 refuses the snapshot on all its leaves, which status hides.
+    for leaf in &cluster.leaves[1] {
+        leaf.set(|options| {
+            options.status_frozen = true;
+            options.snapshots = vec![(2, 1)];
+        });
+    }
+    let sent = request("restarted");
+    let answer = cluster.query(0, &sent).await.unwrap();
+    assert!(cluster.executions_of("restarted") > 0, "{answer:?}");
+    assert_ne!(answer.outcome, Outcome::NotRun, "{answer:?}");
+    let told = [Told {
+        request: sent,
+        answers: vec![answer],
+    }];
+    judge(&cluster, &told);
+}
+
+/// Guards against "not run" of a call that was cancelled at its deadline after it was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_timed_out_call_is_unknown() {
+    let mut shape = Shape::default();
+    shape.leaf.service_us = 300_000;
+    let cluster = Cluster::start(shape).await;
+    let mut sent = request("timed-out");
+    sent.deadline_ms = 100;
+    let answer = cluster.query(0, &sent).await.unwrap();
+    let expected = (Outcome::Unknown, Some(Reason::Timeout));
+    assert_eq!((answer.outcome, answer.reason), expected);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(cluster.executions_of("timed-out") > 0);
+}
--- /dev/null
+++ b/tests/response_ownership.rs
@@ -0,0 +1,154 @@
+//! Each caller gets the whole answer to its own request, and never another's.
+
+#![expect(clippy::unwrap_used, reason = "a broken exchange fails the test")]
+
+#[path = "support/history.rs"]
+mod history;
+mod support;
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use cloverrack::answer::{Answer, CallerRequest};
+use cloverrack::{Outcome, Reason};
+use cloverrack_standins::Misbehaviour;
+use history::judge_answer;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use support::{Cluster, Shape, request};
+use tokio::net::TcpStream;
+
+/// Callers that share the VMs at one time.
+const CALLERS: usize = 24;
+
+/// Requests of each caller.
+const REQUESTS: usize = 20;
+
+fn post(address: SocketAddr, request: &CallerRequest) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(request).unwrap();
+    Request::post(format!("http://{address}/v1/query"))
+        .header("host", address.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .unwrap()
+}
+
+fn unique(caller: usize, number: usize) -> CallerRequest {
+    let mut unique = request(&format!("id-{caller}-{number}"));
+    unique.payload = format!("{number} of {caller}: {}", "x".repeat(caller * 97)).into();
+    unique
+}
+
+async fn read(response: http::Response<hyper::body::Incoming>) -> Answer {
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    serde_json::from_slice(&body).unwrap()
+}
+
+/// Sends requests one after the other on one HTTP/1.1 connection.
+async fn keep_alive(address: SocketAddr, caller: usize) -> Vec<(CallerRequest, Answer)> {
+    let stream = TokioIo::new(TcpStream::connect(address).await.unwrap());
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    let mut answered = Vec::new();
+    for number in 0..REQUESTS {
+        let sent = unique(caller, number);
+        sender.ready().await.unwrap();
+        let response = sender.send_request(post(address, &sent)).await.unwrap();
+        answered.push((sent, read(response).await));
+    }
+    answered
+}
+
+/// Sends all requests at once on one HTTP/2 connection.
+async fn multiplexed(address: SocketAddr, caller: usize) -> Vec<(CallerRequest, Answer)> {
+    let stream = TokioIo::new(TcpStream::connect(address).await.unwrap());
+    let (sender, connection) = hyper::client::conn::http2::handshake(TokioExecutor::new(), stream)
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    let exchanges = (0..REQUESTS).map(|number| {
+        let mut sender = sender.clone();
+        async move {
+            let sent = unique(caller, number);
+            sender.ready().await.unwrap();
+            let response = sender.send_request(post(address, &sent)).await.unwrap();
+            (sent, read(response).await)
+        }
+    });
+    futures_util::future::join_all(exchanges).await
+}
+
+/// Guards against answers that are swapped between concurrent callers, or cut short.
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_callers_get_their_own_answers() {
+    let mut shape = Shape::default();
+    shape.leaf.straggler_ppm = 100_000;
+    let cluster = Cluster::start(shape).await;
+    let mut callers = Vec::new();
+    for caller in 0..CALLERS {
+        let address = cluster.daemons[caller % 3].caller;
+        callers.push(tokio::spawn(async move {
+            if caller % 2 == 0 {
+                keep_alive(address, caller).await
+            } else {
+                multiplexed(address, caller).await
+            }
+        }));
+    }
+    let mut complete = 0;
+    for caller in callers {
+        for (sent, answer) in caller.await.unwrap() {
+            judge_answer(&cluster, &sent, &answer);
+            complete += usize::from(answer.outcome == Outcome::Complete);
+        }
+    }
+    assert!(complete * 2 > CALLERS * REQUESTS, "{complete} are complete");
+}
+
+/// Guards against an answer that goes to another request with the same id or the same payload.
+#[tokio::test(flavor = "multi_thread")]
+async fn equal_ids_and_payloads_of_members_are_kept_apart() {
+    let mut shape = Shape::default();
+    // No call is shed, so that all answers are complete.
+    shape.leaf.slots = 30;
+    let cluster = Cluster::start(shape).await;
+    let mut sent = Vec::new();
+    for number in 0..30 {
+        let mut one = request("the-same-id");
+        one.member = format!("member-{number}").into();
+        one.payload = format!("payload {}", number / 2).into();
+        sent.push(one);
+    }
+    let exchanges = sent
+        .iter()
+        .enumerate()
+        .map(|(number, one)| cluster.query(number % 3, one));
+    let answers = futures_util::future::join_all(exchanges).await;
+    for (sent, answer) in sent.iter().zip(answers) {
+        let answer = answer.unwrap();
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+        judge_answer(&cluster, sent, &answer);
+    }
+}
+
+/// Guards against a leaf's answer for another call, shard or snapshot that is merged.
+#[tokio::test(flavor = "multi_thread")]
+async fn misaddressed_leaf_answers_are_not_merged() {
+    let wrong = [
+        Misbehaviour::WrongCall,
+        Misbehaviour::WrongShard,
+        Misbehaviour::WrongSnapshot,
+    ];
+    let cluster = Cluster::start(Shape::default()).await;
+    for (number, wrong) in wrong.into_iter().enumerate() {
+        for leaf in &cluster.leaves[1] {
+            leaf.set(|options| options.misbehaviour = Some(wrong));
+        }
+        let sent = request(&format!("misaddressed-{number}"));
+        let answer = cluster.query(number, &sent).await.unwrap();
+        assert_eq!(answer.outcome, Outcome::Partial, "{wrong:?}: {answer:?}");
+        assert_eq!(answer.covered, vec![0, 2]);
+        assert_eq!(answer.lacking[0].reason, Reason::Failed);
+        judge_answer(&cluster, &sent, &answer);
+    }
+}
--- /dev/null
+++ b/tests/support/history.rs
@@ -0,0 +1,277 @@
+//! Records what concurrent callers were told while faults are injected, and judges it by the leaves'
+//! records of what they ran.
+
+#![allow(
+    dead_code,
+    clippy::unwrap_used,
+    missing_docs,
+    reason = "each test file uses a part of the harness"
+)]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use cloverrack::answer::{Answer, CallerRequest};
+use cloverrack::{Outcome, Snapshot};
+use cloverrack_standins::LeafOptions;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+
+use crate::support::{Cluster, exchange, request};
+
+/// A request with all answers that its caller got.
+pub struct Told {
+    pub request: CallerRequest,
+    pub answers: Vec<Answer>,
+}
+
+/// A fault that lasts a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A process is killed, and another starts on its address.
+    KillVm,
+    /// A process is stopped and goes on late.
+    FreezeVm,
+    /// A process is cut off from all others.
+    CutVm,
+    /// A leaf's connections break, and none can be set up.
+    CutLeaf,
+    /// A leaf's connections break once.
+    BreakLeaf,
+    /// A leaf refuses new work.
+    DrainLeaf,
+    /// A leaf has one slot, and sheds more.
+    ShedLeaf,
+    /// A leaf is so slow that deadlines pass.
+    SlowLeaf,
+    /// All leaves refuse new work, and their status hides it.
+    DrainAll,
+    /// No leaf can be reached.
+    CutAll,
+}
+
+/// All faults.
+pub const FAULTS: &[Fault] = &[
+    Fault::KillVm,
+    Fault::FreezeVm,
+    Fault::CutVm,
+    Fault::CutLeaf,
+    Fault::BreakLeaf,
+    Fault::DrainLeaf,
+    Fault::ShedLeaf,
+    Fault::SlowLeaf,
+    Fault::DrainAll,
+    Fault::CutAll,
+];
+
+/// Returns the seed of a test: `SEED` from the environment, or a random one; it is printed.
+pub fn seed(test: &str) -> u64 {
+    let given = std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let seed = given.unwrap_or_else(rand::random);
+    println!("{test}: SEED={seed}");
+    seed
+}
+
+pub async fn ask(address: SocketAddr, request: &CallerRequest) -> Option<Answer> {
+    let body = serde_json::to_vec(request).unwrap();
+    let limit = Duration::from_secs(1);
+    let exchanged = tokio::time::timeout(limit, exchange(address, "POST", "/v1/query", body));
+    serde_json::from_slice(&exchanged.await.ok()??.1).ok()
+}
+
+async fn block(address: SocketAddr) -> Option<String> {
+    let exchanged = exchange(address, "POST", "/v1/tickets", Vec::new());
+    let limit = Duration::from_millis(500);
+    let (_, body) = tokio::time::timeout(limit, exchanged).await.ok()??;
+    let value: Value = serde_json::from_slice(&body).ok()?;
+    Some(value["ticket_block"].as_str()?.to_owned())
+}
+
+/// Sends requests with unique contents until `stop`; those not idempotent are sent again, also
+/// twice at once.
+async fn call(
+    callers: Vec<SocketAddr>,
+    name: usize,
+    seed: u64,
+    stop: Arc<AtomicBool>,
+) -> Vec<Told> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut told = Vec::new();
+    let mut number = 0;
+    let mut tickets = None;
+    while !stop.load(Ordering::SeqCst) {
+        let mut pick = || callers[rng.random_range(0..callers.len())];
+        let (first, second, third) = (pick(), pick(), pick());
+        let idempotent = rng.random_bool(0.5);
+        number += 1;
+        if number % 20 == 1 {
+            tickets = block(first).await;
+        }
+        let id = match (&tickets, idempotent) {
+            (Some(block), false) => format!("{block}.{number}"),
+            (None, false) => continue,
+            _ => format!("caller-{name}-{number}"),
+        };
+        let request = CallerRequest {
+            idempotent,
+            deadline_ms: rng.random_range(20..400),
+            payload: format!("content {number} of caller {name}").into(),
+            ..request(&id)
+        };
+        let mut answers = Vec::new();
+        if idempotent {
+            answers.extend(ask(first, &request).await);
+        } else {
+            let (one, other) = tokio::join!(ask(first, &request), ask(second, &request));
+            answers.extend(one);
+            answers.extend(other);
+            answers.extend(ask(third, &request).await);
+        }
+        told.push(Told { request, answers });
+    }
+    told
+}
+
+fn set_all(cluster: &Cluster, mut change: impl FnMut(&mut LeafOptions)) {
+    for leaf in cluster.leaves.iter().flatten() {
+        leaf.set(&mut change);
+    }
+}
+
+async fn inject(cluster: &mut Cluster, fault: Fault, rng: &mut StdRng) {
+    let vm = rng.random_range(0..cluster.daemons.len());
+    let shard = rng.random_range(0..cluster.leaves.len());
+    let replica = rng.random_range(0..cluster.leaves[shard].len());
+    let lasting = Duration::from_millis(rng.random_range(50..500));
+    let usual = cluster.leaves[shard][replica].options();
+    let leaf = cluster.leaves[shard][replica].clone();
+    match fault {
+        Fault::KillVm => {
+            cluster.daemons[vm].kill();
+            tokio::time::sleep(lasting).await;
+            cluster.spawn(vm);
+        }
+        Fault::FreezeVm => {
+            cluster.daemons[vm].signal("-STOP");
+            tokio::time::sleep(lasting).await;
+            cluster.daemons[vm].signal("-CONT");
+        }
+        Fault::CutVm => {
+            let all = cluster.daemons.iter().map(|daemon| daemon.internal);
+            let others: Vec<SocketAddr> = all.collect();
+            let operator = cluster.daemons[vm].operator;
+            let body = serde_json::to_vec(&others).unwrap();
+            exchange(operator, "POST", "/v1/faults/cut", body).await;
+            tokio::time::sleep(lasting).await;
+            exchange(operator, "POST", "/v1/faults/cut", b"[]".to_vec()).await;
+        }
+        Fault::BreakLeaf => {
+            leaf.set(|options| options.cut = true);
+            leaf.set(|options| options.cut = false);
+        }
+        Fault::CutLeaf => leaf.set(|options| options.cut = true),
+        Fault::DrainLeaf => leaf.set(|options| options.draining = true),
+        Fault::ShedLeaf => leaf.set(|options| options.slots = 1),
+        Fault::SlowLeaf => leaf.set(|options| options.service_us = 300_000),
+        Fault::DrainAll => set_all(cluster, |options| {
+            options.status_frozen = true;
+            options.draining = true;
+        }),
+        Fault::CutAll => set_all(cluster, |options| options.cut = true),
+    }
+    if !matches!(fault, Fault::KillVm | Fault::FreezeVm | Fault::CutVm) {
+        tokio::time::sleep(lasting).await;
+        set_all(cluster, |options| *options = usual.clone());
+    }
+}
+
+/// Runs `callers` callers while `rounds` random faults of `faults` are injected.
+pub async fn run(
+    cluster: &mut Cluster,
+    callers: usize,
+    faults: &[Fault],
+    rounds: usize,
+    seed: u64,
+) -> Vec<Told> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let stop = Arc::new(AtomicBool::new(false));
+    let addresses: Vec<SocketAddr> = cluster.daemons.iter().map(|d| d.caller).collect();
+    let mut running = Vec::new();
+    for name in 0..callers {
+        let calling = call(addresses.clone(), name, rng.random(), Arc::clone(&stop));
+        running.push(tokio::spawn(calling));
+    }
+    for _ in 0..rounds {
+        let fault = faults[rng.random_range(0..faults.len())];
+        inject(cluster, fault, &mut rng).await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    let mut told = Vec::new();
+    for caller in running {
+        told.extend(caller.await.unwrap());
+    }
+    // Calls whose root is gone may still be running.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    told
+}
+
+/// Fails if a leaf ran what the caller was told did not run, if a request that is not idempotent
+/// ran twice on a shard, or if an answer is not wholly the caller's own. Returns a count of outcomes.
+pub fn judge(cluster: &Cluster, told: &[Told]) -> HashMap<Outcome, usize> {
+    let mut runs: HashMap<(String, u32), usize> = HashMap::new();
+    let mut started: HashMap<String, usize> = HashMap::new();
+    for leaf in cluster.leaves.iter().flatten() {
+        for execution in leaf.executions() {
+            *started.entry(execution.request.clone()).or_default() += 1;
+            *runs
+                .entry((execution.request, execution.shard))
+                .or_default() += 1;
+        }
+    }
+    let mut outcomes: HashMap<Outcome, usize> = HashMap::new();
+    for Told { request, answers } in told {
+        let id = request.request_id.to_string();
+        for shard in 0..cluster.shape.shards as u32 {
+            let count = runs.get(&(id.clone(), shard)).copied().unwrap_or(0);
+            assert!(request.idempotent || count <= 1, "{id} ran {count} times");
+        }
+        let started = started.get(&id).copied().unwrap_or(0);
+        for answer in answers {
+            *outcomes.entry(answer.outcome).or_default() += 1;
+            judge_answer(cluster, request, answer);
+        }
+        // A ticket may be redeemed again after "not run", so only the last of its answers counts,
+        // and only if no resend without an answer is still on its way.
+        let sent = if request.idempotent { 1 } else { 3 };
+        let last = answers.last().filter(|_| answers.len() == sent);
+        if last.is_some_and(|answer| answer.outcome == Outcome::NotRun) {
+            assert_eq!(started, 0, "{id} ran: {answers:?}");
+        }
+    }
+    outcomes
+}
+
+/// Fails if an answer is another request's, or if its coverage is not that of its contents.
+pub fn judge_answer(cluster: &Cluster, request: &CallerRequest, answer: &Answer) {
+    assert_eq!(answer.request_id, request.request_id);
+    assert_eq!(answer.covered.len(), answer.results.len(), "{answer:?}");
+    let Some(snapshot) = answer.snapshot else {
+        assert!(answer.results.is_empty(), "{answer:?}");
+        return;
+    };
+    assert_eq!(Snapshot::parse("1.1"), Some(snapshot));
+    for (shard, result) in answer.covered.iter().zip(&answer.results) {
+        assert_eq!(*shard, result.shard);
+        let expected = format!("{snapshot}:{shard}:{}", request.payload);
+        assert_eq!(*result.body, *expected, "{answer:?}");
+    }
+    if answer.outcome == Outcome::Complete && answer.shards > 0 {
+        assert_eq!(answer.covered.len(), cluster.shape.shards);
+    }
+}
