Spread single losses and tell crashes from cut connections

Change: a loss is a gossiped fact (content, leaf, count), from which every VM derives the same verdict; facts of losses and verdicts expire. After a lost connection the owner asks the leaf: it crashed if it refuses connections or answers as another process (new optional field "process" of the status); it did not if the same process answers or nothing can be told within 500 ms. Blamed content is not retried, suspect content not hedged, and the owner checks again before it writes. An idempotent request that is blamed while it runs and covers no shard ends as refused. Operators see the number of refused contents. Ruled out: holding a verdict until the leaf has been down for some polls; the retry would have crashed a third leaf by then. Counting unreachable leaves as crashed; a failed switch would blame everything that ran behind it. Conclusion: content that crashes leaves is stopped after two of them, for one shard.

--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,7 @@
 use crate::ids::{Incarnation, Snapshot};
 use crate::link::Link;
 use crate::platform::{Platform, PlatformError};
+use crate::quarantine::{Loss, Quarantine};
 use crate::settings::Settings;
 use crate::watcher::{Backoff, watchers};
 use crate::wire::{DocumentBody, DocumentRequest, decode, encode};
@@ -83,6 +84,7 @@
     fleet: ArcSwap<Fleet>,
     leaves: RwLock<HashMap<SocketAddr, LeafView>>,
     quarantine: RwLock<HashMap<u64, u64>>,
+    evidence: Mutex<Quarantine>,
     changed: watch::Sender<u64>,
     last_tick_ms: AtomicU64,
     pub(crate) stale: AtomicBool,
@@ -118,6 +120,7 @@
             fleet: ArcSwap::default(),
             leaves: RwLock::default(),
             quarantine: RwLock::default(),
+            evidence: Mutex::default(),
             changed: watch::Sender::new(0),
             last_tick_ms: AtomicU64::new(now_ms),
             stale: AtomicBool::new(false),
@@ -222,6 +225,45 @@
             .filter(|until| *until > now_unix_ms)
     }
 
+    /// Returns how many contents are refused.
+    pub fn quarantined_contents(&self) -> usize {
+        let now_unix_ms = unix_ms();
+        let table = self
+            .quarantine
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        table.values().filter(|until| **until > now_unix_ms).count()
+    }
+
+    /// Records and publishes that a leaf crashed while it ran a content.
+    pub fn record_loss(&self, fingerprint: u64, leaf: SocketAddr, shared: bool) {
+        let loss = self
+            .evidence()
+            .observe(fingerprint, leaf, shared, unix_ms());
+        self.publish(Fact::Loss(loss));
+    }
+
+    /// Returns whether a leaf crashed lately while it ran a content.
+    pub fn has_evidence(&self, fingerprint: u64) -> bool {
+        self.evidence().is_suspect(fingerprint, unix_ms())
+    }
+
+    fn evidence(&self) -> MutexGuard<'_, Quarantine> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a loss as evidence; every VM that knows the same losses reaches the same verdict.
+    fn judge(&self, loss: Loss) {
+        let fingerprint = loss.fingerprint;
+        let verdict = self.evidence().record(loss, unix_ms());
+        if let Some(until_unix_ms) = verdict {
+            self.publish(Fact::Quarantine {
+                fingerprint,
+                until_unix_ms,
+            });
+        }
+    }
+
     /// Publishes a fact that this node observed.
     pub fn publish(&self, fact: Fact) {
         let news = self.state().gossip.publish(fact.clone(), boot_ms());
@@ -237,7 +279,8 @@
     }
 
     /// Takes facts from a peer.
-    pub fn merge(&self, facts: Vec<Fact>) {
+    pub fn merge(&self, mut facts: Vec<Fact>) {
+        facts.retain(|fact| !fact.is_expired(unix_ms()));
         let news = self.state().gossip.merge(facts, boot_ms());
         self.apply(&news);
     }
@@ -287,6 +330,7 @@
                     table.retain(|_, until| *until > now_unix_ms);
                     table.insert(*fingerprint, *until_unix_ms);
                 }
+                Fact::Loss(loss) => self.judge(*loss),
                 Fact::Document { name, version } => {
                     debug!(event = "document_announced", name = %name, revision = version.revision);
                 }
@@ -397,6 +441,7 @@
             self.last_tick_ms.store(now_ms, Ordering::SeqCst);
             let (out, dead) = {
                 let state = &mut *self.state();
+                state.gossip.forget_expired(unix_ms());
                 let before = state.gossip.live_peers().len();
                 let out = state.gossip.tick(now_ms, &mut state.rng);
                 (out, state.gossip.live_peers().len() != before)
@@ -434,10 +479,11 @@
             if is_cut(from) {
                 continue;
             }
-            let Ok(message) = decode::<Datagram>(&buffer[..length]) else {
+            let Ok(mut message) = decode::<Datagram>(&buffer[..length]) else {
                 warn!(event = "datagram_malformed", %from, length_bytes = length);
                 continue;
             };
+            message.facts.retain(|fact| !fact.is_expired(unix_ms()));
             let (out, news) = {
                 let state = &mut *self.state();
                 if !state.gossip.admits(from) {
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -8,6 +8,7 @@
 
 use crate::document::Version;
 use crate::ids::{Incarnation, Snapshot};
+use crate::quarantine::Loss;
 
 /// State of a VM as its peers see it, in order of precedence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize)]
@@ -48,6 +49,8 @@
     Leaf(SocketAddr),
     /// Request content by fingerprint.
     Quarantine(u64),
+    /// Crashes of a leaf while it ran a content, by fingerprint and leaf.
+    Loss(u64, SocketAddr),
 }
 
 /// Something one VM knows and tells the others.
@@ -89,6 +92,8 @@
         /// Time until which the content is refused.
         until_unix_ms: u64,
     },
+    /// Crashes of a leaf while it ran a content.
+    Loss(Loss),
 }
 
 impl Fact {
@@ -99,6 +104,7 @@
             Self::Document { name, .. } => FactKey::Document(name.clone()),
             Self::Leaf { address, .. } => FactKey::Leaf(*address),
             Self::Quarantine { fingerprint, .. } => FactKey::Quarantine(*fingerprint),
+            Self::Loss(loss) => FactKey::Loss(loss.fingerprint, loss.leaf),
         }
     }
 
@@ -126,6 +132,19 @@
                 ..
             } => [*observed_unix_ms, *state as u64, 0],
             Self::Quarantine { until_unix_ms, .. } => [*until_unix_ms, 0, 0],
+            Self::Loss(loss) => {
+                let alone = u64::from(!loss.shared);
+                [u64::from(loss.losses), alone, loss.observed_unix_ms]
+            }
+        }
+    }
+
+    /// Returns whether the fact no longer matters to anyone.
+    pub fn is_expired(&self, now_unix_ms: u64) -> bool {
+        match self {
+            Self::Quarantine { until_unix_ms, .. } => *until_unix_ms <= now_unix_ms,
+            Self::Loss(loss) => loss.is_expired(now_unix_ms),
+            _ => false,
         }
     }
 
@@ -134,7 +153,7 @@
         match self {
             Self::Vm { state, .. } => *state == VmState::Leaving,
             Self::Leaf { state, .. } => *state == LeafState::Draining,
-            Self::Document { .. } | Self::Quarantine { .. } => true,
+            Self::Document { .. } | Self::Quarantine { .. } | Self::Loss(_) => true,
         }
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -318,6 +318,18 @@
         true
     }
 
+    /// Forgets facts that no longer matter.
+    pub fn forget_expired(&mut self, now_unix_ms: u64) {
+        let expired = self
+            .facts
+            .values()
+            .filter(|e| e.fact.is_expired(now_unix_ms));
+        let keys: Vec<FactKey> = expired.map(|entry| entry.fact.key()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
     fn remove(&mut self, key: &FactKey) {
         if let Some(entry) = self.facts.remove(key) {
             self.toggle(key, &entry.fact.rank());
@@ -680,6 +692,7 @@
         FactKey::Document(name) => bytes.extend_from_slice(format!("d{name}").as_bytes()),
         FactKey::Leaf(address) => bytes.extend_from_slice(format!("l{address}").as_bytes()),
         FactKey::Quarantine(hash) => bytes.extend_from_slice(format!("q{hash}").as_bytes()),
+        FactKey::Loss(hash, leaf) => bytes.extend_from_slice(format!("x{hash}/{leaf}").as_bytes()),
     }
     for part in rank {
         bytes.extend_from_slice(&part.to_le_bytes());
--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -23,6 +23,12 @@
 /// Time allowed for setting up a connection to a leaf.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
+/// Time allowed for telling a crash from a cut connection.
+const LOSS_CHECK_MS: u64 = 500;
+
+/// Time between two tries to do so.
+const LOSS_CHECK_PAUSE_MS: u64 = 20;
+
 /// Largest answer of a leaf, in bytes.
 const MAX_ANSWER_BYTES: usize = 1_048_576;
 
@@ -72,6 +78,9 @@
     /// Whether the leaf started recently.
     #[serde(default)]
     pub cold: bool,
+    /// Identity of the leaf's process, if the target tells it.
+    #[serde(default)]
+    pub process: Option<Box<str>>,
     /// Snapshots that the leaf holds.
     pub snapshots: Vec<Snapshot>,
 }
@@ -95,6 +104,8 @@
     pub deadline_unix_ms: u64,
     /// Deadline on the boot-time clock.
     pub deadline_ms: u64,
+    /// Fingerprint of service and payload.
+    pub fingerprint: u64,
     /// Request content.
     pub payload: Bytes,
 }
@@ -184,7 +195,10 @@
 }
 
 async fn open(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    shake_hands(TcpStream::connect(address).await.ok()?).await
+}
+
+async fn shake_hands(stream: TcpStream) -> Option<SendRequest<Full<Bytes>>> {
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = handshake(TokioExecutor::new(), TokioIo::new(stream))
         .await
@@ -221,6 +235,44 @@
     LeafResult::Lost
 }
 
+/// Returns whether the process of a leaf has ended, after a connection to it was lost.
+///
+/// It has if connections are refused, or if another process than `known` answers. A leaf that
+/// answers as the same process, or whose process is not known, only lost the connection; one that
+/// can't be reached at all may be cut off, which proves nothing either.
+pub(crate) async fn has_ended(address: SocketAddr, known: Option<&str>) -> bool {
+    let limit = Duration::from_millis(LOSS_CHECK_MS);
+    let asking = async {
+        loop {
+            if let Some(ended) = ask_process(address, known).await {
+                return ended;
+            }
+            tokio::time::sleep(Duration::from_millis(LOSS_CHECK_PAUSE_MS)).await;
+        }
+    };
+    timeout(limit, asking).await.unwrap_or(false)
+}
+
+/// Asks once whether the process of a leaf has ended; `None` if that can't be told.
+async fn ask_process(address: SocketAddr, known: Option<&str>) -> Option<bool> {
+    let stream = match TcpStream::connect(address).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            let refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
+            return refused.then_some(true);
+        }
+    };
+    let sender = shake_hands(stream).await?;
+    let connection = LeafConnection {
+        address,
+        sender,
+        state: PhantomData::<Serving>,
+    };
+    let status = connection.status().await.ok()?;
+    let other = known.zip(status.process.as_deref());
+    Some(other.is_some_and(|(known, now)| known != now))
+}
+
 /// Returns whether the peer reset the stream in the way that HTTP/2 defines as not processed.
 fn is_refused_stream(error: &hyper::Error) -> bool {
     let mut source = std::error::Error::source(error);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -27,6 +27,8 @@
     pub incarnation: Box<str>,
     /// Requests in flight.
     pub in_flight: usize,
+    /// Contents that are refused because they crashed targets.
+    pub quarantined_contents: usize,
     /// How documents were compared with peers: `pending`, `none` or `done`.
     pub peer_check: &'static str,
     /// Whether the platform serves older documents than those in force.
@@ -125,6 +127,7 @@
             vm: control.settings.vm.clone(),
             incarnation: control.incarnation().to_string().into(),
             in_flight: self.root.in_flight(),
+            quarantined_contents: control.quarantined_contents(),
             peer_check: match control.peer_check() {
                 PeerCheck::Pending => "pending",
                 PeerCheck::None => "none",
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -17,7 +17,7 @@
 use crate::fact::{Fact, LeafState};
 use crate::fleet::Leaf;
 use crate::ids::{CallId, Snapshot};
-use crate::leaf::{LeafConnection, LeafRequest, LeafStatus, Serving};
+use crate::leaf::{LeafConnection, LeafRequest, LeafStatus, Serving, has_ended};
 use crate::queue::Queue;
 use crate::wire::{Batch, LeafCall, LeafReply, LeafResult, NotStarted};
 
@@ -38,6 +38,7 @@
     connection: tokio::sync::Mutex<Option<LeafConnection<Serving>>>,
     draining: AtomicBool,
     starts: AtomicU64,
+    process: Mutex<Option<Box<str>>>,
 }
 
 impl OwnedLeaf {
@@ -48,9 +49,18 @@
             connection: tokio::sync::Mutex::default(),
             draining: AtomicBool::new(leaf.leaving),
             starts: AtomicU64::new(0),
+            process: Mutex::default(),
         }
     }
 
+    fn process(&self) -> MutexGuard<'_, Option<Box<str>>> {
+        self.process.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_process(&self, process: Option<Box<str>>) {
+        *self.process() = process;
+    }
+
     fn queue(&self) -> MutexGuard<'_, Queue<oneshot::Sender<()>>> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -210,6 +220,7 @@
                 Some(status) => {
                     failures = 0;
                     leaf.draining.store(status.draining, Ordering::SeqCst);
+                    leaf.set_process(status.process.clone());
                     Some((state_of(&status), status.snapshots))
                 }
                 None => {
@@ -282,6 +293,7 @@
                 snapshot: batch.snapshot,
                 deadline_unix_ms: batch.deadline_unix_ms,
                 deadline_ms,
+                fingerprint: batch.fingerprint,
                 payload: payload.clone(),
             };
             let owner = Arc::clone(self);
@@ -322,6 +334,13 @@
         if cancel.is_cancelled() {
             return not_started(NotStarted::Cancelled);
         }
+        let quarantined = self
+            .control
+            .quarantined_until(request.fingerprint, unix_ms());
+        if quarantined.is_some() {
+            return not_started(NotStarted::Quarantined);
+        }
+        let process = leaf.process().clone();
         let now_ms = boot_ms();
         if now_ms >= deadline_ms || unix_ms() >= request.deadline_unix_ms {
             return not_started(NotStarted::Deadline);
@@ -333,6 +352,12 @@
             () = cancel.cancelled() => LeafResult::Timeout,
         };
         self.learn(&leaf, &result);
+        let result = match result {
+            LeafResult::Lost if has_ended(leaf.address, process.as_deref()).await => {
+                LeafResult::Crashed
+            }
+            result => result,
+        };
         LeafReply {
             call: call.call,
             result,
--- a/src/query.rs
+++ b/src/query.rs
@@ -253,6 +253,7 @@
         if !self.work.idempotent {
             return;
         }
+        let suspect = self.root.is_suspect(self.work);
         let now_us = boot_us();
         let mut late = Vec::new();
         for index in 0..self.shards.len() {
@@ -262,6 +263,10 @@
                 continue;
             }
             shard.hedged = true;
+            // A hedge of content that crashed a leaf could crash one more before it is blamed.
+            if suspect {
+                continue;
+            }
             if self.root.spend_budget(self.work.service, &self.fleet) {
                 late.push(index as u32);
             }
@@ -296,11 +301,13 @@
             }
             LeafResult::Done { .. } => {}
             LeafResult::NotStarted(reason) => self.not_started(&call, reason),
-            LeafResult::Lost => {
+            LeafResult::Crashed => {
                 self.root.record_loss(self.work, address, reply.shared_leaf);
                 self.failed(call.shard, Reason::Failed);
             }
-            LeafResult::Failed | LeafResult::Mismatch => self.failed(call.shard, Reason::Failed),
+            LeafResult::Lost | LeafResult::Failed | LeafResult::Mismatch => {
+                self.failed(call.shard, Reason::Failed)
+            }
             LeafResult::Timeout => self.failed(call.shard, Reason::Timeout),
         }
     }
@@ -342,6 +349,10 @@
             return;
         }
         state.lack = Some(reason);
+        if self.root.is_quarantined(self.work) {
+            state.lack = Some(Reason::Quarantined);
+            return;
+        }
         if boot_ms() >= self.work.deadline_ms {
             return;
         }
--- a/src/root.rs
+++ b/src/root.rs
@@ -14,14 +14,13 @@
 use crate::clock::{boot_ms, unix_ms};
 use crate::control::{Control, LeafView};
 use crate::dispatch::Dispatcher;
-use crate::fact::Fact;
 use crate::fleet::Fleet;
 use crate::hedge::Budget;
 use crate::ids::{CallId, CallIds, ServiceKey, Snapshot, fingerprint};
 use crate::latency::Distribution;
 use crate::link::Link;
 use crate::plan::{Choice, LeafLoad};
-use crate::quarantine::{QUARANTINE_MS, Quarantine};
+use crate::quarantine::QUARANTINE_MS;
 use crate::query::{Run, RunResult, Work, bounded_hedge_delay_us};
 use crate::snapshot::choose;
 use crate::telemetry::Telemetry;
@@ -58,7 +57,6 @@
     avoided: HashMap<SocketAddr, u64>,
     in_flight_ids: HashSet<(Box<str>, Box<str>)>,
     admission: Admission,
-    quarantine: Quarantine,
     pub(crate) tickets: Option<Tickets>,
 }
 
@@ -229,6 +227,17 @@
             .retry_after(wait_ms)
     }
 
+    /// Makes an answer without coverage final if the content was blamed while it ran.
+    ///
+    /// A request that is not idempotent stays `unknown`: a refused ticket could be redeemed again.
+    fn refuse_if_blamed(&self, request: &CallerRequest, work: &Work, answer: Answer) -> Answer {
+        let lost = work.idempotent && answer.covered.is_empty();
+        if lost && answer.outcome == Outcome::Unknown && self.is_quarantined(work) {
+            return self.refuse_quarantined(request);
+        }
+        answer
+    }
+
     /// Runs a request at one snapshot, and at another if the first vanishes.
     pub(crate) async fn execute(&self, request: &CallerRequest) -> Answer {
         let fleet = self.control.fleet();
@@ -260,7 +269,8 @@
             uncertain |= result.uncertain;
             let restart = result.snapshot_gone && work.idempotent;
             if !restart || boot_ms() >= work.deadline_ms {
-                return answer(request, &work, snapshot, result, uncertain);
+                let answer = answer(request, &work, snapshot, result, uncertain);
+                return self.refuse_if_blamed(request, &work, answer);
             }
             // Leaves that answered ran the request, even if their answers are dropped now.
             uncertain |= !result.results.is_empty();
@@ -401,17 +411,20 @@
 
     /// Records that a leaf was lost while it ran the request.
     pub(crate) fn record_loss(&self, work: &Work, leaf: SocketAddr, shared: bool) {
-        let blamed = self
-            .state()
-            .quarantine
-            .record_loss(work.fingerprint, leaf, shared, boot_ms());
+        self.control.record_loss(work.fingerprint, leaf, shared);
+        let blamed = self.is_quarantined(work);
         warn!(event = "leaf_lost", leaf = %leaf, fingerprint = work.fingerprint, shared, blamed);
-        if blamed {
-            self.control.publish(Fact::Quarantine {
-                fingerprint: work.fingerprint,
-                until_unix_ms: unix_ms() + QUARANTINE_MS,
-            });
-        }
+    }
+
+    /// Returns whether a leaf crashed while it ran the content of a request.
+    pub(crate) fn is_suspect(&self, work: &Work) -> bool {
+        self.control.has_evidence(work.fingerprint)
+    }
+
+    /// Returns whether the content of a request is refused by now.
+    pub(crate) fn is_quarantined(&self, work: &Work) -> bool {
+        let until = self.control.quarantined_until(work.fingerprint, unix_ms());
+        until.is_some()
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -102,6 +102,8 @@
     Failed,
     /// The connection broke after bytes may have left.
     Lost,
+    /// The connection broke because the leaf's process ended.
+    Crashed,
     /// The leaf's answer named another call, shard or snapshot.
     Mismatch,
     /// The deadline passed after the call was sent.
--- a/standins/src/leaf.rs
+++ b/standins/src/leaf.rs
@@ -126,6 +126,7 @@
     frozen_status: Option<serde_json::Value>,
     counts: LeafCounts,
     executions: Vec<Execution>,
+    process: u64,
     crash_exits_process: bool,
 }
 
@@ -160,6 +161,7 @@
             address: listener.local_addr()?,
             state: Arc::new(Mutex::new(State {
                 options,
+                process: rand::rng().random_range(1..u64::MAX),
                 ..State::default()
             })),
             cut: Arc::default(),
@@ -264,7 +266,9 @@
         });
         let serving = hyper::server::conn::http2::Builder::new(TokioExecutor::new())
             .serve_connection(TokioIo::new(stream), service);
-        let _ = cut.run_until_cancelled(serving).await;
+        // A connection accepted while the leaf stops must end too, or a crashed leaf would answer.
+        let serving = cut.run_until_cancelled(serving);
+        let _ = self.stop.run_until_cancelled(serving).await;
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
@@ -286,7 +290,11 @@
         for (version, layout) in &options.snapshots {
             snapshots.push(json!({ "version": version, "layout": layout }));
         }
-        json!({ "draining": options.draining, "cold": options.cold, "snapshots": snapshots })
+        let process = self.state().process.to_string();
+        json!({
+            "draining": options.draining, "cold": options.cold, "process": process,
+            "snapshots": snapshots,
+        })
     }
 
     async fn execute(&self, request: Request<Incoming>) -> Response<Body> {
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,233 @@
+//! Content that crashes targets is stopped after two lost leaves, and no other content is blamed.
+
+#![expect(clippy::unwrap_used, reason = "a broken exchange fails the test")]
+
+mod support;
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cloverrack::answer::{Answer, CallerRequest};
+use cloverrack::quarantine::{EVIDENCE_MS, Loss, Quarantine};
+use cloverrack::{Outcome, Reason};
+use proptest::prelude::*;
+use support::{Cluster, Shape, eventually, request};
+
+/// Content at which the stand-in leaf crashes.
+const CRASH: &str = "crash-target";
+
+/// Longest time for a refusal that is final at once.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+fn shape(service_ms: u64) -> Shape {
+    let mut shape = Shape {
+        shards: 1,
+        replicas: 6,
+        ..Shape::default()
+    };
+    shape.leaf.service_us = service_ms * 1_000;
+    shape
+}
+
+fn with_content(id: &str, content: &str) -> CallerRequest {
+    CallerRequest {
+        payload: content.into(),
+        ..request(id)
+    }
+}
+
+/// Returns how many leaves crashed while they ran a content.
+fn leaves_lost(cluster: &Cluster, content: &str) -> usize {
+    let mut lost = HashSet::new();
+    for leaf in cluster.leaves.iter().flatten() {
+        if leaf.executions().iter().any(|e| e.payload == content) {
+            lost.insert(leaf.address());
+        }
+    }
+    lost.len()
+}
+
+fn assert_refused(answer: &Answer) {
+    let expected = (Outcome::Refused, Some(Reason::Quarantined));
+    assert_eq!((answer.outcome, answer.reason), expected, "{answer:?}");
+    assert!(answer.retry_after_ms.is_some_and(|wait_ms| wait_ms > 0));
+}
+
+/// Waits until a VM has learned that one content is refused.
+async fn wait_for_verdict(cluster: &Cluster, vm: usize) {
+    eventually("the verdict has spread", async || {
+        let status = cluster.status(vm).await.unwrap();
+        status["quarantined_contents"] == 1
+    })
+    .await;
+}
+
+/// Checks that all VMs refuse content under new ids at once.
+async fn assert_refused_everywhere(cluster: &Cluster, content: &str) {
+    for vm in 0..3 {
+        wait_for_verdict(cluster, vm).await;
+        let start = Instant::now();
+        let sent = with_content(&format!("refused-{vm}"), content);
+        assert_refused(&cluster.query(vm, &sent).await.unwrap());
+        assert!(start.elapsed() < AT_ONCE);
+    }
+}
+
+/// Guards against retries that go on to crash leaves, within one request and when it is resent.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashing_content_is_stopped_after_two_leaves() {
+    let cluster = Cluster::start(shape(1)).await;
+    let answer = cluster.query(0, &with_content("first", CRASH)).await;
+    assert_refused(&answer.unwrap());
+    assert_eq!(leaves_lost(&cluster, CRASH), 2);
+    assert_refused_everywhere(&cluster, CRASH).await;
+    assert_eq!(leaves_lost(&cluster, CRASH), 2);
+}
+
+/// Guards against evidence that stays at the VM that saw it: each VM loses one leaf.
+#[tokio::test(flavor = "multi_thread")]
+async fn single_losses_at_two_vms_suffice() {
+    let cluster = Cluster::start(shape(1)).await;
+    for vm in 0..2 {
+        let block = cluster.ticket_block(vm).await.unwrap();
+        let sent = CallerRequest {
+            idempotent: false,
+            ..with_content(&format!("{block}.0"), CRASH)
+        };
+        let answer = cluster.query(vm, &sent).await.unwrap();
+        assert_eq!(answer.outcome, Outcome::Unknown);
+        assert_eq!(leaves_lost(&cluster, CRASH), vm + 1);
+    }
+    wait_for_verdict(&cluster, 2).await;
+    let answer = cluster.query(2, &with_content("third", CRASH)).await;
+    assert_refused(&answer.unwrap());
+    assert_refused_everywhere(&cluster, CRASH).await;
+    assert_eq!(leaves_lost(&cluster, CRASH), 2);
+}
+
+/// Guards against blame for requests that ran beside the one that crashes leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn healthy_requests_beside_a_crash_are_not_blamed() {
+    let cluster = Cluster::start(shape(150)).await;
+    let healthy: Vec<CallerRequest> = (0..12)
+        .map(|number| request(&format!("healthy-{number}")))
+        .collect();
+    let crashing = with_content("crashing", CRASH);
+    let beside = healthy
+        .iter()
+        .enumerate()
+        .map(|(number, sent)| cluster.query(number % 3, sent));
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        cluster.query(0, &crashing).await
+    };
+    let (answers, _) = tokio::join!(futures_util::future::join_all(beside), crash);
+    for answer in answers {
+        assert_ne!(answer.unwrap().outcome, Outcome::Refused);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for (number, sent) in healthy.iter().enumerate() {
+        let answer = cluster.query(number % 3, sent).await.unwrap();
+        assert_ne!(answer.outcome, Outcome::Refused, "{answer:?}");
+    }
+}
+
+/// Guards against blame for what leaves were running when they were killed from outside.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaves_killed_from_outside_blame_nobody() {
+    let cluster = Cluster::start(shape(100)).await;
+    let mut sent = Vec::new();
+    for victim in 0..4 {
+        let batch: Vec<CallerRequest> = (0..6)
+            .map(|number| request(&format!("distinct-{victim}-{number}")))
+            .collect();
+        let queries = batch.iter().map(|one| cluster.query(0, one));
+        let kill = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            cluster.leaves[0][victim].stop();
+        };
+        tokio::join!(futures_util::future::join_all(queries), kill);
+        sent.extend(batch);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for (number, one) in sent.iter().enumerate() {
+        let answer = cluster.query(number % 3, one).await.unwrap();
+        assert_ne!(answer.outcome, Outcome::Refused, "{answer:?}");
+    }
+}
+
+/// Guards against blame for connections that break while the leaf's process lives on.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_connections_blame_nobody() {
+    let cluster = Cluster::start(shape(100)).await;
+    for round in 0..6 {
+        let sent = with_content(&format!("cut-{round}"), "the same content");
+        let cut = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            for leaf in &cluster.leaves[0] {
+                leaf.set(|options| options.cut = true);
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            for leaf in &cluster.leaves[0] {
+                leaf.set(|options| options.cut = false);
+            }
+        };
+        let (answer, ()) = tokio::join!(cluster.query(round % 3, &sent), cut);
+        assert_ne!(answer.unwrap().outcome, Outcome::Refused);
+    }
+    assert!(leaves_lost(&cluster, "the same content") >= 2);
+}
+
+fn leaf(number: u16) -> SocketAddr {
+    ([127, 0, 0, 1], number).into()
+}
+
+/// Guards against evidence that outlives its time.
+#[test]
+fn old_losses_do_not_count() {
+    let mut quarantine = Quarantine::default();
+    let first = quarantine.observe(7, leaf(1), false, 0);
+    assert_eq!(quarantine.record(first, 0), None);
+    let later = quarantine.observe(7, leaf(2), false, EVIDENCE_MS);
+    assert_eq!(quarantine.record(later, EVIDENCE_MS), None);
+}
+
+/// Guards against blame by a few losses that other calls may have caused.
+#[test]
+fn losses_of_shared_leaves_count_only_if_repeated() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..4 {
+        let loss = quarantine.observe(7, leaf(number), true, 0);
+        assert_eq!(quarantine.record(loss, 0), None, "{number} losses");
+    }
+    let loss = quarantine.observe(7, leaf(4), true, 0);
+    assert!(quarantine.record(loss, 0).is_some());
+}
+
+proptest! {
+    /// Guards against verdicts that depend on the order in which a VM learns of losses.
+    #[test]
+    fn the_order_of_evidence_does_not_matter(
+        losses in prop::collection::vec((1..5_u16, any::<bool>(), 1..3_u32), 1..6),
+        order in any::<prop::sample::Index>(),
+    ) {
+        let mut seen = HashSet::new();
+        let mut facts = Vec::new();
+        for (number, shared, losses) in losses {
+            if seen.insert(number) {
+                let (leaf, observed_unix_ms) = (leaf(number), u64::from(number));
+                facts.push(Loss { fingerprint: 7, leaf, shared, losses, observed_unix_ms });
+            }
+        }
+        let verdict = |facts: &[Loss]| {
+            let mut quarantine = Quarantine::default();
+            facts.iter().filter_map(|loss| quarantine.record(*loss, 10)).max()
+        };
+        let first = verdict(&facts);
+        let middle = order.index(facts.len());
+        facts.rotate_left(middle);
+        let rotated = verdict(&facts);
+        prop_assert_eq!(first, rotated);
+    }
+}
