--- a/src/root.rs
+++ b/src/root.rs
@@ -14,18 +14,17 @@
 use crate::clock::{boot_ms, unix_ms};
 use crate::control::{Control, LeafView};
 use crate::dispatch::Dispatcher;
-use crate::fact::Fact;
 use crate::fleet::Fleet;
 use crate::hedge::Budget;
 use crate::ids::{CallId, CallIds, ServiceKey, Snapshot, fingerprint};
 use crate::latency::Distribution;
-use crate::link::{Link, LinkError};
+use crate::link::Link;
 use crate::plan::{Choice, LeafLoad};
-use crate::quarantine::{QUARANTINE_MS, Quarantine};
+use crate::quarantine::QUARANTINE_MS;
 use crate::query::{Run, RunResult, Work, bounded_hedge_delay_us};
 use crate::snapshot::choose;
 use crate::telemetry::Telemetry;
-use crate::ticket::{Redeem, Ticket, Tickets};
+use crate::ticket::Tickets;
 
 /// Runs of one request at different snapshots.
 const MAX_RUNS: usize = 3;
@@ -52,30 +51,29 @@
 }
 
 #[derive(Default)]
-struct State {
+pub(crate) struct State {
     services: HashMap<Box<str>, ServiceState>,
     loads: HashMap<SocketAddr, LeafLoad>,
     avoided: HashMap<SocketAddr, u64>,
     in_flight_ids: HashSet<(Box<str>, Box<str>)>,
     admission: Admission,
-    quarantine: Quarantine,
-    tickets: Option<Tickets>,
+    pub(crate) tickets: Option<Tickets>,
 }
 
 /// Service that runs callers' requests.
 pub struct Root {
-    control: Arc<Control>,
+    pub(crate) control: Arc<Control>,
     dispatcher: Dispatcher,
-    link: Arc<Link>,
+    pub(crate) link: Arc<Link>,
     telemetry: Arc<Telemetry>,
     call_ids: CallIds,
     state: Mutex<State>,
     draining: AtomicBool,
-    tasks: TaskTracker,
+    pub(crate) tasks: TaskTracker,
 }
 
 /// A place in admission and a request id in flight; dropping it gives both back.
-struct Place<'a> {
+pub(crate) struct Place<'a> {
     root: &'a Root,
     member: Box<str>,
     request_id: Box<str>,
@@ -103,7 +101,11 @@
         tasks: &TaskTracker,
     ) -> Arc<Self> {
         let incarnation = control.incarnation();
-        let tickets = Tickets::new(incarnation, control.settings.internal_address);
+        let tickets = Tickets::new(
+            incarnation,
+            control.settings.internal_address,
+            rand::random(),
+        );
         Arc::new(Self {
             dispatcher,
             link,
@@ -119,7 +121,7 @@
         })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -135,17 +137,20 @@
 
     /// Issues a ticket block.
     pub fn issue_block(&self) -> Option<Box<str>> {
-        let block = self.state().tickets.as_mut()?.issue(boot_ms())?;
+        let block = self.state().tickets.as_mut()?.issue(boot_ms());
         Some(block.to_string().into())
     }
 
     /// Runs a request of a caller to its final answer.
     pub async fn run(self: &Arc<Self>, request: CallerRequest) -> Answer {
         let started_ms = boot_ms();
-        let answer = match self.admit(&request).await {
-            Ok(_place) if request.idempotent => self.execute(&request).await,
-            Ok(_place) => self.run_ticket(request.clone()).await,
-            Err(answer) => answer,
+        let answer = if request.idempotent {
+            match self.admit(&request).await {
+                Ok(_place) => self.execute(&request).await,
+                Err(answer) => answer,
+            }
+        } else {
+            self.run_once(request.clone()).await
         };
         self.telemetry.count_answer(&answer, boot_ms() - started_ms);
         if self
@@ -172,18 +177,8 @@
         answer
     }
 
-    /// Runs a request under a ticket of this process, for a VM that received it.
-    pub async fn run_forwarded(self: &Arc<Self>, request: CallerRequest) -> Answer {
-        match Ticket::parse(&request.request_id) {
-            Some(ticket) if ticket.block.issuer == self.control.incarnation() => {
-                self.redeem(ticket, request).await
-            }
-            _ => issuer_lost(&request.request_id),
-        }
-    }
-
     /// Checks a request and takes a place for it.
-    async fn admit(&self, request: &CallerRequest) -> Result<Place<'_>, Answer> {
+    pub(crate) async fn admit(&self, request: &CallerRequest) -> Result<Place<'_>, Answer> {
         let refuse = |reason| {
             let answer = Answer::empty(&request.request_id, Outcome::NotRun, reason);
             answer.retry_after(RETRY_AFTER_MS)
@@ -242,71 +237,19 @@
             .retry_after(wait_ms)
     }
 
-    /// Runs a request that is not idempotent, here or at the ticket's issuer.
-    async fn run_ticket(self: &Arc<Self>, request: CallerRequest) -> Answer {
-        let Some(ticket) = Ticket::parse(&request.request_id) else {
-            let mut answer =
-                Answer::empty(&request.request_id, Outcome::NotRun, Reason::TicketRequired);
-            answer.ticket_block = self.issue_block();
-            return answer.retry_after(0);
-        };
-        if ticket.block.issuer == self.control.incarnation() {
-            return self.redeem(ticket, request).await;
-        }
-        let issuer = ticket.block.address;
-        info!(event = "forward", request = %request.request_id, issuer = %issuer);
-        if issuer == self.control.settings.internal_address || !self.control.admits(issuer) {
-            return issuer_lost(&request.request_id);
-        }
-        let wait = std::time::Duration::from_millis(request.deadline_ms);
-        let call = self.link.call::<_, Answer>(issuer, "/forward", &request);
-        match tokio::time::timeout(wait, call).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => forward_failed(&request, &error),
-            Err(_) => Answer::empty(&request.request_id, Outcome::Unknown, Reason::Timeout),
-        }
-    }
-
-    /// Runs a request under a ticket of this process, at most once.
-    async fn redeem(self: &Arc<Self>, ticket: Ticket, request: CallerRequest) -> Answer {
-        let id = request.request_id.clone();
-        let deadline_ms = request.deadline_ms;
-        let redeemed = self
-            .state()
-            .tickets
-            .as_mut()
-            .map(|tickets| tickets.redeem(ticket, boot_ms()));
-        match redeemed {
-            Some(Redeem::Run) => {
-                let root = Arc::clone(self);
-                let running = self.tasks.spawn(async move {
-                    let answer = root.execute(&request).await;
-                    if let Some(tickets) = root.state().tickets.as_mut() {
-                        tickets.settle(ticket, &answer);
-                    }
-                    answer
-                });
-                let lost = Answer::empty(&id, Outcome::Unknown, Reason::Failed);
-                running.await.unwrap_or(lost)
-            }
-            Some(Redeem::Wait(mut outcome)) => {
-                let wait = std::time::Duration::from_millis(deadline_ms);
-                let settled = tokio::time::timeout(wait, outcome.wait_for(Option::is_some)).await;
-                let kept = settled
-                    .ok()
-                    .and_then(Result::ok)
-                    .and_then(|answer| answer.clone());
-                kept.unwrap_or(Answer::empty(&id, Outcome::Unknown, Reason::TicketUsed))
-            }
-            Some(Redeem::NotIssued) => {
-                Answer::empty(&id, Outcome::NotRun, Reason::TicketRequired).retry_after(0)
-            }
-            _ => Answer::empty(&id, Outcome::Unknown, Reason::TicketExpired),
+    /// Makes an answer without coverage final if the content was blamed while it ran.
+    ///
+    /// A request that is not idempotent stays `unknown`: a refused ticket could be redeemed again.
+    fn refuse_if_blamed(&self, request: &CallerRequest, work: &Work, answer: Answer) -> Answer {
+        let lost = work.idempotent && answer.covered.is_empty();
+        if lost && answer.outcome == Outcome::Unknown && self.is_quarantined(work) {
+            return self.refuse_quarantined(request);
         }
+        answer
     }
 
     /// Runs a request at one snapshot, and at another if the first vanishes.
-    async fn execute(&self, request: &CallerRequest) -> Answer {
+    pub(crate) async fn execute(&self, request: &CallerRequest) -> Answer {
         let fleet = self.control.fleet();
         let Some(service) = fleet.find_service(&request.service) else {
             return Answer::empty(&request.request_id, Outcome::NotRun, Reason::UnknownService);
@@ -336,8 +279,11 @@
             uncertain |= result.uncertain;
             let restart = result.snapshot_gone && work.idempotent;
             if !restart || boot_ms() >= work.deadline_ms {
-                return answer(request, &work, snapshot, result, uncertain);
+                let answer = answer(request, &work, snapshot, result, uncertain);
+                return self.refuse_if_blamed(request, &work, answer);
             }
+            // Leaves that answered ran the request, even if their answers are dropped now.
+            uncertain |= !result.results.is_empty();
             excluded.push(snapshot);
         }
         let outcome = if uncertain {
@@ -479,17 +425,20 @@
 
     /// Records that a leaf was lost while it ran the request.
     pub(crate) fn record_loss(&self, work: &Work, leaf: SocketAddr, shared: bool) {
-        let blamed = self
-            .state()
-            .quarantine
-            .record_loss(work.fingerprint, leaf, shared, boot_ms());
+        self.control.record_loss(work.fingerprint, leaf, shared);
+        let blamed = self.is_quarantined(work);
         warn!(event = "leaf_lost", leaf = %leaf, fingerprint = work.fingerprint, shared, blamed);
-        if blamed {
-            self.control.publish(Fact::Quarantine {
-                fingerprint: work.fingerprint,
-                until_unix_ms: unix_ms() + QUARANTINE_MS,
-            });
-        }
+    }
+
+    /// Returns whether a leaf crashed while it ran the content of a request.
+    pub(crate) fn is_suspect(&self, work: &Work) -> bool {
+        self.control.has_evidence(work.fingerprint)
+    }
+
+    /// Returns whether the content of a request is refused by now.
+    pub(crate) fn is_quarantined(&self, work: &Work) -> bool {
+        let until = self.control.quarantined_until(work.fingerprint, unix_ms());
+        until.is_some()
     }
 }
 
@@ -498,15 +447,6 @@
     (1..=MAX_NAME_BYTES).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic())
 }
 
-fn issuer_lost(request_id: &str) -> Answer {
-    Answer::empty(request_id, Outcome::Unknown, Reason::TicketIssuerLost)
-}
-
-fn forward_failed(request: &CallerRequest, error: &LinkError) -> Answer {
-    warn!(event = "forward_failed", request = %request.request_id, %error);
-    issuer_lost(&request.request_id)
-}
-
 /// Makes the final answer of a run.
 fn answer(
     request: &CallerRequest,
