Add a history checker and failpoints for fault tests

Cause: the promises had no judge over recorded runs, and no fault could be injected at a named step of a request or a configuration. Ruled out: judging answers by their own claims; bodies are echoes, so contents are judged.

--- a/src/control.rs
+++ b/src/control.rs
@@ -319,6 +319,7 @@
             Verdict::Accepted => {
                 info!(event = "document_in_force", name, revision, source);
                 self.recompile();
+                crate::faults::step("config.in_force");
             }
             Verdict::Rejected(error) => {
                 warn!(event = "document_rejected", name, revision, source, %error);
@@ -493,6 +494,7 @@
     pub(crate) async fn read_platform(&self, index: u64) -> Result<u64, PlatformError> {
         let wait_ms = if index == 0 { 0 } else { WATCH_WAIT_MS };
         let read = self.platform.read(index, wait_ms).await?;
+        crate::faults::step("config.read");
         let mut behind = false;
         for value in &read.values {
             let verdict = self.offer(&value.name, value.revision, &value.body, "platform");
--- a/src/document.rs
+++ b/src/document.rs
@@ -187,7 +187,9 @@
         if current == Some(version) {
             return Verdict::Unchanged;
         }
-        if current.is_some_and(|current| current > version) {
+        if current.is_some_and(|current| current > version)
+            && !crate::faults::is_off("check.document_order")
+        {
             self.record(name, version, "older", None, now_unix_ms);
             return Verdict::Older;
         }
--- a/src/front.rs
+++ b/src/front.rs
@@ -62,6 +62,7 @@
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
         };
+        crate::faults::step("request.asked");
         let domain = parameter("failure_domain");
         let caller = parameter("caller").unwrap_or("");
         let addresses = rank(&self.control.fleet(), domain, caller);
@@ -109,7 +110,7 @@
             Err(BodyError::Incomplete) => return refuse(Reason::BadRequest),
         };
         match serde_json::from_slice::<CallerRequest>(&body) {
-            Ok(request) => respond(&self.root.run(request).await),
+            Ok(request) => respond(&crate::faults::delivering(self.root.run(request).await)),
             Err(error) => {
                 info!(
                     event = "query_malformed",
--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -144,7 +144,7 @@
         if sender.ready().await.is_err() {
             return LeafResult::NotStarted(NotStarted::Unreachable);
         }
-        match sender.try_send_request(message).await {
+        match crate::faults::during("request.running", sender.try_send_request(message)).await {
             Ok(response) => read_answer(response, request).await,
             Err(error) => failed_send(error),
         }
@@ -177,6 +177,9 @@
 }
 
 async fn open(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    if crate::faults::is_cut(address) {
+        return None;
+    }
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = handshake(TokioExecutor::new(), TokioIo::new(stream))
@@ -246,7 +249,8 @@
     let snapshot = Snapshot::parse(header(headers, SNAPSHOT_HEADER));
     let matches = header(headers, CALL_HEADER) == request.call.to_string()
         && header(headers, SHARD_HEADER) == request.shard.to_string()
-        && snapshot == Some(request.snapshot);
+        && snapshot == Some(request.snapshot)
+        || crate::faults::is_off("check.match");
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     let Ok(body) = body.collect().await else {
         return LeafResult::Lost;
--- a/src/node.rs
+++ b/src/node.rs
@@ -196,6 +196,9 @@
 impl Node<Draining> {
     /// Finishes what is in flight and ends all services.
     pub async fn stop(self) {
+        if crate::faults::is_off("check.graceful_stop") {
+            return;
+        }
         self.root.drain();
         self.stop_callers.cancel();
         let _ = self.state.callers.await;
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -207,6 +207,10 @@
             (Method::POST, "/v1/check") => self.check(request).await,
             #[cfg(feature = "fault-injection")]
             (Method::POST, "/v1/faults/cut") => cut(request).await,
+            #[cfg(feature = "fault-injection")]
+            (Method::POST, "/v1/faults/step") => order(request).await,
+            #[cfg(feature = "fault-injection")]
+            (Method::GET, "/v1/faults") => json(StatusCode::OK, &crate::faults::fired()),
             _ => json(StatusCode::NOT_FOUND, &HttpError { error: "not_found" }),
         }
     }
@@ -226,3 +230,18 @@
         Err(_) => json(StatusCode::BAD_REQUEST, &HttpError { error: "malformed" }),
     }
 }
+
+/// Sets the action at a step, or switches a check, by the JSON [`crate::faults::Order`] in the body.
+#[cfg(feature = "fault-injection")]
+async fn order(request: Request<Incoming>) -> HttpResponse {
+    let body = read_body(request.into_body(), MAX_FILE_BYTES)
+        .await
+        .unwrap_or_default();
+    let Ok(order) = serde_json::from_slice(&body) else {
+        return json(StatusCode::BAD_REQUEST, &HttpError { error: "malformed" });
+    };
+    match crate::faults::apply(order) {
+        Ok(()) => json(StatusCode::OK, &HttpError { error: "none" }),
+        Err(_) => json(StatusCode::BAD_REQUEST, &HttpError { error: "unknown" }),
+    }
+}
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -308,7 +308,7 @@
         let Some(leaf) = self.leaf(call.leaf) else {
             return not_started(NotStarted::UnknownLeaf);
         };
-        if leaf.draining.load(Ordering::SeqCst) {
+        if leaf.draining.load(Ordering::SeqCst) && !crate::faults::is_off("check.drain") {
             return not_started(NotStarted::Draining);
         }
         let slot = match acquire(&leaf, deadline_ms, &cancel).await {
@@ -332,6 +332,7 @@
             () = cancel.cancelled() => LeafResult::Timeout,
         };
         self.learn(&leaf, &result);
+        crate::faults::step("request.answered");
         LeafReply {
             call: call.call,
             result,
--- a/src/query.rs
+++ b/src/query.rs
@@ -143,6 +143,7 @@
             };
             groups.entry(owner).or_default().push((shard, leaf));
         }
+        crate::faults::step("request.planned");
         for (owner, calls) in groups {
             self.send(owner, &calls);
         }
@@ -207,6 +208,7 @@
             .dispatcher()
             .send(address, batch, self.replies.clone());
         self.batches.push(sent);
+        crate::faults::step("request.sent");
     }
 
     /// Takes replies and hedges until nothing is open or the deadline passed.
@@ -327,7 +329,7 @@
 
     /// Handles a call that may have run.
     fn failed(&mut self, shard: u32, reason: Reason) {
-        self.uncertain = true;
+        self.uncertain = !crate::faults::is_off("check.uncertain");
         if self.work.idempotent {
             self.retry(shard, reason);
         } else {
@@ -393,6 +395,7 @@
     }
 
     fn finish(mut self) -> RunResult {
+        crate::faults::step("request.merged");
         let mut result = RunResult {
             uncertain: self.uncertain,
             snapshot_gone: self.snapshot_gone,
@@ -405,6 +408,7 @@
                     shard: number,
                     body,
                 }),
+                None if crate::faults::is_off("check.coverage") => {}
                 None => {
                     let reason = shard.lack.unwrap_or(Reason::Unreachable);
                     result.lacking.push(Lack {
--- a/src/root.rs
+++ b/src/root.rs
@@ -245,6 +245,7 @@
         }
         let issuer = ticket.block.address;
         info!(event = "forward", request = %request.request_id, issuer = %issuer);
+        crate::faults::step("request.forwarded");
         if issuer == self.control.settings.internal_address || !self.control.admits(issuer) {
             return issuer_lost(&request.request_id);
         }
@@ -312,6 +313,7 @@
         };
         let mut excluded = Vec::new();
         let mut uncertain = false;
+        crate::faults::step("request.admitted");
         for _ in 0..MAX_RUNS {
             let snapshot = self
                 .control
@@ -320,6 +322,7 @@
                 break;
             };
             info!(event = "pin", request = %request.request_id, snapshot = %snapshot);
+            crate::faults::step("request.pinned");
             let Some(result) = Run::run(self, Arc::clone(&fleet), &work, snapshot).await else {
                 break;
             };
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -123,6 +123,7 @@
                 return false;
             }
         };
+        crate::faults::step("config.spread");
         for document in bodies {
             let Some(body) = inflate(&document.deflated) else {
                 warn!(event = "document_malformed", %peer, name = %document.name);
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -155,7 +155,8 @@
         let Some(block) = self.blocks.get_mut(&ticket.block.block) else {
             return Redeem::Expired;
         };
-        if let Some(used) = block.used.get(&ticket.number) {
+        let used = block.used.get(&ticket.number);
+        if let Some(used) = used.filter(|_| !crate::faults::is_off("check.ticket")) {
             return Redeem::Wait(used.subscribe());
         }
         block.used.insert(ticket.number, watch::Sender::new(None));
--- /dev/null
+++ b/tests/history.rs
@@ -0,0 +1,256 @@
+//! The checker itself: a correct history passes, and each broken promise is reported.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cloverrack::answer::{Answer, Lack, Outcome, Reason, ShardResult};
+use cloverrack::{Snapshot, Version};
+use support::checker::{LEAVING_BOUND_MS, PROMISES, judge};
+use support::history::{Call, History, InForce, Leaving, PlannedStop, Published, Run};
+
+const SNAPSHOT: Snapshot = Snapshot {
+    version: 7,
+    layout: 1,
+};
+const TICKET: &str = "ticket.1";
+
+fn leaf(number: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 9_000 + number).into()
+}
+
+fn result(snapshot: &str, shard: u32, payload: &str) -> ShardResult {
+    ShardResult {
+        shard,
+        body: format!("{snapshot}:{shard}:{payload}").into(),
+    }
+}
+
+fn complete(id: &str) -> Answer {
+    Answer {
+        outcome: Outcome::Complete,
+        reason: None,
+        snapshot: Some(SNAPSHOT),
+        shards: 2,
+        covered: vec![0, 1],
+        results: vec![result("7.1", 0, id), result("7.1", 1, id)],
+        ..Answer::empty(id, Outcome::Complete, Reason::Failed)
+    }
+}
+
+fn call(id: &str, intended_ms: u64, answer: Option<Answer>) -> Call {
+    Call {
+        vm: 0,
+        id: id.to_owned(),
+        payload: id.to_owned(),
+        idempotent: id != TICKET,
+        intended_ms,
+        ended_ms: intended_ms + 50,
+        answer,
+    }
+}
+
+fn run(request: &str, shard: u32, started_ms: u64) -> Run {
+    Run {
+        leaf: leaf(shard as u16),
+        request: request.to_owned(),
+        shard,
+        snapshot: "7.1".to_owned(),
+        payload: request.to_owned(),
+        started_ms,
+        finished: true,
+    }
+}
+
+fn in_force(at_ms: u64, revision: u64) -> InForce {
+    InForce {
+        vm: 0,
+        incarnation: "process".to_owned(),
+        at_ms,
+        document: "config/test".to_owned(),
+        version: Version { epoch: 0, revision },
+    }
+}
+
+fn published(revision: u64, due_ms: Option<u64>) -> Published {
+    Published {
+        document: "config/test".to_owned(),
+        version: Version { epoch: 0, revision },
+        due_ms,
+    }
+}
+
+/// A history with all kinds of events that keeps every promise.
+fn correct() -> History {
+    let refused = Answer::empty("refused", Outcome::NotRun, Reason::Overloaded);
+    let mut partial = complete("partial");
+    partial.outcome = Outcome::Partial;
+    partial.covered = vec![1];
+    partial.results.remove(0);
+    let reason = Reason::Timeout;
+    partial.lacking = vec![Lack { shard: 0, reason }];
+    History {
+        calls: vec![
+            call("one", 1_000, Some(complete("one"))),
+            call("partial", 1_000, Some(partial)),
+            call("refused", 1_000, Some(refused)),
+            call("lost", 1_000, None),
+            call(TICKET, 1_000, None),
+            call(TICKET, 1_100, Some(complete(TICKET))),
+        ],
+        runs: vec![
+            run("one", 0, 1_010),
+            run("one", 0, 1_015),
+            run("one", 1, 1_010),
+            run("partial", 1, 1_010),
+            run("lost", 1, 1_010),
+            run(TICKET, 0, 1_020),
+            run(TICKET, 1, 1_020),
+        ],
+        in_force: vec![in_force(1_000, 3), in_force(2_000, 4), in_force(3_000, 4)],
+        published: vec![published(3, None), published(4, Some(2_500))],
+        leaving: vec![Leaving {
+            leaf: leaf(0),
+            announced_ms: 1_000,
+            returned_ms: 9_000,
+            refused_late: 0,
+        }],
+        stops: vec![PlannedStop {
+            vm: 0,
+            signalled_ms: 2_000,
+            ended_ms: 3_000,
+            exit_code: Some(0),
+        }],
+        layouts: BTreeMap::from([(1, 2)]),
+        keep_ms: 300,
+    }
+}
+
+/// Guards against a checker that reports faults that are none.
+#[test]
+fn a_correct_history_passes() {
+    assert_eq!(judge(&correct()), vec![]);
+}
+
+type Breaking = (&'static str, &'static str, fn(&mut History));
+
+fn answer_of(history: &mut History, call: usize) -> &mut Answer {
+    let answer = history.calls[call].answer.as_mut();
+    answer.expect("the correct history has an answer here")
+}
+
+/// Ways to break a promise: the promise, what is done, and the change to the correct history.
+const BREAKINGS: &[Breaking] = &[
+    ("one_snapshot", "one shard of another snapshot", |h| {
+        answer_of(h, 0).results[1] = result("8.1", 1, "one");
+        h.runs.push(Run {
+            snapshot: "8.1".to_owned(),
+            ..run("one", 1, 1_010)
+        });
+    }),
+    ("one_snapshot", "all shards of a snapshot not named", |h| {
+        answer_of(h, 0).snapshot = Some(Snapshot {
+            version: 8,
+            layout: 1,
+        });
+    }),
+    ("true_coverage", "a missing shard is not listed", |h| {
+        answer_of(h, 1).lacking.clear();
+    }),
+    ("true_coverage", "a missing shard is called covered", |h| {
+        answer_of(h, 1).covered.insert(0, 0);
+    }),
+    ("true_coverage", "partial is called complete", |h| {
+        answer_of(h, 1).outcome = Outcome::Complete;
+    }),
+    ("true_coverage", "contents of another shard", |h| {
+        answer_of(h, 0).results[0].body = "7.1:1:one".into();
+    }),
+    ("true_coverage", "no target ran the covered shard", |h| {
+        h.runs.retain(|run| run.request != "partial");
+    }),
+    ("true_coverage", "a layout is counted too small", |h| {
+        h.layouts.insert(1, 3);
+    }),
+    (
+        "own_response",
+        "contents of another caller's request",
+        |h| {
+            answer_of(h, 0).results[0] = result("7.1", 0, "partial");
+        },
+    ),
+    ("own_response", "the answer to another request", |h| {
+        answer_of(h, 0).request_id = "partial".into();
+    }),
+    ("own_response", "a complete response is cut short", |h| {
+        answer_of(h, 0).results.pop();
+    }),
+    ("not_run_is_not_executed", "a refused request ran", |h| {
+        h.runs.push(run("refused", 0, 1_020));
+    }),
+    ("not_run_is_not_executed", "it ran before a resend", |h| {
+        h.runs.push(run("refused", 0, 1_020));
+        let resent = call("refused", 1_100, Some(complete("refused")));
+        h.calls.push(resent);
+    }),
+    ("at_most_once", "a ticket ran twice on a shard", |h| {
+        h.runs.push(run(TICKET, 1, 1_110));
+    }),
+    ("at_most_once", "a ticket ran at two snapshots", |h| {
+        let last = h.runs.len() - 1;
+        h.runs[last].snapshot = "8.1".to_owned();
+    }),
+    ("leaving_target_is_left_alone", "it runs late work", |h| {
+        h.runs.push(run("lost", 0, 1_000 + LEAVING_BOUND_MS));
+    }),
+    ("leaving_target_is_left_alone", "it is offered work", |h| {
+        h.leaving[0].refused_late = 1;
+    }),
+    ("planned_stop_is_graceful", "a call in flight breaks", |h| {
+        h.calls.push(call("cut", 1_960, None));
+    }),
+    ("planned_stop_is_graceful", "a kept address fails", |h| {
+        h.calls.push(call("cut", 2_299, None));
+    }),
+    ("planned_stop_is_graceful", "the process is killed", |h| {
+        h.stops[0].exit_code = None;
+    }),
+    ("configuration_takes_effect", "a version is reverted", |h| {
+        h.in_force.push(in_force(2_100, 3));
+    }),
+    ("configuration_takes_effect", "a due version lacks", |h| {
+        h.in_force = vec![in_force(2_500, 3)];
+    }),
+    ("configuration_takes_effect", "nobody published it", |h| {
+        h.in_force.push(in_force(4_000, 5));
+    }),
+];
+
+/// Guards against a checker that lets a broken promise pass.
+#[test]
+fn each_broken_promise_is_reported() {
+    for (promise, what, breaks) in BREAKINGS {
+        let mut history = correct();
+        breaks(&mut history);
+        let found = judge(&history);
+        let reported = found.iter().any(|violation| violation.promise == *promise);
+        assert!(reported, "{promise}: {what}: {found:?}");
+    }
+}
+
+/// Guards against a promise whose check no test has seen reporting.
+#[test]
+fn every_promise_is_broken_by_some_history() {
+    for (promise, _) in PROMISES {
+        assert!(BREAKINGS.iter().any(|(broken, _, _)| *broken == promise));
+    }
+}
+
+/// Guards against calls that are judged although the stop could not concern them.
+#[test]
+fn an_address_kept_too_long_is_no_violation() {
+    let mut history = correct();
+    history.calls.push(call("late", 2_300, None));
+    assert_eq!(judge(&history), vec![]);
+}
--- /dev/null
+++ b/tests/support/history.rs
@@ -0,0 +1,90 @@
+//! Recorded history of a concurrent run: what callers, targets and operators saw.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cloverrack::Version;
+use cloverrack::answer::Answer;
+
+/// One attempt of a caller; all times are wall-clock milliseconds of this machine.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// VM asked.
+    pub vm: usize,
+    /// Caller's id; a resent request keeps it.
+    pub id: String,
+    pub payload: String,
+    pub idempotent: bool,
+    /// Intended start, which is not later than the send.
+    pub intended_ms: u64,
+    pub ended_ms: u64,
+    /// `None` if the connection broke or could not be set up.
+    pub answer: Option<Answer>,
+}
+
+/// One execution, as the target's stand-in recorded it.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub leaf: SocketAddr,
+    pub request: String,
+    pub shard: u32,
+    pub snapshot: String,
+    pub payload: String,
+    pub started_ms: u64,
+    pub finished: bool,
+}
+
+/// Version of a document in force on one process at one time, from its status page.
+#[derive(Clone, Debug)]
+pub struct InForce {
+    pub vm: usize,
+    pub incarnation: String,
+    pub at_ms: u64,
+    pub document: String,
+    pub version: Version,
+}
+
+/// A valid document that operators published.
+#[derive(Clone, Debug)]
+pub struct Published {
+    pub document: String,
+    pub version: Version,
+    /// Time from which every sample must show this version or a newer one; `None` if it was
+    /// superseded or the run ended before it was due.
+    pub due_ms: Option<u64>,
+}
+
+/// A target that was announced as leaving.
+#[derive(Clone, Debug)]
+pub struct Leaving {
+    pub leaf: SocketAddr,
+    pub announced_ms: u64,
+    /// Time at which the target was taken back.
+    pub returned_ms: u64,
+    /// Calls that the target refused later than the bound after the announcement.
+    pub refused_late: u64,
+}
+
+/// A planned stop of a VM.
+#[derive(Clone, Debug)]
+pub struct PlannedStop {
+    pub vm: usize,
+    pub signalled_ms: u64,
+    pub ended_ms: u64,
+    pub exit_code: Option<i32>,
+}
+
+/// Everything that the checker reads.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    pub calls: Vec<Call>,
+    pub runs: Vec<Run>,
+    pub in_force: Vec<InForce>,
+    pub published: Vec<Published>,
+    pub leaving: Vec<Leaving>,
+    pub stops: Vec<PlannedStop>,
+    /// Shards of each layout, by its id.
+    pub layouts: BTreeMap<u32, u32>,
+    /// Time for which callers may keep entry addresses.
+    pub keep_ms: u64,
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,9 @@
     reason = "each test file uses a part of the harness"
 )]
 
+pub mod checker;
+pub mod history;
+
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
