Add a fault matrix over separate processes

Cause: no test ran faults at the steps of a request's or a configuration's life. Change: 18 faults by 14 steps in two tables; a step holds one thread of the victim (or ends or stops the process) while the fault is applied; the load's history is judged, and after healing all daemons must serve complete answers and hold the newest documents. Ruled out: holding a plain worker thread. The first try did, and the whole process stood still for up to 5 s because the held worker polled the sockets; the hold hands its duties over now.

--- a/src/faults.rs
+++ b/src/faults.rs
@@ -96,11 +96,12 @@
     use super::{CHECKS, STEPS};
 
     /// Longest hold, so that a test that ends early leaves no blocked thread behind.
-    const MAX_HOLD: Duration = Duration::from_secs(5);
+    const MAX_HOLD: Duration = Duration::from_secs(15);
 
     static CUT: RwLock<Vec<SocketAddr>> = RwLock::new(Vec::new());
     static FIRED: Mutex<Fired> = Mutex::new(Fired {
         steps: BTreeSet::new(),
+        held: BTreeSet::new(),
         released: BTreeSet::new(),
     });
     static RELEASED: Condvar = Condvar::new();
@@ -143,11 +144,13 @@
         pub skip: u64,
     }
 
-    /// Steps whose action has begun, and steps whose hold was released.
+    /// What became of the actions at steps.
     #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
     pub struct Fired {
         /// Steps whose action has begun.
         pub steps: BTreeSet<String>,
+        /// Steps at which a thread is held now.
+        pub held: BTreeSet<String>,
         /// Steps whose hold was released.
         pub released: BTreeSet<String>,
     }
@@ -211,7 +214,9 @@
                 let passes = AtomicU64::new(0);
                 fail::cfg_callback(name, move || {
                     if passes.fetch_add(1, Ordering::SeqCst) == order.skip {
-                        act(&order);
+                        // Hands the worker's other duties, such as polling sockets, to another
+                        // thread; without this the whole process would stand still.
+                        tokio::task::block_in_place(|| act(&order));
                     }
                 })
             }
@@ -227,8 +232,10 @@
             Action::Stop => signal_self(Signal::STOP),
             Action::SleepMs(time_ms) => std::thread::sleep(Duration::from_millis(*time_ms)),
             Action::Hold => {
+                lock_fired().held.insert(order.name.clone());
                 let held = |fired: &mut Fired| !fired.released.contains(&order.name);
                 let _ = RELEASED.wait_timeout_while(lock_fired(), MAX_HOLD, held);
+                lock_fired().held.remove(&order.name);
             }
             Action::Cut(peers) => set_cut(peers.clone()),
             Action::Release | Action::Disable | Action::Enable => {}
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -29,6 +29,10 @@
     body: Bytes,
 }
 
+/// Content of the service at one time.
+#[derive(Clone, Debug)]
+pub struct PlatformImage(u64, BTreeMap<String, Value>);
+
 #[derive(Debug, Default)]
 struct State {
     index: u64,
@@ -103,6 +107,18 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Returns the present content, for [`PlatformStandin::show`].
+    pub fn image(&self) -> PlatformImage {
+        let state = self.state();
+        PlatformImage(state.index, state.values.clone())
+    }
+
+    /// Shows readers an older content until [`PlatformStandin::set_stale`] ends it.
+    pub fn show(&self, image: PlatformImage) {
+        self.state().stale = Some((image.0, image.1));
+        self.changed.send_modify(|_| {});
+    }
+
     /// Returns the calls counted so far; a waiting watch is one.
     pub fn calls(&self) -> u64 {
         self.state().calls
--- /dev/null
+++ b/tests/matrix.rs
@@ -0,0 +1,168 @@
+//! Fault matrix on separate processes: each fault at each step, under recorded load.
+//!
+//! `MATRIX_SEED`, `MATRIX_SECONDS` and `MATRIX_CELL` steer the long part; `scripts/matrix.sh` sets
+//! them.
+#![cfg(feature = "fault-injection")]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use support::matrix::{COLUMNS, Cell, Fault, ROWS, run};
+use tokio::task::{JoinSet, LocalSet};
+
+/// Clusters that run at one time.
+const CLUSTERS: usize = 4;
+
+/// Seed of the short part.
+const SHORT_SEED: u64 = 20_261;
+
+/// Seconds of the long part without `MATRIX_SECONDS`.
+const DEFAULT_SECONDS: u64 = 600;
+
+/// One run to make.
+struct Task {
+    name: String,
+    seed: u64,
+    faults: Vec<(Fault, &'static str)>,
+}
+
+fn single(row: usize, column: usize, seed: u64) -> Task {
+    let (name, fault) = ROWS[row];
+    let step = COLUMNS[column];
+    Task {
+        name: format!("{name}@{step}"),
+        seed: seed + (row * COLUMNS.len() + column) as u64,
+        faults: vec![(fault, step)],
+    }
+}
+
+fn pair(rng: &mut StdRng) -> Task {
+    let seed = rng.random_range(0..1_000_000_000);
+    let mut parts = Vec::new();
+    let mut faults: Vec<(Fault, &'static str)> = Vec::new();
+    while faults.len() < 2 {
+        let (name, fault) = ROWS[rng.random_range(0..ROWS.len())];
+        let step = COLUMNS[rng.random_range(0..COLUMNS.len())];
+        if faults.iter().any(|(other, _)| *other == fault) {
+            continue;
+        }
+        parts.push(format!("{name}@{step}"));
+        faults.push((fault, step));
+    }
+    Task {
+        name: parts.join("+"),
+        seed,
+        faults,
+    }
+}
+
+fn print(cell: &Cell) {
+    println!(
+        "cell={} seed={} verdict={} calls={} runs={} phases_ms={:?} violations={}",
+        cell.name,
+        cell.seed,
+        cell.verdict(),
+        cell.calls,
+        cell.runs,
+        cell.phases_ms,
+        cell.violations.len()
+    );
+    for step in &cell.not_reached {
+        println!("  step {step} was not reached");
+    }
+    for violation in cell.violations.iter().take(3) {
+        let excerpt: String = violation.excerpt.chars().take(1_500).collect();
+        println!("  {}: {excerpt}", violation.promise);
+    }
+}
+
+/// Runs tasks, several at once, and prints a line for each; none begins after `end`.
+async fn run_all(tasks: Vec<Task>, end: Option<Instant>) -> Vec<Cell> {
+    let mut cells = Vec::new();
+    let mut running = JoinSet::new();
+    for task in tasks {
+        if end.is_some_and(|end| Instant::now() >= end) {
+            break;
+        }
+        if running.len() == CLUSTERS
+            && let Some(cell) = running.join_next().await
+        {
+            let cell: Cell = cell.expect("a run does not panic");
+            print(&cell);
+            cells.push(cell);
+        }
+        running.spawn_local(async move { run(task.name, task.seed, &task.faults).await });
+    }
+    while let Some(cell) = running.join_next().await {
+        let cell = cell.expect("a run does not panic");
+        print(&cell);
+        cells.push(cell);
+    }
+    cells
+}
+
+fn summary(cells: &[Cell], start: Instant) -> usize {
+    let count = |verdict| {
+        cells
+            .iter()
+            .filter(|cell| cell.verdict() == verdict)
+            .count()
+    };
+    let calls: usize = cells.iter().map(|cell| cell.calls).sum();
+    println!(
+        "cells={} proved={} not_proved={} violated={} calls={calls} seconds={}",
+        cells.len(),
+        count("proved"),
+        count("not_proved"),
+        count("violated"),
+        start.elapsed().as_secs()
+    );
+    count("violated")
+}
+
+/// Guards every promise against each fault once, and uses every column at least once.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_matrix() {
+    let start = Instant::now();
+    println!("seed={SHORT_SEED}");
+    let mut tasks = Vec::new();
+    for row in 0..ROWS.len() {
+        tasks.push(single(row, (row * 5 + 3) % COLUMNS.len(), SHORT_SEED));
+    }
+    let cells = LocalSet::new().run_until(run_all(tasks, None)).await;
+    assert_eq!(summary(&cells, start), 0, "violations are printed above");
+}
+
+fn variable(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Guards every promise against every fault at every step, then against pairs of faults.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "runs for minutes: scripts/matrix.sh"]
+async fn long_matrix() {
+    let start = Instant::now();
+    let seed = variable("MATRIX_SEED").unwrap_or(SHORT_SEED);
+    let seconds = variable("MATRIX_SECONDS").unwrap_or(DEFAULT_SECONDS);
+    println!("seed={seed} seconds={seconds}");
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut tasks = Vec::new();
+    for row in 0..ROWS.len() {
+        for column in 0..COLUMNS.len() {
+            tasks.push(single(row, column, seed));
+        }
+    }
+    tasks.shuffle(&mut rng);
+    if let Ok(wanted) = std::env::var("MATRIX_CELL") {
+        tasks.retain(|task| task.name.contains(&wanted));
+    } else {
+        tasks.extend((0..seconds).map(|_| pair(&mut rng)));
+    }
+    let end = start + Duration::from_secs(seconds);
+    let cells = LocalSet::new().run_until(run_all(tasks, Some(end))).await;
+    assert_eq!(summary(&cells, start), 0, "violations are printed above");
+}
--- /dev/null
+++ b/tests/support/load.rs
@@ -0,0 +1,290 @@
+//! Concurrent load whose calls are recorded, and samples of the status pages.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use cloverrack::answer::{Answer, CallerRequest, Outcome};
+use cloverrack::{Entries, Version};
+use http::StatusCode;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::history::{Call, InForce};
+use super::{Cluster, SERVICE, exchange};
+
+/// Time between two requests.
+const PACE: Duration = Duration::from_millis(12);
+
+/// Deadline of each request.
+const DEADLINE_MS: u64 = 1_500;
+
+/// Time after which a caller gives up a connection; longer than any answer may take.
+const GIVE_UP: Duration = Duration::from_millis(DEADLINE_MS + 1_000);
+
+/// Attempts of one request, on different VMs.
+const ATTEMPTS: usize = 3;
+
+/// Time between two samples of the status pages.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Longest wait for one status page.
+const STATUS_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Returns the wall-clock time.
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.unwrap_or_default().as_millis() as u64
+}
+
+/// Addresses of the VMs, which stay the same when a daemon is replaced.
+#[derive(Clone)]
+pub struct Addresses {
+    pub callers: Vec<SocketAddr>,
+    pub operators: Vec<SocketAddr>,
+}
+
+impl Addresses {
+    pub fn of(cluster: &Cluster) -> Self {
+        Self {
+            callers: cluster.daemons.iter().map(|d| d.caller).collect(),
+            operators: cluster.daemons.iter().map(|d| d.operator).collect(),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Recorded {
+    calls: Vec<Call>,
+    samples: Vec<InForce>,
+}
+
+/// Entry addresses and tickets as a caller keeps them.
+#[derive(Clone, Default)]
+struct Kept {
+    vms: Vec<usize>,
+    block: Option<String>,
+    next_number: u32,
+    expires_ms: u64,
+}
+
+/// Running load; half of its requests are not idempotent.
+pub struct Load {
+    recorded: Arc<Mutex<Recorded>>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+fn lock(recorded: &Mutex<Recorded>) -> MutexGuard<'_, Recorded> {
+    recorded.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Load {
+    pub fn start(addresses: Addresses, seed: u64) -> Self {
+        let load = Self {
+            recorded: Arc::default(),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        };
+        let caller = Caller {
+            addresses: addresses.clone(),
+            recorded: Arc::clone(&load.recorded),
+        };
+        let calls = caller.call_until(load.stop.clone(), load.tasks.clone(), seed);
+        load.tasks.spawn(calls);
+        let samples = sample_until(load.stop.clone(), addresses, Arc::clone(&load.recorded));
+        load.tasks.spawn(samples);
+        load
+    }
+
+    /// Returns the number of calls that ended.
+    pub fn ended(&self) -> usize {
+        lock(&self.recorded).calls.len()
+    }
+
+    /// Records a call that was made besides the load.
+    pub fn record(&self, call: Call) {
+        lock(&self.recorded).calls.push(call);
+    }
+
+    /// Ends the load and returns all calls and samples.
+    pub async fn finish(self) -> (Vec<Call>, Vec<InForce>) {
+        self.stop.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+        let recorded = std::mem::take(&mut *lock(&self.recorded));
+        (recorded.calls, recorded.samples)
+    }
+}
+
+#[derive(Clone)]
+struct Caller {
+    addresses: Addresses,
+    recorded: Arc<Mutex<Recorded>>,
+}
+
+impl Caller {
+    /// Sends requests at a fixed pace, whether or not earlier ones have ended.
+    async fn call_until(self, stop: CancellationToken, tasks: TaskTracker, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut kept = Kept::default();
+        let mut pace = tokio::time::interval(PACE);
+        let mut number = 0_u64;
+        while !stop.is_cancelled() {
+            pace.tick().await;
+            let intended_ms = unix_ms();
+            if kept.expires_ms <= intended_ms {
+                self.renew(&mut kept, &mut rng).await;
+            }
+            number += 1;
+            let id = match &kept.block {
+                Some(block) if number.is_multiple_of(2) => {
+                    kept.next_number += 1;
+                    Some(format!("{block}.{}", kept.next_number))
+                }
+                _ => None,
+            };
+            let request = CallerRequest {
+                idempotent: id.is_none(),
+                request_id: id.unwrap_or(format!("i{seed}-{number}")).into(),
+                payload: format!("p{seed}-{number}").into(),
+                ..request_shape()
+            };
+            let mut vms = Vec::new();
+            for _ in 0..ATTEMPTS {
+                vms.push(*kept.vms.choose(&mut rng).unwrap_or(&0));
+            }
+            let caller = self.clone();
+            tasks.spawn(async move { caller.attempt(request, intended_ms, vms).await });
+        }
+    }
+
+    /// Asks a VM which addresses to use; without an answer all VMs are used.
+    async fn renew(&self, kept: &mut Kept, rng: &mut StdRng) {
+        let vm = rng.random_range(0..self.addresses.callers.len());
+        let path = format!("/v1/entries?caller=c{}", rng.random::<u16>());
+        let asked = exchange(self.addresses.callers[vm], "GET", &path, Vec::new());
+        let answer = timeout(STATUS_PATIENCE, asked).await.ok().flatten();
+        let entries = answer.and_then(|(_, body)| serde_json::from_slice::<Entries>(&body).ok());
+        let all = (0..self.addresses.callers.len()).collect();
+        let Some(entries) = entries else {
+            kept.vms = all;
+            kept.expires_ms = unix_ms() + 100;
+            return;
+        };
+        let known = self.addresses.callers.iter().enumerate();
+        let known = known.filter(|(_, address)| entries.addresses.contains(address));
+        kept.vms = known.map(|(vm, _)| vm).collect();
+        if kept.vms.is_empty() {
+            kept.vms = all;
+        }
+        kept.block = entries.ticket_block.map(String::from);
+        kept.next_number = 0;
+        kept.expires_ms = unix_ms() + entries.keep_ms;
+    }
+
+    /// Sends a request, and resends it through another VM while its outcome is not known.
+    async fn attempt(&self, request: CallerRequest, mut intended_ms: u64, vms: Vec<usize>) {
+        for vm in vms {
+            let call = send(&self.addresses, vm, &request, intended_ms).await;
+            let outcome = call.answer.as_ref().map(|answer| answer.outcome);
+            lock(&self.recorded).calls.push(call);
+            if !matches!(outcome, None | Some(Outcome::Unknown | Outcome::NotRun)) {
+                return;
+            }
+            intended_ms = unix_ms();
+        }
+    }
+}
+
+/// Returns a request of the cluster's service without id and payload.
+pub fn request_shape() -> CallerRequest {
+    CallerRequest {
+        service: SERVICE.into(),
+        member: "member".into(),
+        request_id: "".into(),
+        deadline_ms: DEADLINE_MS,
+        idempotent: true,
+        prefer: None,
+        payload: "".into(),
+    }
+}
+
+/// Sends a request once and returns the recorded call.
+pub async fn send(
+    addresses: &Addresses,
+    vm: usize,
+    request: &CallerRequest,
+    intended_ms: u64,
+) -> Call {
+    let body = serde_json::to_vec(request).unwrap_or_default();
+    let sent = exchange(addresses.callers[vm], "POST", "/v1/query", body);
+    let response: Option<(StatusCode, Bytes)> = timeout(GIVE_UP, sent).await.ok().flatten();
+    let answer = response.and_then(|(_, body)| serde_json::from_slice::<Answer>(&body).ok());
+    Call {
+        vm,
+        id: request.request_id.to_string(),
+        payload: request.payload.to_string(),
+        idempotent: request.idempotent,
+        intended_ms,
+        ended_ms: unix_ms(),
+        answer,
+    }
+}
+
+/// Returns a VM's status page.
+pub async fn status(operator: SocketAddr) -> Option<Value> {
+    let asked = exchange(operator, "GET", "/v1/status", Vec::new());
+    let (_, body) = timeout(STATUS_PATIENCE, asked).await.ok()??;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Returns the documents in force by a status page that was asked for at `at_ms`.
+pub fn in_force(vm: usize, at_ms: u64, status: &Value) -> Vec<InForce> {
+    let mut samples = Vec::new();
+    for line in status["documents"].as_array().into_iter().flatten() {
+        samples.push(InForce {
+            vm,
+            incarnation: status["incarnation"].as_str().unwrap_or("").to_owned(),
+            at_ms,
+            document: line["name"].as_str().unwrap_or("").to_owned(),
+            version: version(&line["version"]),
+        });
+    }
+    samples
+}
+
+fn version(value: &Value) -> Version {
+    Version {
+        epoch: value["epoch"].as_u64().unwrap_or(0),
+        revision: value["revision"].as_u64().unwrap_or(0),
+    }
+}
+
+/// Samples all status pages until `stop`, and once more after it.
+async fn sample_until(
+    stop: CancellationToken,
+    addresses: Addresses,
+    recorded: Arc<Mutex<Recorded>>,
+) {
+    loop {
+        let last = stop.is_cancelled();
+        for (vm, operator) in addresses.operators.iter().enumerate() {
+            let at_ms = unix_ms();
+            if let Some(status) = status(*operator).await {
+                let samples = in_force(vm, at_ms, &status);
+                lock(&recorded).samples.extend(samples);
+            }
+        }
+        if last {
+            return;
+        }
+        let _ = timeout(SAMPLE_INTERVAL, stop.cancelled()).await;
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,6 +9,9 @@
 
 pub mod checker;
 pub mod history;
+pub mod load;
+pub mod matrix;
+pub mod trial;
 
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -53,6 +56,15 @@
         let _ = self.child.wait();
     }
 
+    /// Returns whether the process is stopped by a signal.
+    pub fn is_stopped(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        stat.rsplit(')')
+            .next()
+            .is_some_and(|rest| rest.starts_with(" T"))
+    }
+
     pub fn has_ended(&mut self) -> Option<i32> {
         self.child
             .try_wait()
@@ -98,6 +110,8 @@
     /// Leaves by shard, then replica; replica `r` is in failure domain `fd-r`.
     pub leaves: Vec<Vec<LeafStandin>>,
     pub daemons: Vec<Daemon>,
+    /// Revisions of the VM list and the configuration published at the start.
+    pub first_revisions: [u64; 2],
     net: [u8; 2],
 }
 
@@ -137,17 +151,18 @@
             }
             leaves.push(replicas);
         }
-        let cluster = Self {
+        let mut cluster = Self {
             shape,
             platform,
             leaves,
             daemons: Vec::new(),
+            first_revisions: [0; 2],
             net,
         };
-        cluster.platform.put("cloverrack/vms", cluster.vm_list(&[]));
-        cluster
-            .platform
-            .put("cloverrack/config/test", cluster.config(""));
+        let vms = cluster.platform.put("cloverrack/vms", cluster.vm_list(&[]));
+        let config = cluster.config("");
+        let config = cluster.platform.put("cloverrack/config/test", config);
+        cluster.first_revisions = [vms, config];
         cluster
     }
 
@@ -303,15 +318,21 @@
 }
 
 /// Waits until `check` holds, and fails after [`PATIENCE`].
-pub async fn eventually(what: &str, mut check: impl AsyncFnMut() -> bool) {
+pub async fn eventually(what: &str, check: impl AsyncFnMut() -> bool) {
+    let holds = eventually_within(PATIENCE, check).await;
+    assert!(holds, "not within {PATIENCE:?}: {what}");
+}
+
+/// Waits until `check` holds, and returns whether it did within the patience.
+pub async fn eventually_within(patience: Duration, mut check: impl AsyncFnMut() -> bool) -> bool {
     let start = Instant::now();
-    while start.elapsed() < PATIENCE {
+    while start.elapsed() < patience {
         if check().await {
-            return;
+            return true;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    panic!("not within {PATIENCE:?}: {what}");
+    false
 }
 
 /// Runs one HTTP/1.1 exchange on a connection of its own; `None` if it broke.
