Show that each promise breaks without its mechanism

Cause: a green check says nothing unless it has been seen red on real processes. Change: nine scenarios run with one check switched off by the operators' listener, where the promise must be reported, and with the check on, where nothing may be. The matrix prints outcomes and recovery times, and republishes until a VM gets a document from a peer: in the first 10 s a VM that does not watch still waits in the watch of its start. Ruled out: a wrong control. The swapping leaf first answered its first call truly without a record of it, which the coverage check reported; it fails that call now.

--- a/src/plan.rs
+++ b/src/plan.rs
@@ -63,7 +63,8 @@
     fn is_usable(&self, key: LeafKey) -> bool {
         let leaf = self.fleet.leaf(key);
         let view = self.views.get(&leaf.address);
-        !leaf.leaving && view.is_some_and(|view| serves(view, self.snapshot))
+        let leaving = leaf.leaving && !crate::faults::is_off("check.drain");
+        !leaving && view.is_some_and(|view| serves(view, self.snapshot))
     }
 
     fn cost(&self, key: LeafKey) -> u64 {
--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -61,12 +61,15 @@
 }
 
 fn print(cell: &Cell) {
+    let outcomes = cell.outcomes.iter();
+    let outcomes: Vec<String> = outcomes.map(|(name, n)| format!("{name}:{n}")).collect();
     println!(
-        "cell={} seed={} verdict={} calls={} runs={} phases_ms={:?} violations={}",
+        "cell={} seed={} verdict={} calls={} outcomes={} runs={} phases_ms={:?} violations={}",
         cell.name,
         cell.seed,
         cell.verdict(),
         cell.calls,
+        outcomes.join(","),
         cell.runs,
         cell.phases_ms,
         cell.violations.len()
--- /dev/null
+++ b/tests/support/inject.rs
@@ -0,0 +1,343 @@
+//! How each fault of the matrix is applied at its step and healed.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::checker::LEAVING_BOUND_MS;
+use super::history::{Leaving, PlannedStop};
+use super::load::{status, unix_ms};
+use super::matrix::{DWELL_CALLS, Fault, Injection};
+use super::trial::{PATIENCE, Place, Trial};
+use super::{LeafOptions, eventually_within};
+
+/// Time after which another revision is published if a step was not reached.
+const REPUBLISH: Duration = Duration::from_secs(1);
+
+impl Trial {
+    /// Starts a fault at its step; returns whether the step was reached.
+    pub async fn inject(&mut self, injection: Injection) -> bool {
+        let Injection { fault, step, place } = injection;
+        if step == "config.published" {
+            self.cluster.platform.set_stale(true);
+            self.publish_config();
+            self.apply(fault, place, false).await;
+            if fault != Fault::PlatformStale {
+                self.cluster.platform.set_stale(false);
+            }
+            self.settle(fault, place).await;
+            return true;
+        }
+        let action = match fault {
+            Fault::Kill => json!("exit"),
+            Fault::Freeze | Fault::LongFreeze => json!("stop"),
+            _ => json!("hold"),
+        };
+        // Bytes for the leaf leave on another thread while this one is delayed.
+        let delay_ms = if step == "request.running" { 3 } else { 0 };
+        let order = json!({ "name": step, "action": action, "delay_ms": delay_ms });
+        self.order(place.vm, "/v1/faults/step", &order).await;
+        let reached = self.reach(place.vm, step).await;
+        let in_process = matches!(fault, Fault::Kill | Fault::Freeze | Fault::LongFreeze);
+        self.apply(fault, place, reached && in_process).await;
+        if !in_process {
+            let release = json!({ "name": step, "action": "release" });
+            self.order(place.vm, "/v1/faults/step", &release).await;
+        }
+        self.settle(fault, place).await;
+        reached
+    }
+
+    /// Waits until a VM is at a step; for a configuration's steps it publishes until then.
+    ///
+    /// A VM that does not watch may still wait in the watch of its start, and reads a revision
+    /// itself instead of getting it from a peer; a later revision reaches it by the peer.
+    async fn reach(&mut self, vm: usize, step: &str) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if step.starts_with("config.") {
+                self.publish_config();
+            }
+            let at_step = eventually_within(REPUBLISH, async || self.is_at(vm, step).await);
+            if at_step.await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Applies a fault from outside; `done` if the process has done it to itself.
+    pub async fn apply(&mut self, fault: Fault, place: Place, done: bool) {
+        match fault {
+            Fault::Kill => {
+                if !done {
+                    self.cluster.daemons[place.vm].kill();
+                }
+                self.away.push(place.vm);
+            }
+            Fault::Freeze | Fault::LongFreeze => {
+                if !done {
+                    self.cluster.daemons[place.vm].signal("-STOP");
+                }
+                self.away.push(place.vm);
+            }
+            Fault::CutLink => {
+                let peer = (place.vm + 1) % self.cluster.shape.vms;
+                let peer = self.cluster.daemons[peer].internal;
+                self.cut(place.vm, &[peer]).await;
+            }
+            Fault::CutSide => self.cut_sides(place.vm).await,
+            Fault::PlatformDown => self.cluster.platform.set_down(true),
+            Fault::PlatformStale => self.go_stale().await,
+            Fault::OperatorsRacing => self.race_operators(),
+            Fault::PlannedStop => self.signal_stop(place.vm),
+            Fault::LaggingVmList => {
+                let list = self.vm_list_without(place.vm);
+                self.publish_vms(list);
+            }
+            _ => self.apply_to_leaf(fault, place).await,
+        }
+    }
+
+    async fn apply_to_leaf(&mut self, fault: Fault, place: Place) {
+        match fault {
+            Fault::Straggler => self.leaf(place).set(|leaf| {
+                leaf.straggler_ppm = 1_000_000;
+                leaf.straggler_factor = 200;
+            }),
+            Fault::ReplicaLost => self.leaf(place).stop(),
+            Fault::TargetDraining => {
+                self.leaf(place).set(|leaf| leaf.draining = true);
+                self.note_leaving(place);
+            }
+            Fault::TargetListedLeaving => {
+                let list = self.vm_list_with_leaving(place);
+                self.publish_vms(list);
+                self.note_leaving(place);
+            }
+            Fault::TargetCold => {
+                let cold = LeafOptions {
+                    cold: true,
+                    connect_ms: 50,
+                    service_us: 30_000,
+                    ..self.healthy_leaf()
+                };
+                self.rebind(place, cold).await;
+            }
+            Fault::VersionChange => self.roll_out((self.version + 1, self.layout)).await,
+            Fault::Repartitioning => self.roll_out((self.version, 3 - self.layout)).await,
+            Fault::CrashingRequest => self.crash_targets(place.vm).await,
+            _ => {}
+        }
+    }
+
+    /// Waits, with no step held any more, for what the fault must lead to before it ends.
+    pub async fn settle(&mut self, fault: Fault, place: Place) {
+        match fault {
+            Fault::LongFreeze | Fault::CutSide => self.wait_until_dead(place.vm).await,
+            Fault::PlannedStop => self.wait_until_stopped(place.vm).await,
+            Fault::TargetDraining | Fault::TargetListedLeaving => self.pass_bound(place).await,
+            _ => {}
+        }
+    }
+
+    /// Ends a fault.
+    pub async fn heal(&mut self, injection: Injection) {
+        let place = injection.place;
+        self.away.retain(|vm| *vm != place.vm);
+        match injection.fault {
+            Fault::Kill | Fault::PlannedStop => self.cluster.spawn(place.vm),
+            Fault::Freeze | Fault::LongFreeze => self.cluster.daemons[place.vm].signal("-CONT"),
+            Fault::CutLink => self.cut(place.vm, &[]).await,
+            Fault::CutSide => {
+                for vm in 0..self.cluster.shape.vms {
+                    self.cut(vm, &[]).await;
+                }
+            }
+            Fault::PlatformDown => self.cluster.platform.set_down(false),
+            Fault::PlatformStale => self.cluster.platform.set_stale(false),
+            Fault::LaggingVmList => {
+                let list = self.cluster.vm_list(&[]);
+                self.publish_vms(list);
+            }
+            Fault::TargetListedLeaving => {
+                self.history.leaving.iter_mut().for_each(|l| {
+                    l.returned_ms = l.returned_ms.min(unix_ms());
+                });
+                let list = self.cluster.vm_list(&[]);
+                self.publish_vms(list);
+            }
+            Fault::TargetDraining => self.end_draining(place),
+            Fault::Straggler | Fault::TargetCold => {
+                let healthy = self.healthy_leaf();
+                self.leaf(place).set(|leaf| *leaf = healthy);
+            }
+            Fault::ReplicaLost => {
+                let healthy = self.healthy_leaf();
+                self.rebind(place, healthy).await;
+            }
+            Fault::CrashingRequest => self.rebind_crashed().await,
+            Fault::OperatorsRacing | Fault::VersionChange | Fault::Repartitioning => {}
+        }
+    }
+
+    /// Waits until another VM counts this one as not alive.
+    async fn wait_until_dead(&mut self, vm: usize) {
+        let frozen = self.cluster.daemons[vm].internal.to_string();
+        let observer = (vm + 2) % self.cluster.shape.vms;
+        let operator = self.addresses.operators[observer];
+        eventually_within(PATIENCE, async || {
+            let page = status(operator).await.unwrap_or_default();
+            let vms = page["vms"].as_array().cloned().unwrap_or_default();
+            vms.iter()
+                .any(|vm| vm["address"] == *frozen && vm["state"] == "dead")
+        })
+        .await;
+    }
+
+    /// Cuts the links between the VM with its successor and all other VMs.
+    async fn cut_sides(&mut self, vm: usize) {
+        let vms = self.cluster.shape.vms;
+        let side = [vm, (vm + 1) % vms];
+        for one in 0..vms {
+            let mut peers = Vec::new();
+            for other in 0..vms {
+                if side.contains(&one) != side.contains(&other) {
+                    peers.push(self.cluster.daemons[other].internal);
+                }
+            }
+            self.cut(one, &peers).await;
+        }
+    }
+
+    /// Shows the content of the start; the short failure makes watchers read from the beginning.
+    async fn go_stale(&mut self) {
+        self.cluster.platform.set_down(true);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        self.cluster.platform.show(self.first_image.clone());
+        self.cluster.platform.set_down(false);
+    }
+
+    /// Publishes a valid, an invalid and another valid file with no time between them.
+    fn race_operators(&mut self) {
+        let invalid = "region = \"test\"\nnot_a_key = 1\n";
+        self.publish_config();
+        let key = "cloverrack/config/test";
+        self.cluster.platform.put(key, invalid);
+        self.publish_config();
+    }
+
+    fn signal_stop(&mut self, vm: usize) {
+        self.history.stops.push(PlannedStop {
+            vm,
+            signalled_ms: unix_ms(),
+            ended_ms: 0,
+            exit_code: None,
+        });
+        self.cluster.daemons[vm].signal("-TERM");
+    }
+
+    async fn wait_until_stopped(&mut self, vm: usize) {
+        self.away.push(vm);
+        let daemon = &mut self.cluster.daemons[vm];
+        eventually_within(PATIENCE, async || daemon.has_ended().is_some()).await;
+        let exit_code = daemon.has_ended();
+        if let Some(stop) = self.history.stops.iter_mut().rfind(|stop| stop.vm == vm) {
+            stop.ended_ms = unix_ms();
+            stop.exit_code = exit_code;
+        }
+    }
+
+    fn vm_list_without(&self, vm: usize) -> String {
+        let mut list: serde_json::Value =
+            serde_json::from_str(&self.cluster.vm_list(&[])).unwrap_or_default();
+        if let Some(vms) = list["vms"].as_array_mut() {
+            vms.remove(vm);
+        }
+        list.to_string()
+    }
+
+    fn vm_list_with_leaving(&self, place: Place) -> String {
+        let mut list: serde_json::Value =
+            serde_json::from_str(&self.cluster.vm_list(&[])).unwrap_or_default();
+        list["leaving_targets"] = json!([self.leaf(place).address()]);
+        list.to_string()
+    }
+
+    fn note_leaving(&mut self, place: Place) {
+        let leaving = Leaving {
+            leaf: self.leaf(place).address(),
+            announced_ms: unix_ms(),
+            returned_ms: u64::MAX,
+            refused_late: 0,
+        };
+        self.history.leaving.push(leaving);
+    }
+
+    /// Stays until the bound has passed, and notes what the target had refused until then.
+    async fn pass_bound(&mut self, place: Place) {
+        let address = self.leaf(place).address();
+        let announced_ms = self.history.leaving.last().map_or(0, |l| l.announced_ms);
+        let late_ms = announced_ms + LEAVING_BOUND_MS;
+        let wait = Duration::from_millis(late_ms.saturating_sub(unix_ms()));
+        tokio::time::sleep(wait).await;
+        let refused = self.leaf(place).counts().refused_draining;
+        let leaving = self.history.leaving.iter_mut();
+        for leaving in leaving.filter(|leaving| leaving.leaf == address) {
+            leaving.refused_late = refused;
+        }
+    }
+
+    fn end_draining(&mut self, place: Place) {
+        let address = self.leaf(place).address();
+        let refused = self.leaf(place).counts().refused_draining;
+        for leaving in &mut self.history.leaving {
+            if leaving.leaf == address {
+                leaving.returned_ms = unix_ms();
+                // A leaf that was replaced meanwhile counts from zero.
+                leaving.refused_late = refused.saturating_sub(leaving.refused_late);
+            }
+        }
+        self.leaf(place).set(|leaf| leaf.draining = false);
+    }
+
+    /// Brings another snapshot to the leaves one by one, and then takes the old one away.
+    async fn roll_out(&mut self, to: (u64, u32)) {
+        let from = (self.version, self.layout);
+        for snapshots in [vec![to, from], vec![to]] {
+            for leaf in self.cluster.leaves.iter().flatten() {
+                leaf.set(|leaf| leaf.snapshots.clone_from(&snapshots));
+                tokio::time::sleep(Duration::from_millis(15)).await;
+            }
+            self.wait_for_calls(DWELL_CALLS).await;
+        }
+        (self.version, self.layout) = to;
+    }
+
+    /// Sends content that crashes targets, and resends it through other VMs.
+    async fn crash_targets(&mut self, vm: usize) {
+        let payload = format!("crash-target {vm}");
+        for attempt in 0..3 {
+            let vm = (vm + attempt) % self.cluster.shape.vms;
+            self.send_recorded(vm, "crashing", &payload).await;
+        }
+    }
+
+    async fn rebind_crashed(&mut self) {
+        let healthy = self.healthy_leaf();
+        for shard in 0..self.cluster.shape.shards {
+            for replica in 0..self.cluster.shape.replicas {
+                let address = self.cluster.leaves[shard][replica].address();
+                if tokio::net::TcpStream::connect(address).await.is_ok() {
+                    continue;
+                }
+                let place = Place {
+                    vm: 0,
+                    shard,
+                    replica,
+                };
+                self.rebind(place, healthy.clone()).await;
+            }
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,8 +9,10 @@
 
 pub mod checker;
 pub mod history;
+pub mod inject;
 pub mod load;
 pub mod matrix;
+pub mod swap;
 pub mod trial;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/tests/support/swap.rs
@@ -0,0 +1,75 @@
+//! A leaf that answers each call with the answer to the call before it, and fails the first.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::net::TcpListener;
+
+/// Status of a leaf that holds snapshot 1.1.
+const STATUS: &str =
+    r#"{"draining": false, "cold": false, "snapshots": [{"version": 1, "layout": 1}]}"#;
+
+/// Headers that name the call.
+const NAMES: [&str; 3] = ["x-call-id", "x-shard", "x-snapshot"];
+
+type Last = Arc<Mutex<Option<(HeaderMap, Bytes)>>>;
+
+/// Binds the leaf and serves until the runtime ends.
+pub async fn serve(address: SocketAddr) -> std::io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    let last = Last::default();
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let last = Arc::clone(&last);
+            tokio::spawn(async move {
+                let service = service_fn(move |request| handle(Arc::clone(&last), request));
+                let _ = hyper::server::conn::http2::Builder::new(TokioExecutor::new())
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    Ok(())
+}
+
+async fn handle(
+    last: Last,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    if request.uri().path() == "/v1/status" {
+        return Ok(Response::new(Full::new(Bytes::from(STATUS))));
+    }
+    let (parts, body) = request.into_parts();
+    let payload = body.collect().await.map(|body| body.to_bytes());
+    let text = |name: &str| parts.headers[name].to_str().unwrap_or("").to_owned();
+    let body = format!(
+        "{}:{}:{}",
+        text("x-snapshot"),
+        text("x-shard"),
+        String::from_utf8_lossy(&payload.unwrap_or_default())
+    );
+    let mut headers = HeaderMap::new();
+    for name in NAMES {
+        headers.insert(name, parts.headers[name].clone());
+    }
+    let own = (headers, Bytes::from(body));
+    let mut kept = last.lock().unwrap_or_else(PoisonError::into_inner);
+    let Some((headers, body)) = kept.replace(own) else {
+        let mut failed = Response::new(Full::default());
+        *failed.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return Ok(failed);
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.headers_mut() = headers;
+    Ok(response)
+}
