Merge the history checker, failpoints and fault matrix

Resolved: the two recorders of histories stay apart; the one of the fault tests of outcomes is tests/support/outcomes.rs now. The ticket check keeps its test switch.

--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -162,7 +162,7 @@
         if boot_ms() >= request.deadline_ms {
             return LeafResult::NotStarted(NotStarted::Deadline);
         }
-        match sender.try_send_request(message).await {
+        match crate::faults::during("request.running", sender.try_send_request(message)).await {
             Ok(response) => read_answer(response, request).await,
             Err(error) => failed_send(error),
         }
@@ -195,6 +195,9 @@
 }
 
 async fn open(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    if crate::faults::is_cut(address) {
+        return None;
+    }
     shake_hands(TcpStream::connect(address).await.ok()?).await
 }
 
@@ -305,7 +308,8 @@
     let snapshot = Snapshot::parse(header(headers, SNAPSHOT_HEADER));
     let matches = header(headers, CALL_HEADER) == request.call.to_string()
         && header(headers, SHARD_HEADER) == request.shard.to_string()
-        && snapshot == Some(request.snapshot);
+        && snapshot == Some(request.snapshot)
+        || crate::faults::is_off("check.match");
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     let Ok(body) = body.collect().await else {
         return LeafResult::Lost;
--- a/src/once.rs
+++ b/src/once.rs
@@ -63,6 +63,7 @@
     async fn forward(&self, issuer: SocketAddr, request: CallerRequest) -> Answer {
         let id = request.request_id.clone();
         info!(event = "forward", request = %id, issuer = %issuer);
+        crate::faults::step("request.forwarded");
         if issuer == self.control.settings.internal_address || !self.control.admits(issuer) {
             return Answer::empty(&id, Outcome::Unknown, Reason::TicketIssuerLost);
         }
--- a/src/root.rs
+++ b/src/root.rs
@@ -265,6 +265,7 @@
         };
         let mut excluded = Vec::new();
         let mut uncertain = false;
+        crate::faults::step("request.admitted");
         for _ in 0..MAX_RUNS {
             let snapshot = self
                 .control
@@ -273,6 +274,7 @@
                 break;
             };
             info!(event = "pin", request = %request.request_id, snapshot = %snapshot);
+            crate::faults::step("request.pinned");
             let Some(result) = Run::run(self, Arc::clone(&fleet), &work, snapshot).await else {
                 break;
             };
--- a/src/ticket.rs
+++ b/src/ticket.rs
@@ -246,7 +246,8 @@
             return Redeem::Expired;
         }
         let key = (expires_ms, block, ticket.number);
-        if let Some(found) = self.used.get(&key) {
+        let found = self.used.get(&key);
+        if let Some(found) = found.filter(|_| !crate::faults::is_off("check.ticket")) {
             if found.content != content {
                 return Redeem::OtherContent;
             }
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -1,14 +1,14 @@
 //! "Not run" is said only of requests that no leaf started.
 
-#[path = "support/history.rs"]
-mod history;
+#[path = "support/outcomes.rs"]
+mod outcomes;
 mod support;
 
 use std::time::Duration;
 
 use cloverrack::answer::CallerRequest;
 use cloverrack::{Outcome, Reason};
-use history::{FAULTS, Fault, Told, ask, judge, run, seed};
+use outcomes::{FAULTS, Fault, Told, ask, judge, run, seed};
 use support::{Cluster, Shape, eventually, request};
 
 /// Callers of a history test.
--- a/tests/response_ownership.rs
+++ b/tests/response_ownership.rs
@@ -2,8 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a broken exchange fails the test")]
 
-#[path = "support/history.rs"]
-mod history;
+#[path = "support/outcomes.rs"]
+mod outcomes;
 mod support;
 
 use std::net::SocketAddr;
@@ -12,10 +12,10 @@
 use cloverrack::answer::{Answer, CallerRequest};
 use cloverrack::{Outcome, Reason};
 use cloverrack_standins::Misbehaviour;
-use history::judge_answer;
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::{TokioExecutor, TokioIo};
+use outcomes::judge_answer;
 use support::{Cluster, Shape, request};
 use tokio::net::TcpStream;
 
--- /dev/null
+++ b/tests/support/matrix.rs
@@ -0,0 +1,171 @@
+//! The fault matrix: rows are faults, columns are steps; each cell is one judged run.
+
+use std::collections::BTreeMap;
+
+use super::checker::Violation;
+use super::history::History;
+use super::load::unix_ms;
+use super::trial::{Place, Trial};
+
+/// Calls that end before the fault, while it lasts, and after it.
+pub const DWELL_CALLS: usize = 40;
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Kill,
+    Freeze,
+    LongFreeze,
+    CutLink,
+    CutSide,
+    PlatformDown,
+    PlatformStale,
+    OperatorsRacing,
+    Straggler,
+    ReplicaLost,
+    TargetDraining,
+    TargetListedLeaving,
+    TargetCold,
+    VersionChange,
+    Repartitioning,
+    CrashingRequest,
+    LaggingVmList,
+    PlannedStop,
+}
+
+/// Rows of the matrix.
+pub const ROWS: &[(&str, Fault)] = &[
+    ("kill", Fault::Kill),
+    ("freeze", Fault::Freeze),
+    ("freeze_until_dead", Fault::LongFreeze),
+    ("cut_link", Fault::CutLink),
+    ("cut_side", Fault::CutSide),
+    ("platform_down", Fault::PlatformDown),
+    ("platform_stale", Fault::PlatformStale),
+    ("operators_racing", Fault::OperatorsRacing),
+    ("straggler", Fault::Straggler),
+    ("replica_lost", Fault::ReplicaLost),
+    ("target_draining", Fault::TargetDraining),
+    ("target_listed_leaving", Fault::TargetListedLeaving),
+    ("target_cold", Fault::TargetCold),
+    ("version_change", Fault::VersionChange),
+    ("repartitioning", Fault::Repartitioning),
+    ("crashing_request", Fault::CrashingRequest),
+    ("lagging_vm_list", Fault::LaggingVmList),
+    ("planned_stop", Fault::PlannedStop),
+];
+
+/// Columns of the matrix; `config.published` is the time before any reader sees the new revision.
+pub const COLUMNS: &[&str] = &[
+    "request.asked",
+    "request.admitted",
+    "request.forwarded",
+    "request.pinned",
+    "request.planned",
+    "request.sent",
+    "request.running",
+    "request.answered",
+    "request.merged",
+    "request.delivered",
+    "config.published",
+    "config.read",
+    "config.spread",
+    "config.in_force",
+];
+
+/// One fault at one step, at one place.
+#[derive(Clone, Copy, Debug)]
+pub struct Injection {
+    pub fault: Fault,
+    pub step: &'static str,
+    pub place: Place,
+}
+
+/// Result of one run.
+#[derive(Debug)]
+pub struct Cell {
+    pub name: String,
+    pub seed: u64,
+    pub calls: usize,
+    /// Calls by outcome, with `none` for those without an answer.
+    pub outcomes: BTreeMap<String, usize>,
+    pub runs: usize,
+    /// Time until all faults were applied, while they lasted, and until all VMs had recovered.
+    pub phases_ms: [u64; 3],
+    /// Steps that no process reached, so that the fault came without one.
+    pub not_reached: Vec<&'static str>,
+    pub violations: Vec<Violation>,
+}
+
+impl Cell {
+    /// Returns `proved`, `violated` or `not_proved`.
+    pub fn verdict(&self) -> &'static str {
+        if !self.violations.is_empty() {
+            "violated"
+        } else if self.not_reached.is_empty() {
+            "proved"
+        } else {
+            "not_proved"
+        }
+    }
+}
+
+/// Runs faults, each at its step, under load, heals them and judges the history.
+pub async fn run(name: String, seed: u64, faults: &[(Fault, &'static str)]) -> Cell {
+    let mut trial = Trial::start(seed).await;
+    trial.publish_config();
+    trial.wait_for_calls(DWELL_CALLS).await;
+    let mut marks_ms = vec![unix_ms()];
+    let mut not_reached = Vec::new();
+    let mut injections: Vec<Injection> = Vec::new();
+    for (fault, step) in faults {
+        let mut place = trial.choose_place(step);
+        while injections.iter().any(|other| other.place.vm == place.vm) {
+            place.vm = (place.vm + 1) % trial.cluster.shape.vms;
+        }
+        let injection = Injection {
+            fault: *fault,
+            step,
+            place,
+        };
+        if !trial.inject(injection).await {
+            not_reached.push(*step);
+        }
+        injections.push(injection);
+    }
+    marks_ms.push(unix_ms());
+    trial.publish_config();
+    trial.wait_for_calls(DWELL_CALLS).await;
+    for injection in &injections {
+        trial.heal(*injection).await;
+    }
+    marks_ms.push(unix_ms());
+    let recovered = trial.wait_until_recovered().await;
+    marks_ms.push(unix_ms());
+    trial.wait_for_calls(DWELL_CALLS).await;
+    let (history, mut violations) = trial.judge().await;
+    if let Err(excerpt) = recovered {
+        let promise = "recovery";
+        violations.push(Violation { promise, excerpt });
+    }
+    Cell {
+        name,
+        seed,
+        calls: history.calls.len(),
+        outcomes: outcomes(&history),
+        runs: history.runs.len(),
+        phases_ms: [1, 2, 3].map(|mark| marks_ms[mark] - marks_ms[mark - 1]),
+        not_reached,
+        violations,
+    }
+}
+
+fn outcomes(history: &History) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for call in &history.calls {
+        let outcome = call.answer.as_ref().map(|answer| answer.outcome);
+        let name = outcome.map_or("none".to_owned(), |outcome| format!("{outcome:?}"));
+        *counts.entry(name.to_lowercase()).or_default() += 1;
+    }
+    counts
+}
