--- /dev/null
+++ b/benches/control/gossip.rs
@@ -0,0 +1,409 @@
+//! Gossip and compilation at several fleet sizes.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cloverrack::document::{CONFIG_PREFIX, VM_LIST, Version};
+use cloverrack::fact::{Fact, FactKey, LeafState, VmState};
+use cloverrack::gossip::{Datagram, Gossip, Outgoing, Timing};
+use cloverrack::watcher::watchers;
+use cloverrack::wire::{decode, encode};
+use cloverrack::{DocumentStore, Fleet, Incarnation, Snapshot};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Leaves of all services.
+const LEAVES: usize = 4_400;
+
+/// Leaves of one configuration file.
+const LEAVES_PER_FILE: usize = 400;
+
+/// Time between two calls of `tick` on one node.
+const TICK_MS: u64 = 50;
+
+/// One-way delay of a datagram.
+const DELAY_MS: u64 = 1;
+
+/// Time to fetch a document from a peer: one round trip to connect and one to ask.
+const FETCH_MS: u64 = 4;
+
+/// Bytes that IP and UDP add to a datagram.
+const DATAGRAM_OVERHEAD_BYTES: u64 = 28;
+
+/// Measured time of the steady state.
+const STEADY_MS: u64 = 20_000;
+
+/// Time between two snapshot changes of one leaf, for a service that publishes an index every ten
+/// minutes.
+const LEAF_CHANGE_MS: u64 = 600_000;
+
+/// Configuration changes, at 3,500 a day.
+const CHANGE_INTERVAL_S: f64 = 86_400.0 / 3_500.0;
+
+/// Changes of the live view: 26 failures and 330 restarts a day, with two changes each.
+const LIVE_CHANGES_PER_DAY: f64 = 2.0 * (26.0 + 330.0);
+
+/// Bound after which a spread or a detection counts as failed.
+const PATIENCE_MS: u64 = 60_000;
+
+type Delivery = Reverse<(u64, u64, usize, usize, Vec<u8>)>;
+
+struct Node {
+    gossip: Gossip,
+    down: bool,
+}
+
+/// Nodes, datagrams in flight and what they cost.
+struct Net {
+    nodes: Vec<Node>,
+    in_flight: BinaryHeap<Delivery>,
+    fetches: BinaryHeap<Reverse<(u64, usize, u64)>>,
+    rng: StdRng,
+    now_ms: u64,
+    order: u64,
+    busy: Duration,
+    sent_bytes: u64,
+    datagrams: u64,
+    leaf_sequence: u64,
+}
+
+fn address(node: usize) -> SocketAddr {
+    ([10, 0, (node / 250) as u8, (node % 250) as u8 + 1], 7001).into()
+}
+
+fn leaf_address(leaf: usize) -> SocketAddr {
+    ([10, 9, (leaf / 250) as u8, (leaf % 250) as u8 + 1], 7100).into()
+}
+
+fn incarnation(node: usize) -> Incarnation {
+    Incarnation::new(1_800_000_000_000 + node as u64, node as u32)
+}
+
+impl Net {
+    /// Makes nodes that know each other and all leaves already.
+    fn new(size: usize) -> Self {
+        let mut net = Self {
+            nodes: Vec::new(),
+            in_flight: BinaryHeap::new(),
+            fetches: BinaryHeap::new(),
+            rng: StdRng::seed_from_u64(size as u64),
+            now_ms: 0,
+            order: 0,
+            busy: Duration::ZERO,
+            sent_bytes: 0,
+            datagrams: 0,
+            leaf_sequence: 0,
+        };
+        let mut facts = Vec::new();
+        for leaf in 0..LEAVES {
+            facts.push(net.leaf_fact(leaf));
+        }
+        for node in 0..size {
+            facts.push(Fact::Vm {
+                address: address(node),
+                generation: 0,
+                incarnation: incarnation(node),
+                refutation: 0,
+                state: VmState::Alive,
+            });
+        }
+        for node in 0..size {
+            let mut gossip = Gossip::new(address(node), incarnation(node), Timing::default(), 0);
+            gossip.set_peers((0..size).map(address));
+            gossip.merge(facts.clone(), address(0), 0);
+            net.nodes.push(Node {
+                gossip,
+                down: false,
+            });
+        }
+        net
+    }
+
+    fn leaf_fact(&mut self, leaf: usize) -> Fact {
+        self.leaf_sequence += 1;
+        Fact::Leaf {
+            address: leaf_address(leaf),
+            sequence: self.leaf_sequence,
+            observer: incarnation(0),
+            state: LeafState::Up,
+            snapshots: vec![
+                Snapshot {
+                    version: 100 + self.leaf_sequence,
+                    layout: 1,
+                },
+                Snapshot {
+                    version: 99,
+                    layout: 1,
+                },
+            ],
+        }
+    }
+
+    fn send(&mut self, from: usize, out: Outgoing) {
+        for (to, message) in out {
+            let started = Instant::now();
+            let bytes = encode(&message).unwrap();
+            self.busy += started.elapsed();
+            self.sent_bytes += bytes.len() as u64 + DATAGRAM_OVERHEAD_BYTES;
+            self.datagrams += 1;
+            self.order += 1;
+            let SocketAddr::V4(to) = to else { continue };
+            let octets = to.ip().octets();
+            let to = usize::from(octets[2]) * 250 + usize::from(octets[3]) - 1;
+            let due_ms = self.now_ms + DELAY_MS;
+            self.in_flight
+                .push(Reverse((due_ms, self.order, to, from, bytes)));
+        }
+    }
+
+    /// Advances the clock by one millisecond.
+    fn step(&mut self) {
+        self.now_ms += 1;
+        self.deliver();
+        self.finish_fetches();
+        for node in 0..self.nodes.len() {
+            // The phases of the nodes' timers are spread over the tick.
+            if !(self.now_ms + node as u64 * 7).is_multiple_of(TICK_MS) || self.nodes[node].down {
+                continue;
+            }
+            let started = Instant::now();
+            let out = self.nodes[node].gossip.tick(self.now_ms, &mut self.rng);
+            self.busy += started.elapsed();
+            self.send(node, out);
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse((due_ms, ..))) = self.in_flight.peek() {
+            if *due_ms > self.now_ms {
+                return;
+            }
+            let Some(Reverse((_, _, to, from, bytes))) = self.in_flight.pop() else {
+                return;
+            };
+            if self.nodes[to].down {
+                continue;
+            }
+            let started = Instant::now();
+            let message: Datagram = decode(&bytes).unwrap();
+            let (out, news) =
+                self.nodes[to]
+                    .gossip
+                    .receive(address(from), message, self.now_ms, &mut self.rng);
+            self.busy += started.elapsed();
+            for fact in news {
+                if let Fact::Document { version, .. } = fact {
+                    let due_ms = self.now_ms + FETCH_MS;
+                    self.fetches.push(Reverse((due_ms, to, version.revision)));
+                }
+            }
+            self.send(to, out);
+        }
+    }
+
+    fn finish_fetches(&mut self) {
+        while let Some(Reverse((due_ms, node, revision))) = self.fetches.peek().copied() {
+            if due_ms > self.now_ms {
+                return;
+            }
+            self.fetches.pop();
+            let fact = document_fact(revision);
+            self.nodes[node].gossip.publish(fact, self.now_ms);
+        }
+    }
+
+    /// Runs the steady state, in which leaves change their snapshots.
+    fn run_steady(&mut self, duration_ms: u64) {
+        let until_ms = self.now_ms + duration_ms;
+        while self.now_ms < until_ms {
+            if self.rng.random_range(0..LEAF_CHANGE_MS) < LEAVES as u64 {
+                let leaf = self.rng.random_range(0..LEAVES);
+                let fact = self.leaf_fact(leaf);
+                let owner = leaf % self.nodes.len();
+                self.nodes[owner].gossip.publish(fact, self.now_ms);
+            }
+            self.step();
+        }
+    }
+
+    /// Runs until all live nodes satisfy `check`; returns the time it took.
+    fn run_until(&mut self, check: impl Fn(&Gossip) -> bool) -> Option<u64> {
+        let started_ms = self.now_ms;
+        let mut waiting: Vec<usize> = (0..self.nodes.len()).collect();
+        loop {
+            waiting.retain(|node| !self.nodes[*node].down && !check(&self.nodes[*node].gossip));
+            if waiting.is_empty() {
+                return Some(self.now_ms - started_ms);
+            }
+            if self.now_ms - started_ms > PATIENCE_MS {
+                return None;
+            }
+            self.run_steady(1);
+        }
+    }
+}
+
+fn document_fact(revision: u64) -> Fact {
+    Fact::Document {
+        name: "config/file-0".into(),
+        version: Version { epoch: 0, revision },
+    }
+}
+
+/// Returns the resident memory of this process.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kilobytes: u64 = line
+        .and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+        .unwrap_or(0);
+    kilobytes * 1_024
+}
+
+/// Documents of a fleet with `size` VMs.
+fn documents(size: usize) -> (DocumentStore, u64) {
+    let mut store = DocumentStore::default();
+    let mut vms = Vec::new();
+    for node in 0..size {
+        vms.push(serde_json::json!({
+            "name": format!("vm-{node}"), "region": "r", "failure_domain": format!("fd-{}", node % 6),
+            "caller_address": SocketAddr::new(address(node).ip(), 7000),
+            "internal_address": address(node),
+        }));
+    }
+    let list = serde_json::json!({ "vms": vms }).to_string();
+    let mut bytes = list.len() as u64;
+    store.offer(VM_LIST, 1, list.as_bytes(), 0);
+    for file in 0..LEAVES / LEAVES_PER_FILE {
+        let mut text = String::from(
+            "region = \"r\"\n[service.s]\npolicy = \"latency\"\nleaf_slots = 3\n\
+             leaf_connections = 30\n[service.s.leaf]\n",
+        );
+        let mut shards = String::new();
+        for leaf in 0..LEAVES_PER_FILE {
+            let address = leaf_address(file * LEAVES_PER_FILE + leaf);
+            text += &format!(
+                "l{leaf} = {{ address = \"{address}\", failure_domain = \"fd-{}\", target = \"t{}\" }}\n",
+                leaf % 6,
+                leaf / 4,
+            );
+            let separator = if leaf % 4 == 3 { "],\n" } else { ", " };
+            let start = if leaf % 4 == 0 { "[" } else { "" };
+            shards += &format!("{start}\"l{leaf}\"{separator}");
+        }
+        text += &format!("[[service.s.layout]]\nid = 1\nshards = [\n{shards}]\n");
+        bytes += text.len() as u64;
+        let name = format!("{CONFIG_PREFIX}file-{file}");
+        let verdict = store.offer(&name, 1, text.as_bytes(), 0);
+        assert_eq!(verdict, cloverrack::Verdict::Accepted);
+    }
+    (store, bytes)
+}
+
+/// Figures of one fleet size.
+struct Figures {
+    size: usize,
+    bytes_per_s: f64,
+    core_share: f64,
+    memory_bytes: f64,
+}
+
+fn measure(size: usize) -> Figures {
+    let resident = resident_bytes();
+    let mut net = Net::new(size);
+    let node_bytes = resident_bytes().saturating_sub(resident) as f64 / size as f64;
+    net.run_steady(2_000);
+    net.busy = Duration::ZERO;
+    net.sent_bytes = 0;
+    net.datagrams = 0;
+    net.run_steady(STEADY_MS);
+    let node_seconds = size as f64 * STEADY_MS as f64 / 1_000.0;
+    let bytes_per_s = net.sent_bytes as f64 / node_seconds;
+    let datagrams_per_s = net.datagrams as f64 / node_seconds;
+    let gossip_share = net.busy.as_secs_f64() / node_seconds;
+
+    net.nodes[0].gossip.publish(document_fact(2), net.now_ms);
+    let key = FactKey::Document("config/file-0".into());
+    let document_ms = net.run_until(|gossip| gossip.fact(&key).is_some());
+    let now_ms = net.now_ms;
+    let urgent = Fact::Quarantine {
+        fingerprint: 7,
+        until_unix_ms: u64::MAX,
+    };
+    net.nodes[1].gossip.publish(urgent, now_ms);
+    let urgent_ms = net.run_until(|gossip| gossip.fact(&FactKey::Quarantine(7)).is_some());
+    let leaf = net.leaf_fact(0);
+    let rank = leaf.rank();
+    net.nodes[0].gossip.publish(leaf, net.now_ms);
+    let leaf_key = FactKey::Leaf(leaf_address(0));
+    let leaf_ms = net.run_until(|gossip| {
+        gossip
+            .fact(&leaf_key)
+            .is_some_and(|held| held.fact.rank() >= rank)
+    });
+    let victim = size - 1;
+    net.nodes[victim].down = true;
+    let detect_ms = net.run_until(|gossip| !gossip.is_live(address(victim)));
+
+    let (store, document_bytes) = documents(size);
+    let started = Instant::now();
+    let fleet = Fleet::compile(&store, "r", |_| true);
+    let compile = started.elapsed();
+    let changes_per_s = 1.0 / CHANGE_INTERVAL_S + LIVE_CHANGES_PER_DAY / 86_400.0;
+    let core_share = gossip_share + compile.as_secs_f64() * changes_per_s;
+    let names: Vec<(&str, &str)> = fleet
+        .vms
+        .iter()
+        .map(|vm| (&*vm.entry.name, &*vm.entry.failure_domain))
+        .collect();
+    let watching = watchers(&names).len();
+    // The documents as read, their parsed form and the compiled view.
+    let memory_bytes = node_bytes + 3.0 * document_bytes as f64;
+    println!(
+        "nodes={size} leaves={LEAVES} bytes_per_s={bytes_per_s:.0} datagrams_per_s={datagrams_per_s:.1} \
+         gossip_core_percent={:.3} compile_ms={:.1} core_percent={:.3} memory_kb={:.0} \
+         document_everywhere_ms={} urgent_everywhere_ms={} leaf_everywhere_ms={} detection_ms={} watchers={watching} \
+         document_bytes={document_bytes}",
+        gossip_share * 100.0,
+        compile.as_secs_f64() * 1_000.0,
+        core_share * 100.0,
+        memory_bytes / 1_024.0,
+        text(document_ms),
+        text(urgent_ms),
+        text(leaf_ms),
+        text(detect_ms),
+    );
+    Figures {
+        size,
+        bytes_per_s,
+        core_share,
+        memory_bytes,
+    }
+}
+
+fn text(time_ms: Option<u64>) -> String {
+    time_ms.map_or("failed".to_owned(), |time_ms| time_ms.to_string())
+}
+
+/// Measures all sizes and prints the slopes between neighbours.
+pub fn run(sizes: &[usize]) {
+    let mut previous: Option<Figures> = None;
+    for size in sizes {
+        let figures = measure(*size);
+        if let Some(previous) = &previous {
+            let nodes = (figures.size - previous.size) as f64;
+            println!(
+                "slope={}..{} bytes_per_s_per_node_added={:.3} core_percent_per_node_added={:.6} \
+                 memory_kb_per_node_added={:.3}",
+                previous.size,
+                figures.size,
+                (figures.bytes_per_s - previous.bytes_per_s) / nodes,
+                (figures.core_share - previous.core_share) * 100.0 / nodes,
+                (figures.memory_bytes - previous.memory_bytes) / 1_024.0 / nodes,
+            );
+        }
+        previous = Some(figures);
+    }
+}
--- a/src/bin/cloverrackd.rs
+++ b/src/bin/cloverrackd.rs
@@ -57,7 +57,10 @@
             node = node.ready() => node,
             _ = terminate.recv() => return ExitCode::SUCCESS,
         };
-        terminate.recv().await;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            () = node.superseded() => {}
+        }
         node.drain().await.stop().await;
         ExitCode::SUCCESS
     })
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,16 +1,20 @@
 //! Service that drives configuration and membership: sockets, timers and shared views.
 
-use std::collections::HashMap;
+mod driver;
+mod freshness;
+mod reader;
+mod views;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tracing::{debug, info, warn};
@@ -18,30 +22,17 @@
 use crate::clock::{boot_ms, unix_ms};
 use crate::document::{Content, DocumentStore, HistoryEntry, VM_LIST, Verdict, Version};
 use crate::fact::{Fact, FactKey, LeafState, VmState};
-use crate::faults::is_cut;
 use crate::fleet::Fleet;
-use crate::gossip::{Datagram, Gossip, Outgoing, Timing};
+use crate::gossip::{Gossip, Timing};
 use crate::ids::{Incarnation, Snapshot};
 use crate::link::Link;
-use crate::platform::{Platform, PlatformError};
+use crate::platform::Platform;
 use crate::settings::Settings;
-use crate::watcher::{Backoff, watchers};
-use crate::wire::{DocumentBody, DocumentRequest, decode, encode};
-
-/// Time between two looks at what gossip has to do.
-const TICK_MS: u64 = 50;
-
-/// Gap between two ticks after which the process counts as paused.
-const PAUSE_GAP_MS: u64 = 2_000;
+use crate::telemetry::{CpuTime, Telemetry};
+use crate::wire::{DocumentBody, DocumentRequest};
 
-/// Time that a watch of the platform blocks.
-const WATCH_WAIT_MS: u64 = 10_000;
-
-/// Time between two checks of a VM that does not watch.
-const IDLE_WATCH_MS: u64 = 500;
-
-/// Largest datagram read.
-const RECEIVE_BYTES: usize = 65_536;
+pub use freshness::Freshness;
+pub(crate) use reader::WatchPosition;
 
 /// What is known of a leaf.
 #[derive(Clone, Debug)]
@@ -50,7 +41,7 @@
     pub state: LeafState,
     /// Snapshots that the leaf holds.
     pub snapshots: Vec<Snapshot>,
-    /// Wall-clock time of the observation.
+    /// Wall-clock time at which this node learned it.
     pub observed_unix_ms: u64,
 }
 
@@ -70,6 +61,28 @@
     pub(crate) store: DocumentStore,
     pub(crate) gossip: Gossip,
     pub(crate) rng: StdRng,
+    /// VMs that take work in the view in force.
+    compiled_live: BTreeSet<SocketAddr>,
+    /// This node's own observations of leaves.
+    observed: BTreeMap<SocketAddr, (LeafState, Vec<Snapshot>)>,
+    /// Leaves of this node that another VM reported otherwise.
+    contested: BTreeSet<SocketAddr>,
+}
+
+impl State {
+    /// Tells gossip which leaves the files in force list; returns facts that are news by that.
+    fn list_leaves(&mut self, now_ms: u64) -> Vec<Fact> {
+        let mut leaves = BTreeSet::new();
+        for (_, document) in self.store.iter() {
+            let Content::Config(file) = &document.content else {
+                continue;
+            };
+            for service in file.services.values() {
+                leaves.extend(service.leaves.values().map(|leaf| leaf.address));
+            }
+        }
+        self.gossip.set_leaves(leaves, now_ms)
+    }
 }
 
 /// Service that decides on configuration and membership.
@@ -78,16 +91,22 @@
     pub(crate) link: Arc<Link>,
     pub(crate) platform: Platform,
     incarnation: Incarnation,
+    started_ms: u64,
     socket: UdpSocket,
     state: Mutex<State>,
     fleet: ArcSwap<Fleet>,
     leaves: RwLock<HashMap<SocketAddr, LeafView>>,
     quarantine: RwLock<HashMap<u64, u64>>,
     changed: watch::Sender<u64>,
-    last_tick_ms: AtomicU64,
-    pub(crate) stale: AtomicBool,
+    compiling: Mutex<()>,
+    pub(crate) freshness: Freshness,
+    pub(crate) refreshing: tokio::sync::Mutex<()>,
+    pub(crate) announced: Notify,
+    pub(crate) joined: CancellationToken,
     pub(crate) peer_check: AtomicU64,
     platform_behind: AtomicBool,
+    superseded: CancellationToken,
+    pub(crate) telemetry: Arc<Telemetry>,
 }
 
 impl Control {
@@ -95,6 +114,7 @@
     pub fn spawn(
         settings: Arc<Settings>,
         link: Arc<Link>,
+        telemetry: Arc<Telemetry>,
         incarnation: Incarnation,
         socket: UdpSocket,
         stop: &CancellationToken,
@@ -109,20 +129,29 @@
             settings,
             link,
             incarnation,
+            started_ms: now_ms,
             socket,
             state: Mutex::new(State {
                 store: DocumentStore::default(),
                 gossip,
                 rng: StdRng::from_rng(&mut rand::rng()),
+                compiled_live: BTreeSet::new(),
+                observed: BTreeMap::new(),
+                contested: BTreeSet::new(),
             }),
             fleet: ArcSwap::default(),
             leaves: RwLock::default(),
             quarantine: RwLock::default(),
             changed: watch::Sender::new(0),
-            last_tick_ms: AtomicU64::new(now_ms),
-            stale: AtomicBool::new(false),
+            compiling: Mutex::new(()),
+            freshness: Freshness::new(now_ms),
+            refreshing: tokio::sync::Mutex::new(()),
+            announced: Notify::new(),
+            joined: CancellationToken::new(),
             peer_check: AtomicU64::new(PeerCheck::Pending as u64),
             platform_behind: AtomicBool::new(false),
+            superseded: CancellationToken::new(),
+            telemetry,
         });
         spawn_until(tasks, stop, Arc::clone(&control).run_gossip());
         spawn_until(tasks, stop, Arc::clone(&control).run_receive());
@@ -160,6 +189,21 @@
         self.platform_behind.load(Ordering::Relaxed)
     }
 
+    /// Returns whether another process has taken this VM's address: this one must not serve.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded.is_cancelled()
+    }
+
+    /// Waits until another process has taken this VM's address.
+    pub async fn superseded(&self) {
+        self.superseded.cancelled().await;
+    }
+
+    /// Returns the pauses that this process noticed.
+    pub fn pauses(&self) -> u64 {
+        self.freshness.pauses()
+    }
+
     /// Returns how documents were compared with peers.
     pub fn peer_check(&self) -> PeerCheck {
         match self.peer_check.load(Ordering::Relaxed) {
@@ -198,134 +242,54 @@
         facts
     }
 
-    /// Returns what is known of a leaf.
-    pub fn leaf_view(&self, address: SocketAddr) -> Option<LeafView> {
-        let leaves = self.leaves.read().unwrap_or_else(PoisonError::into_inner);
-        leaves.get(&address).cloned()
-    }
-
-    /// Calls `read` with all leaf views, under one lock.
-    pub fn with_leaf_views<T>(&self, read: impl FnOnce(&HashMap<SocketAddr, LeafView>) -> T) -> T {
-        let leaves = self.leaves.read().unwrap_or_else(PoisonError::into_inner);
-        read(&leaves)
-    }
-
-    /// Returns the time until which content is refused, if it is quarantined.
-    pub fn quarantined_until(&self, fingerprint: u64, now_unix_ms: u64) -> Option<u64> {
-        let table = self
-            .quarantine
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
-        table
-            .get(&fingerprint)
-            .copied()
-            .filter(|until| *until > now_unix_ms)
-    }
-
-    /// Publishes a fact that this node observed.
-    pub fn publish(&self, fact: Fact) {
-        let news = self.state().gossip.publish(fact.clone(), boot_ms());
-        if news {
-            self.apply(&[fact]);
-        }
-    }
-
-    /// Announces that this VM is stopping.
-    pub fn leave(&self) {
-        self.state().gossip.leave(boot_ms());
-        self.recompile();
-    }
-
-    /// Takes facts from a peer.
-    pub fn merge(&self, facts: Vec<Fact>) {
-        let news = self.state().gossip.merge(facts, boot_ms());
-        self.apply(&news);
-    }
-
-    /// Returns all facts, for a peer that joins.
-    pub fn all_facts(&self) -> Vec<Fact> {
-        self.state()
-            .gossip
-            .facts()
-            .map(|entry| entry.fact.clone())
-            .collect()
-    }
-
-    /// Updates the shared views after facts changed.
-    fn apply(&self, news: &[Fact]) {
-        let mut vms_changed = false;
-        for fact in news {
-            match fact {
-                Fact::Vm { address, state, .. } => {
-                    info!(event = "vm_state", vm = %address, state = ?state);
-                    vms_changed = true;
-                }
-                Fact::Leaf {
-                    address,
-                    observed_unix_ms,
-                    state,
-                    snapshots,
-                } => {
-                    let view = LeafView {
-                        state: *state,
-                        snapshots: snapshots.clone(),
-                        observed_unix_ms: *observed_unix_ms,
-                    };
-                    let mut leaves = self.leaves.write().unwrap_or_else(PoisonError::into_inner);
-                    leaves.insert(*address, view);
-                }
-                Fact::Quarantine {
-                    fingerprint,
-                    until_unix_ms,
-                } => {
-                    info!(event = "quarantine", fingerprint, until_unix_ms);
-                    let mut table = self
-                        .quarantine
-                        .write()
-                        .unwrap_or_else(PoisonError::into_inner);
-                    let now_unix_ms = unix_ms();
-                    table.retain(|_, until| *until > now_unix_ms);
-                    table.insert(*fingerprint, *until_unix_ms);
-                }
-                Fact::Document { name, version } => {
-                    debug!(event = "document_announced", name = %name, revision = version.revision);
-                }
-            }
-        }
-        if vms_changed {
-            self.recompile();
-        }
-    }
-
     /// Offers a document; returns whether it is in force now.
     pub fn offer(&self, name: &str, revision: u64, body: &[u8], source: &str) -> Verdict {
-        let verdict = {
-            let mut state = self.state();
-            let verdict = state.store.offer(name, revision, body, unix_ms());
-            let version = state.store.get(name).map(|document| document.version);
-            if let (Verdict::Accepted, Some(version)) = (&verdict, version) {
-                let fact = Fact::Document {
-                    name: name.into(),
-                    version,
-                };
-                state.gossip.publish(fact, boot_ms());
-            }
-            if name == VM_LIST && verdict == Verdict::Accepted {
-                self.list_peers(&mut state);
-            }
-            verdict
-        };
+        let cpu = CpuTime::start();
+        let verdict = self.judge(name, revision, body);
         match &verdict {
             Verdict::Accepted => {
                 info!(event = "document_in_force", name, revision, source);
                 self.recompile();
             }
             Verdict::Rejected(error) => {
-                warn!(event = "document_rejected", name, revision, source, %error);
+                debug!(event = "document_rejected", name, revision, source, %error);
             }
             Verdict::Older => debug!(event = "document_older", name, revision, source),
             Verdict::Unchanged => {}
         }
+        self.telemetry.count_control_cpu(&cpu);
+        verdict
+    }
+
+    /// Judges a document and announces the outcome.
+    fn judge(&self, name: &str, revision: u64, body: &[u8]) -> Verdict {
+        let now_ms = boot_ms();
+        let mut state = self.state();
+        let verdict = state.store.offer(name, revision, body, unix_ms());
+        for verdict in state.store.take_verdicts() {
+            warn!(
+                event = "document_not_in_force",
+                name = %verdict.name,
+                revision = verdict.version.revision,
+                superseded_by = verdict.superseded_by.map(|by| by.revision),
+                reason = %verdict.reason,
+            );
+            state.gossip.publish(Fact::Verdict(verdict), now_ms);
+        }
+        if verdict != Verdict::Accepted {
+            return verdict;
+        }
+        if let Some(version) = state.store.get(name).map(|document| document.version) {
+            let name = name.into();
+            state
+                .gossip
+                .publish(Fact::Document { name, version }, now_ms);
+        }
+        if name == VM_LIST {
+            self.list_peers(&mut state);
+        }
+        let news = state.list_leaves(now_ms);
+        self.absorb(&mut state, &news);
         verdict
     }
 
@@ -338,12 +302,20 @@
     }
 
     /// Compiles the view anew and makes it the one in force.
+    ///
+    /// Compilations run one at a time, so that an older view never replaces a newer one.
     fn recompile(&self) {
-        let fleet = {
-            let state = self.state();
-            let region = &self.settings.region;
-            Fleet::compile(&state.store, region, |vm| state.gossip.is_live(vm))
+        let _compiling = self
+            .compiling
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let (store, live) = {
+            let mut state = self.state();
+            let live = state.gossip.live_vms();
+            state.compiled_live.clone_from(&live);
+            (state.store.clone(), live)
         };
+        let fleet = Fleet::compile(&store, &self.settings.region, |vm| live.contains(&vm));
         self.fleet.store(Arc::new(fleet));
         self.changed.send_modify(|count| *count += 1);
     }
@@ -365,143 +337,22 @@
         bodies
     }
 
-    /// Returns the names of documents that a peer announced and this node lacks.
-    pub(crate) fn missing_documents(&self) -> Vec<Box<str>> {
+    /// Returns the documents that a peer announced and this node lacks, with the peer.
+    pub(crate) fn missing_documents(&self) -> Vec<(Box<str>, Option<SocketAddr>)> {
         let state = self.state();
         let mut missing = Vec::new();
-        for entry in state.gossip.facts() {
+        for entry in state.gossip.documents() {
             let Fact::Document { name, version } = &entry.fact else {
                 continue;
             };
-            if state
-                .store
-                .get(name)
-                .is_none_or(|document| document.version < *version)
-            {
-                missing.push(name.clone());
+            let held = state.store.get(name).map(|document| document.version);
+            if held.is_none_or(|held| held < *version) && !state.store.is_rejected(name, *version) {
+                missing.push((name.clone(), entry.source));
             }
         }
         missing
     }
 
-    async fn run_gossip(self: Arc<Self>) {
-        let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
-        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            interval.tick().await;
-            let now_ms = boot_ms();
-            if self.is_paused(now_ms) {
-                warn!(event = "pause_detected");
-                self.stale.store(true, Ordering::SeqCst);
-            }
-            self.last_tick_ms.store(now_ms, Ordering::SeqCst);
-            let (out, dead) = {
-                let state = &mut *self.state();
-                let before = state.gossip.live_peers().len();
-                let out = state.gossip.tick(now_ms, &mut state.rng);
-                (out, state.gossip.live_peers().len() != before)
-            };
-            if dead {
-                self.recompile();
-            }
-            self.send(out).await;
-        }
-    }
-
-    /// Returns whether the process did not run for a while before `now_ms`.
-    pub(crate) fn is_paused(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.last_tick_ms.load(Ordering::SeqCst)) > PAUSE_GAP_MS
-    }
-
-    async fn send(&self, out: Outgoing) {
-        for (to, message) in out {
-            let Ok(bytes) = encode(&message) else {
-                continue;
-            };
-            if is_cut(to) {
-                continue;
-            }
-            let _ = self.socket.send_to(&bytes, to).await;
-        }
-    }
-
-    async fn run_receive(self: Arc<Self>) {
-        let mut buffer = vec![0; RECEIVE_BYTES];
-        loop {
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
-                continue;
-            };
-            if is_cut(from) {
-                continue;
-            }
-            let Ok(message) = decode::<Datagram>(&buffer[..length]) else {
-                warn!(event = "datagram_malformed", %from, length_bytes = length);
-                continue;
-            };
-            let (out, news) = {
-                let state = &mut *self.state();
-                if !state.gossip.admits(from) {
-                    debug!(event = "datagram_refused", %from);
-                    continue;
-                }
-                state
-                    .gossip
-                    .receive(from, message, boot_ms(), &mut state.rng)
-            };
-            self.send(out).await;
-            self.apply(&news);
-        }
-    }
-
-    /// Returns whether this VM is one of those that watch the platform.
-    fn is_watcher(&self) -> bool {
-        let fleet = self.fleet();
-        let mut vms = Vec::new();
-        for vm in &fleet.vms {
-            if vm.live {
-                vms.push((&*vm.entry.name, &*vm.entry.failure_domain));
-            }
-        }
-        vms.is_empty() || watchers(&vms).contains(&&*self.settings.vm)
-    }
-
-    async fn run_watch(self: Arc<Self>) {
-        let mut index = 0;
-        let mut backoff = Backoff::default();
-        loop {
-            if !self.is_watcher() {
-                index = 0;
-                tokio::time::sleep(Duration::from_millis(IDLE_WATCH_MS)).await;
-                continue;
-            }
-            match self.read_platform(index).await {
-                Ok(next) => {
-                    backoff.reset();
-                    index = next;
-                }
-                Err(error) => {
-                    let delay_ms = backoff.next_delay_ms(&mut rand::rng());
-                    warn!(event = "platform_read_failed", %error, delay_ms);
-                    index = 0;
-                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-                }
-            }
-        }
-    }
-
-    /// Reads the platform once, offers what it holds and returns the index to watch from.
-    pub(crate) async fn read_platform(&self, index: u64) -> Result<u64, PlatformError> {
-        let wait_ms = if index == 0 { 0 } else { WATCH_WAIT_MS };
-        let read = self.platform.read(index, wait_ms).await?;
-        let mut behind = false;
-        for value in &read.values {
-            let verdict = self.offer(&value.name, value.revision, &value.body, "platform");
-            behind |= verdict == Verdict::Older;
-        }
-        self.platform_behind.store(behind, Ordering::Relaxed);
-        Ok(read.index)
-    }
-
     /// Returns the version of a document that gossip last announced.
     pub fn announced(&self, name: &str) -> Option<Version> {
         match &self
--- /dev/null
+++ b/src/control/driver.rs
@@ -0,0 +1,113 @@
+//! Drives gossip with a socket and a timer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::{debug, error, warn};
+
+use super::Control;
+use crate::clock::boot_ms;
+use crate::faults::is_cut;
+use crate::gossip::{Datagram, Outgoing};
+use crate::telemetry::CpuTime;
+use crate::wire::{decode, encode};
+
+/// Time between two looks at what gossip has to do.
+const TICK_MS: u64 = 50;
+
+/// Ticks between two clean-ups of the views.
+const TIDY_TICKS: u64 = 10;
+
+/// Largest datagram read.
+const RECEIVE_BYTES: usize = 65_536;
+
+impl Control {
+    pub(super) async fn run_gossip(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticks = 0_u64;
+        loop {
+            interval.tick().await;
+            ticks += 1;
+            let out = self.tick(ticks);
+            self.send(out).await;
+        }
+    }
+
+    /// Does what is due in one tick and returns what is to be sent.
+    fn tick(&self, ticks: u64) -> Outgoing {
+        let cpu = CpuTime::start();
+        let now_ms = boot_ms();
+        if self.freshness.tick(now_ms) {
+            warn!(event = "pause_detected");
+        }
+        let (out, changed, superseded) = {
+            let state = &mut *self.state();
+            let out = state.gossip.tick(now_ms, &mut state.rng);
+            // The view is compiled once for all changes of a tick: a compilation takes tens of
+            // milliseconds at 760 nodes.
+            let changed = state.gossip.live_vms() != state.compiled_live;
+            (out, changed, state.gossip.is_superseded())
+        };
+        if superseded && !self.superseded.is_cancelled() {
+            error!(event = "superseded", incarnation = %self.incarnation);
+            self.superseded.cancel();
+        }
+        if changed {
+            self.recompile();
+        }
+        if ticks.is_multiple_of(TIDY_TICKS) {
+            self.tidy_views();
+        }
+        self.telemetry.count_control_cpu(&cpu);
+        out
+    }
+
+    async fn send(&self, out: Outgoing) {
+        for (to, message) in out {
+            let Ok(bytes) = encode(&message) else {
+                continue;
+            };
+            if is_cut(to) {
+                continue;
+            }
+            if let Ok(sent) = self.socket.send_to(&bytes, to).await {
+                self.telemetry.count_control_bytes("udp", "sent", sent);
+            }
+        }
+    }
+
+    pub(super) async fn run_receive(self: Arc<Self>) {
+        let mut buffer = vec![0; RECEIVE_BYTES];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            if is_cut(from) {
+                continue;
+            }
+            self.telemetry
+                .count_control_bytes("udp", "received", length);
+            let cpu = CpuTime::start();
+            let Ok(message) = decode::<Datagram>(&buffer[..length]) else {
+                warn!(event = "datagram_malformed", %from, length_bytes = length);
+                continue;
+            };
+            let out = {
+                let mut state = self.state();
+                let state = &mut *state;
+                if !state.gossip.admits(from) {
+                    debug!(event = "datagram_refused", %from);
+                    continue;
+                }
+                let (out, news) = state
+                    .gossip
+                    .receive(from, message, boot_ms(), &mut state.rng);
+                self.absorb(state, &news);
+                out
+            };
+            self.telemetry.count_control_cpu(&cpu);
+            self.send(out).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/control/views.rs
@@ -0,0 +1,182 @@
+//! Views of leaves and quarantined content, kept in step with gossip.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::PoisonError;
+
+use tracing::{debug, info};
+
+use super::{Control, LeafView, State};
+use crate::clock::{boot_ms, unix_ms};
+use crate::fact::{Fact, LeafState};
+use crate::fleet::Fleet;
+use crate::ids::Snapshot;
+
+impl Control {
+    /// Returns what is known of a leaf.
+    pub fn leaf_view(&self, address: SocketAddr) -> Option<LeafView> {
+        self.with_leaf_views(|leaves| leaves.get(&address).cloned())
+    }
+
+    /// Calls `read` with all leaf views, under one lock.
+    pub fn with_leaf_views<T>(&self, read: impl FnOnce(&HashMap<SocketAddr, LeafView>) -> T) -> T {
+        let leaves = self.leaves.read().unwrap_or_else(PoisonError::into_inner);
+        read(&leaves)
+    }
+
+    /// Returns the time until which content is refused, if it is quarantined.
+    pub fn quarantined_until(&self, fingerprint: u64, now_unix_ms: u64) -> Option<u64> {
+        let table = self
+            .quarantine
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        table
+            .get(&fingerprint)
+            .copied()
+            .filter(|until| *until > now_unix_ms)
+    }
+
+    /// Publishes a fact that this node observed.
+    pub fn publish(&self, fact: Fact) {
+        let mut state = self.state();
+        if state.gossip.publish(fact.clone(), boot_ms()) {
+            self.absorb(&mut state, &[fact]);
+        }
+    }
+
+    /// Publishes what this node observed of a leaf that it owns.
+    pub fn publish_leaf(&self, address: SocketAddr, leaf: LeafState, snapshots: Vec<Snapshot>) {
+        let mut state = self.state();
+        let observed = (leaf, snapshots.clone());
+        state.observed.insert(address, observed);
+        let fact = state
+            .gossip
+            .publish_leaf(address, leaf, snapshots, boot_ms());
+        self.absorb(&mut state, &[fact]);
+    }
+
+    /// Announces that this VM is stopping.
+    pub fn leave(&self) {
+        self.state().gossip.leave(boot_ms());
+        self.recompile();
+    }
+
+    /// Takes all facts of a peer.
+    pub fn merge(&self, facts: Vec<Fact>, source: SocketAddr) {
+        let mut state = self.state();
+        let news = state.gossip.merge(facts, source, boot_ms());
+        self.absorb(&mut state, &news);
+    }
+
+    /// Returns all facts, for a peer that joins.
+    pub fn all_facts(&self) -> Vec<Fact> {
+        let state = self.state();
+        state
+            .gossip
+            .facts()
+            .map(|entry| entry.fact.clone())
+            .collect()
+    }
+
+    /// Updates the views with facts that are news. The caller holds the state, so that an older fact
+    /// never replaces a newer one.
+    pub(super) fn absorb(&self, state: &mut State, news: &[Fact]) {
+        let fleet = self.fleet();
+        for fact in news {
+            match fact {
+                Fact::Vm { address, state, .. } => {
+                    info!(event = "vm_state", vm = %address, state = ?state);
+                }
+                Fact::Leaf {
+                    address,
+                    state: leaf,
+                    snapshots,
+                    ..
+                } => {
+                    self.absorb_leaf(*address, *leaf, snapshots);
+                    state.note_contest(&fleet, &self.settings.vm, *address, *leaf, snapshots);
+                }
+                Fact::Quarantine {
+                    fingerprint,
+                    until_unix_ms,
+                } => self.absorb_quarantine(*fingerprint, *until_unix_ms),
+                Fact::Document { name, version } => {
+                    debug!(event = "document_announced", name = %name, revision = version.revision);
+                    self.announced.notify_one();
+                }
+                Fact::Verdict(verdict) => state.store.note(verdict, unix_ms()),
+            }
+        }
+    }
+
+    fn absorb_leaf(&self, address: SocketAddr, state: LeafState, snapshots: &[Snapshot]) {
+        let view = LeafView {
+            state,
+            snapshots: snapshots.to_vec(),
+            observed_unix_ms: unix_ms(),
+        };
+        let mut leaves = self.leaves.write().unwrap_or_else(PoisonError::into_inner);
+        leaves.insert(address, view);
+    }
+
+    fn absorb_quarantine(&self, fingerprint: u64, until_unix_ms: u64) {
+        info!(event = "quarantine", fingerprint, until_unix_ms);
+        let mut table = self
+            .quarantine
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let now_unix_ms = unix_ms();
+        table.retain(|_, until| *until > now_unix_ms);
+        table.insert(fingerprint, until_unix_ms);
+    }
+
+    /// Forgets views of leaves that no file lists any more, and publishes this node's observations
+    /// again where another VM reported otherwise.
+    pub(super) fn tidy_views(&self) {
+        let mut state = self.state();
+        let state = &mut *state;
+        state.gossip.set_wall_clock(unix_ms());
+        let mut facts = Vec::new();
+        for address in std::mem::take(&mut state.contested) {
+            if let Some((leaf, snapshots)) = state.observed.get(&address).cloned() {
+                info!(event = "leaf_state_restated", leaf = %address, state = ?leaf);
+                let fact = state
+                    .gossip
+                    .publish_leaf(address, leaf, snapshots, boot_ms());
+                facts.push(fact);
+            }
+        }
+        self.absorb(state, &facts);
+        let mut leaves = self.leaves.write().unwrap_or_else(PoisonError::into_inner);
+        leaves.retain(|address, _| state.gossip.lists_leaf(*address));
+        state
+            .observed
+            .retain(|address, _| state.gossip.lists_leaf(*address));
+    }
+}
+
+impl State {
+    /// Notes a leaf that this VM owns and of which another VM reports something else: the owner's
+    /// observation is preferred, whatever sequence the other one had.
+    fn note_contest(
+        &mut self,
+        fleet: &Fleet,
+        vm: &str,
+        address: SocketAddr,
+        leaf: LeafState,
+        snapshots: &[Snapshot],
+    ) {
+        let owner = fleet
+            .find_leaf(address)
+            .and_then(|leaf| leaf.owners.primary);
+        if owner.is_none_or(|owner| &*fleet.vm(owner).entry.name != vm) {
+            return;
+        }
+        let observed = self.observed.get(&address);
+        if observed.is_some_and(|(state, held)| *state != leaf || held != snapshots) {
+            self.contested.insert(address);
+        } else {
+            self.contested.remove(&address);
+        }
+    }
+}
--- a/src/document.rs
+++ b/src/document.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::config::{ConfigError, ConfigFile};
+use crate::fact::{DocumentVerdict, MAX_REASON_BYTES};
 
 /// Name of the document that lists the VMs.
 pub const VM_LIST: &str = "vms";
@@ -117,7 +118,7 @@
     Accepted,
     /// The same version is in force already.
     Unchanged,
-    /// A newer version is in force.
+    /// A newer version is in force, or another body under the same version.
     Older,
     /// The file is invalid; the accepted one stays in force.
     Rejected(DocumentError),
@@ -132,17 +133,42 @@
     pub version: Version,
     /// `accepted`, `rejected`, `superseded` or `older`.
     pub state: &'static str,
+    /// Version that superseded it.
+    pub superseded_by: Option<Version>,
     /// Reason of a rejection.
     pub reason: Option<Box<str>>,
     /// Wall-clock time of the verdict.
     pub at_unix_ms: u64,
 }
 
+impl HistoryEntry {
+    fn new(name: &str, version: Version, state: &'static str, at_unix_ms: u64) -> Self {
+        Self {
+            name: name.into(),
+            version,
+            state,
+            superseded_by: None,
+            reason: None,
+            at_unix_ms,
+        }
+    }
+}
+
+/// The last invalid body of a document.
+#[derive(Clone, Debug)]
+struct RejectedBody {
+    revision: u64,
+    body: Box<[u8]>,
+    error: DocumentError,
+}
+
 /// Documents in force on this node.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct DocumentStore {
     accepted: BTreeMap<Box<str>, Document>,
+    rejected: BTreeMap<Box<str>, RejectedBody>,
     history: VecDeque<HistoryEntry>,
+    unsent: Vec<DocumentVerdict>,
 }
 
 /// Parses a document; the result depends on its name and body alone.
@@ -178,21 +204,21 @@
     /// assert_eq!(store.offer("config/a", 4, body, 0), Verdict::Older);
     /// ```
     pub fn offer(&mut self, name: &str, revision: u64, body: &[u8], now_unix_ms: u64) -> Verdict {
+        if let Some(verdict) = self.known(name, revision, body) {
+            return verdict;
+        }
         let (epoch, content) = match parse(name, body) {
             Ok(parsed) => parsed,
-            Err(error) => return self.reject(name, revision, error, now_unix_ms),
+            Err(error) => return self.reject(name, revision, body, error, now_unix_ms),
         };
         let version = Version { epoch, revision };
         let current = self.accepted.get(name).map(|document| document.version);
-        if current == Some(version) {
-            return Verdict::Unchanged;
-        }
-        if current.is_some_and(|current| current > version) {
-            self.record(name, version, "older", None, now_unix_ms);
+        if let Some(current) = current.filter(|current| *current >= version) {
+            self.refuse(name, version, current, now_unix_ms);
             return Verdict::Older;
         }
         if let Some(previous) = current {
-            self.record(name, previous, "superseded", None, now_unix_ms);
+            self.supersede(name, previous, version, now_unix_ms);
         }
         let document = Document {
             version,
@@ -200,48 +226,118 @@
             content,
         };
         self.accepted.insert(name.into(), document);
-        self.record(name, version, "accepted", None, now_unix_ms);
+        self.rejected.remove(name);
+        self.record(HistoryEntry::new(name, version, "accepted", now_unix_ms));
         Verdict::Accepted
     }
 
+    /// Returns the verdict on a body that was judged before; each platform read offers all again.
+    fn known(&self, name: &str, revision: u64, body: &[u8]) -> Option<Verdict> {
+        let accepted = self.accepted.get(name);
+        if accepted.is_some_and(|held| held.version.revision == revision && *held.body == *body) {
+            return Some(Verdict::Unchanged);
+        }
+        let rejected = self.rejected.get(name)?;
+        (rejected.revision == revision && *rejected.body == *body)
+            .then(|| Verdict::Rejected(rejected.error.clone()))
+    }
+
     fn reject(
         &mut self,
         name: &str,
         revision: u64,
+        body: &[u8],
         error: DocumentError,
         now_unix_ms: u64,
     ) -> Verdict {
-        let version = Version { epoch: 0, revision };
-        let reason = Some(error.to_string().into());
-        self.record(name, version, "rejected", reason, now_unix_ms);
+        let mut reason = error.to_string();
+        reason.truncate(reason.floor_char_boundary(MAX_REASON_BYTES));
+        self.tell(
+            DocumentVerdict {
+                name: name.into(),
+                version: Version { epoch: 0, revision },
+                superseded_by: None,
+                reason: reason.into(),
+            },
+            now_unix_ms,
+        );
+        let rejected = RejectedBody {
+            revision,
+            body: body.into(),
+            error: error.clone(),
+        };
+        self.rejected.insert(name.into(), rejected);
         Verdict::Rejected(error)
     }
 
-    fn record(
-        &mut self,
-        name: &str,
-        version: Version,
-        state: &'static str,
-        reason: Option<Box<str>>,
-        at_unix_ms: u64,
-    ) {
+    /// Records a version below the one in force; one that was in force before is only old.
+    fn refuse(&mut self, name: &str, version: Version, current: Version, now_unix_ms: u64) {
         let seen = self
             .history
             .iter()
-            .any(|entry| &*entry.name == name && entry.version == version && entry.state == state);
+            .any(|entry| &*entry.name == name && entry.version == version);
+        if seen || version == current {
+            self.record(HistoryEntry::new(name, version, "older", now_unix_ms));
+        } else {
+            self.supersede(name, version, current, now_unix_ms);
+        }
+    }
+
+    fn supersede(&mut self, name: &str, version: Version, by: Version, now_unix_ms: u64) {
+        self.tell(
+            DocumentVerdict {
+                name: name.into(),
+                version,
+                superseded_by: Some(by),
+                reason: Box::default(),
+            },
+            now_unix_ms,
+        );
+    }
+
+    fn tell(&mut self, verdict: DocumentVerdict, now_unix_ms: u64) {
+        self.note(&verdict, now_unix_ms);
+        self.unsent.push(verdict);
+    }
+
+    /// Records a verdict of this node or of a peer in the history.
+    pub fn note(&mut self, verdict: &DocumentVerdict, now_unix_ms: u64) {
+        let state = match verdict.superseded_by {
+            Some(_) => "superseded",
+            None => "rejected",
+        };
+        self.record(HistoryEntry {
+            superseded_by: verdict.superseded_by,
+            reason: verdict
+                .superseded_by
+                .is_none()
+                .then(|| verdict.reason.clone()),
+            ..HistoryEntry::new(&verdict.name, verdict.version, state, now_unix_ms)
+        });
+    }
+
+    /// Takes the verdicts that peers have not been told of.
+    pub fn take_verdicts(&mut self) -> Vec<DocumentVerdict> {
+        std::mem::take(&mut self.unsent)
+    }
+
+    fn record(&mut self, entry: HistoryEntry) {
+        let seen = self.history.iter().any(|held| {
+            held.name == entry.name && held.version == entry.version && held.state == entry.state
+        });
         if seen {
             return;
         }
         if self.history.len() == HISTORY_LENGTH {
             self.history.pop_front();
         }
-        self.history.push_back(HistoryEntry {
-            name: name.into(),
-            version,
-            state,
-            reason,
-            at_unix_ms,
-        });
+        self.history.push_back(entry);
+    }
+
+    /// Returns whether a version of a document was judged invalid here.
+    pub fn is_rejected(&self, name: &str, version: Version) -> bool {
+        let rejected = self.rejected.get(name);
+        rejected.is_some_and(|rejected| rejected.revision == version.revision)
     }
 
     /// Returns the document in force under a name.
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -4,7 +4,6 @@
 
 use bincode::{Decode, Encode};
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::document::Version;
 use crate::ids::{Incarnation, Snapshot};
@@ -48,6 +47,8 @@
     Leaf(SocketAddr),
     /// Request content by fingerprint.
     Quarantine(u64),
+    /// Verdict by document and place among the verdicts kept on it.
+    Verdict(Box<str>, u8),
 }
 
 /// Something one VM knows and tells the others.
@@ -57,6 +58,8 @@
     Vm {
         /// Internal address.
         address: SocketAddr,
+        /// Number of processes that are known to have used the address before this one.
+        generation: u32,
         /// Process on that address.
         incarnation: Incarnation,
         /// Number of times the process has contradicted a suspicion.
@@ -75,8 +78,10 @@
     Leaf {
         /// Address of the leaf.
         address: SocketAddr,
-        /// Wall-clock time of the observation.
-        observed_unix_ms: u64,
+        /// Number of observations of the leaf, one above the fact that this one replaced.
+        sequence: u64,
+        /// Process that observed it.
+        observer: Incarnation,
         /// State.
         state: LeafState,
         /// Snapshots that the leaf holds, newest first.
@@ -89,6 +94,40 @@
         /// Time until which the content is refused.
         until_unix_ms: u64,
     },
+    /// A version of a document that did not take or keep effect.
+    Verdict(DocumentVerdict),
+}
+
+/// A rejected or superseded version of a document.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct DocumentVerdict {
+    /// Name of the document.
+    pub name: Box<str>,
+    /// Version that did not take or keep effect.
+    pub version: Version,
+    /// Version that superseded it; `None` if it was rejected.
+    pub superseded_by: Option<Version>,
+    /// Reason of a rejection, cut to [`MAX_REASON_BYTES`].
+    pub reason: Box<str>,
+}
+
+/// Longest reason in a fact, so that several verdicts fit one datagram.
+pub const MAX_REASON_BYTES: usize = 160;
+
+/// Verdicts of each kind that are kept for one document. It bounds what the verdicts on a document
+/// cost every node.
+const VERDICTS_PER_DOCUMENT: u64 = 4;
+
+impl DocumentVerdict {
+    fn slot(&self) -> u8 {
+        let slot = self.version.revision % VERDICTS_PER_DOCUMENT;
+        let kind = if self.superseded_by.is_some() {
+            VERDICTS_PER_DOCUMENT
+        } else {
+            0
+        };
+        u8::try_from(kind + slot).unwrap_or(0)
+    }
 }
 
 impl Fact {
@@ -99,42 +138,52 @@
             Self::Document { name, .. } => FactKey::Document(name.clone()),
             Self::Leaf { address, .. } => FactKey::Leaf(*address),
             Self::Quarantine { fingerprint, .. } => FactKey::Quarantine(*fingerprint),
+            Self::Verdict(verdict) => FactKey::Verdict(verdict.name.clone(), verdict.slot()),
         }
     }
 
     /// Returns the order among facts with one key; the greater one is newer.
+    ///
+    /// No wall clock takes part in the order of leaf facts: a VM whose clock is wrong would win or
+    /// lose against all others.
     pub fn rank(&self) -> [u64; 3] {
         match self {
             Self::Vm {
+                generation,
                 incarnation,
                 refutation,
                 state,
                 ..
-            } => {
-                let started = incarnation.start_unix_ms();
-                let identity = xxh3_64(incarnation.to_string().as_bytes());
-                [
-                    started,
-                    identity,
-                    (u64::from(*refutation) << 8) | *state as u64,
-                ]
-            }
+            } => [
+                u64::from(*generation),
+                incarnation.bits(),
+                (u64::from(*refutation) << 8) | *state as u64,
+            ],
             Self::Document { version, .. } => [version.epoch, version.revision, 0],
             Self::Leaf {
-                observed_unix_ms,
+                sequence,
+                observer,
                 state,
                 ..
-            } => [*observed_unix_ms, *state as u64, 0],
+            } => [*sequence, observer.bits(), *state as u64],
             Self::Quarantine { until_unix_ms, .. } => [*until_unix_ms, 0, 0],
+            Self::Verdict(verdict) => {
+                let by = verdict.superseded_by.unwrap_or_default();
+                [verdict.version.epoch, verdict.version.revision, by.revision]
+            }
         }
     }
 
     /// Returns whether the fact is sent to several peers at once instead of on the next probe.
     pub fn is_urgent(&self) -> bool {
         match self {
-            Self::Vm { state, .. } => *state == VmState::Leaving,
+            // A refuted suspicion has to overtake the declaration of death.
+            Self::Vm {
+                state, refutation, ..
+            } => matches!(state, VmState::Leaving | VmState::Dead) || *refutation > 0,
             Self::Leaf { state, .. } => *state == LeafState::Draining,
             Self::Document { .. } | Self::Quarantine { .. } => true,
+            Self::Verdict(_) => false,
         }
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -1,16 +1,27 @@
-//! Membership and fact spreading in the manner of SWIM: state and clock in, datagrams out.
+//! Membership and fact dissemination in the manner of SWIM: state and clock in, datagrams out.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod identity;
+mod message;
+mod probe;
+mod repair;
+mod scope;
+mod table;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use bincode::{Decode, Encode};
-use rand::seq::{IndexedRandom, SliceRandom};
-use rand::{Rng, RngExt};
-use xxhash_rust::xxh3::xxh3_64;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::fact::{Fact, FactKey, LeafState, VmState};
+use crate::ids::{Incarnation, Snapshot};
+use crate::wire::PROTOCOL_VERSION;
 
-use crate::fact::{Fact, FactKey, VmState};
-use crate::ids::Incarnation;
-use crate::wire::{PROTOCOL_VERSION, encode};
+pub use message::{Datagram, Outgoing, Purpose, Timing};
+use probe::{Probe, RelayedProbe};
+use scope::Scope;
+pub use table::{BUCKETS, Entry};
+use table::{Spread, Table};
 
 /// Largest encoded datagram, in bytes; fits one Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -18,140 +29,39 @@
 /// Bytes of a datagram kept free of facts.
 const HEADER_BYTES: usize = 64;
 
-/// Buckets whose digests two peers compare.
-const BUCKETS: usize = 32;
-
-/// Datagrams of facts sent in one repair.
-const REPAIR_DATAGRAMS: usize = 4;
-
 /// Peers that get an urgent fact at once.
 const URGENT_FAN_OUT: usize = 4;
 
-/// Peers asked to probe on our behalf.
-const RELAYS: usize = 3;
+/// Most urgent datagrams that one node sends per probe interval. It bounds the burst when a failure
+/// domain is lost; the queue carries the rest.
+const URGENT_DATAGRAMS: usize = 40;
 
-/// One tick in this many also probes a dead peer that is still listed.
+/// One probe in this many is followed by a probe of a dead peer that is still listed.
 const DEAD_PROBE_TICKS: u64 = 5;
 
-/// Time constants of gossip.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// Time between two probes.
-    pub probe_interval_ms: u64,
-    /// Time without an acknowledgement before others are asked to probe.
-    pub ack_timeout_ms: u64,
-    /// Time that a suspicion stands before the VM is declared dead.
-    pub suspicion_ms: u64,
-    /// Time that facts about dead VMs are kept.
-    pub forget_ms: u64,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self {
-            probe_interval_ms: 500,
-            ack_timeout_ms: 200,
-            suspicion_ms: 1_500,
-            forget_ms: 600_000,
-        }
-    }
-}
-
-/// What a datagram asks for.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub enum Purpose {
-    /// Asks for an acknowledgement.
-    Probe {
-        /// Number of the probe at its sender.
-        sequence: u64,
-    },
-    /// Acknowledges a probe.
-    Ack {
-        /// Number of the probe.
-        sequence: u64,
-    },
-    /// Asks the receiver to probe a VM on the sender's behalf.
-    Relay {
-        /// Number of the probe at the sender.
-        sequence: u64,
-        /// VM to probe.
-        target: SocketAddr,
-    },
-    /// Only carries facts.
-    Push,
-    /// Offers digests for comparison.
-    Compare {
-        /// Digest of each bucket.
-        buckets: Box<[u64; BUCKETS]>,
-    },
-    /// Asks for the facts of some buckets.
-    Pull {
-        /// Bit set of buckets.
-        buckets: u32,
-    },
-}
-
-/// One gossip message.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct Datagram {
-    /// Version of the internal protocol.
-    pub protocol_version: u16,
-    /// Process that sent the message.
-    pub incarnation: Incarnation,
-    /// Digest of all facts of the sender.
-    pub digest: u64,
-    /// What the message asks for.
-    pub purpose: Purpose,
-    /// Facts carried along.
-    pub facts: Vec<Fact>,
-}
-
-/// Messages to send, with their receivers.
-pub type Outgoing = Vec<(SocketAddr, Datagram)>;
-
-/// A fact with local bookkeeping.
-#[derive(Clone, Debug)]
-pub struct Entry {
-    /// The fact.
-    pub fact: Fact,
-    /// Time at which this VM took the fact.
-    pub received_ms: u64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Probe {
-    sequence: u64,
-    target: SocketAddr,
-    sent_ms: u64,
-    relayed: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct RelayedProbe {
-    origin: SocketAddr,
-    origin_sequence: u64,
-    sent_ms: u64,
-}
-
 /// State of gossip on one VM.
 #[derive(Debug)]
 pub struct Gossip {
     address: SocketAddr,
     incarnation: Incarnation,
+    generation: u32,
     refutation: u32,
     own_state: VmState,
     timing: Timing,
     peers: BTreeSet<SocketAddr>,
-    facts: BTreeMap<FactKey, Entry>,
-    buckets: Box<[u64; BUCKETS]>,
-    queue: VecDeque<(FactKey, u32)>,
+    table: Table,
+    scope: Scope,
     urgent: Vec<FactKey>,
+    urgent_room: usize,
     probe: Option<Probe>,
     relayed: BTreeMap<u64, RelayedProbe>,
     round: Vec<SocketAddr>,
     next_sequence: u64,
     next_probe_ms: u64,
+    next_compare_ms: u64,
     ticks: u64,
+    last_tick_ms: u64,
+    established: bool,
     superseded: bool,
 }
 
@@ -161,20 +71,24 @@
         let mut gossip = Self {
             address,
             incarnation,
+            generation: 0,
             refutation: 0,
             own_state: VmState::Alive,
             timing,
             peers: BTreeSet::new(),
-            facts: BTreeMap::new(),
-            buckets: Box::new([0; BUCKETS]),
-            queue: VecDeque::new(),
+            table: Table::new(),
+            scope: Scope::default(),
             urgent: Vec::new(),
+            urgent_room: URGENT_DATAGRAMS,
             probe: None,
             relayed: BTreeMap::new(),
             round: Vec::new(),
             next_sequence: 1,
             next_probe_ms: now_ms,
+            next_compare_ms: now_ms,
             ticks: 0,
+            last_tick_ms: now_ms,
+            established: false,
             superseded: false,
         };
         gossip.announce_self(now_ms);
@@ -191,12 +105,12 @@
 
     /// Returns whether an address may be a peer: listed, or confirmed by another peer's facts.
     pub fn admits(&self, peer: SocketAddr) -> bool {
-        self.peers.contains(&peer) || self.facts.contains_key(&FactKey::Vm(peer))
+        self.peers.contains(&peer) || self.table.get(&FactKey::Vm(peer)).is_some()
     }
 
     /// Returns the state of a VM, if anything is known of it.
     pub fn vm_state(&self, address: SocketAddr) -> Option<VmState> {
-        match self.facts.get(&FactKey::Vm(address))?.fact {
+        match self.table.get(&FactKey::Vm(address))?.fact {
             Fact::Vm { state, .. } => Some(state),
             _ => None,
         }
@@ -210,124 +124,158 @@
         )
     }
 
-    /// Returns whether another process has taken this VM's address.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
     /// Returns all facts.
     pub fn facts(&self) -> impl Iterator<Item = &Entry> {
-        self.facts.values()
+        self.table.iter().map(|(_, entry)| entry)
+    }
+
+    /// Returns the VMs that take work.
+    pub fn live_vms(&self) -> BTreeSet<SocketAddr> {
+        let live = self
+            .table
+            .vms()
+            .filter(|(_, state, _)| matches!(state, VmState::Alive | VmState::Suspect));
+        live.map(|(address, ..)| address).collect()
+    }
+
+    /// Returns the facts about documents.
+    pub fn documents(&self) -> impl Iterator<Item = &Entry> {
+        self.table.documents()
     }
 
     /// Returns a fact.
     pub fn fact(&self, key: &FactKey) -> Option<&Entry> {
-        self.facts.get(key)
+        self.table.get(key)
     }
 
     /// Returns the digest of all facts.
     pub fn digest(&self) -> u64 {
-        self.buckets
-            .iter()
-            .fold(0, |all, bucket| all.rotate_left(1) ^ bucket)
+        self.table.digest()
     }
 
-    /// Announces that this VM is stopping.
-    pub fn leave(&mut self, now_ms: u64) {
-        self.own_state = VmState::Leaving;
-        self.announce_self(now_ms);
+    /// Takes a fact that this VM observed and spreads it; returns whether it is news.
+    ///
+    /// A document that peers announced before is spread from now on, since it is in force here.
+    pub fn publish(&mut self, fact: Fact, now_ms: u64) -> bool {
+        let key = fact.key();
+        let held = self.table.get(&key).is_some_and(|held| held.fact == fact);
+        if held && matches!(fact, Fact::Document { .. }) {
+            self.table.queue(&key);
+            self.urgent.push(key);
+            return false;
+        }
+        self.insert(fact, None, Spread::Queue, now_ms)
     }
 
-    fn announce_self(&mut self, now_ms: u64) {
-        let fact = Fact::Vm {
-            address: self.address,
-            incarnation: self.incarnation,
-            refutation: self.refutation,
-            state: self.own_state,
+    /// Publishes an observation of a leaf, so that it replaces the fact that is held.
+    pub fn publish_leaf(
+        &mut self,
+        address: SocketAddr,
+        state: LeafState,
+        snapshots: Vec<Snapshot>,
+        now_ms: u64,
+    ) -> Fact {
+        let held = self.table.get(&FactKey::Leaf(address));
+        let sequence = match held.map(|entry| &entry.fact) {
+            Some(Fact::Leaf { sequence, .. }) => sequence.saturating_add(1),
+            _ => 1,
+        };
+        let fact = Fact::Leaf {
+            address,
+            sequence,
+            observer: self.incarnation,
+            state,
+            snapshots,
         };
-        self.insert(fact, now_ms);
+        self.insert(fact.clone(), None, Spread::Queue, now_ms);
+        fact
     }
 
-    /// Takes a fact that this VM observed; returns whether it is news.
-    pub fn publish(&mut self, fact: Fact, now_ms: u64) -> bool {
-        self.insert(fact, now_ms)
+    /// Takes all facts of a peer and returns those that are news; they are not sent on, since the
+    /// peer's neighbours have them.
+    pub fn merge(&mut self, facts: Vec<Fact>, source: SocketAddr, now_ms: u64) -> Vec<Fact> {
+        self.take(facts, source, Spread::Hold, now_ms)
     }
 
-    /// Takes facts from a peer and returns those that are news.
-    pub fn merge(&mut self, facts: Vec<Fact>, now_ms: u64) -> Vec<Fact> {
+    fn take(
+        &mut self,
+        facts: Vec<Fact>,
+        source: SocketAddr,
+        spread: Spread,
+        now_ms: u64,
+    ) -> Vec<Fact> {
         let mut news = Vec::new();
         for fact in facts {
             if self.contradict(&fact, now_ms) {
                 continue;
             }
-            if self.insert(fact.clone(), now_ms) {
+            let spread = match fact {
+                // Only a VM that holds a document announces it, so that its peers fetch it there.
+                Fact::Document { .. } => Spread::Hold,
+                _ => spread,
+            };
+            if self.insert(fact.clone(), Some(source), spread, now_ms) {
                 news.push(fact);
             }
         }
         news
     }
 
-    /// Handles a fact about this VM itself; a false suspicion is refuted.
-    fn contradict(&mut self, fact: &Fact, now_ms: u64) -> bool {
-        let Fact::Vm {
-            address,
-            incarnation,
-            refutation,
-            state,
-        } = fact
-        else {
-            return false;
-        };
-        if *address != self.address {
+    fn insert(
+        &mut self,
+        fact: Fact,
+        source: Option<SocketAddr>,
+        spread: Spread,
+        now_ms: u64,
+    ) -> bool {
+        if !self.scope.admits(&fact) {
             return false;
         }
-        if *incarnation > self.incarnation {
-            self.superseded = true;
-        }
-        if *incarnation != self.incarnation || *state == self.own_state {
-            return true;
-        }
-        if *refutation >= self.refutation {
-            self.refutation = refutation + 1;
-            self.announce_self(now_ms);
+        let urgent = fact.is_urgent() && spread == Spread::Queue;
+        let key = urgent.then(|| fact.key());
+        if !self.table.insert(fact, source, spread, now_ms) {
+            return false;
         }
+        self.urgent.extend(key);
         true
     }
 
-    fn insert(&mut self, fact: Fact, now_ms: u64) -> bool {
-        let key = fact.key();
-        if let Some(entry) = self.facts.get(&key) {
-            if entry.fact.rank() >= fact.rank() {
-                return false;
+    /// Replaces the leaves that files list; facts about others are forgotten. Returns the facts
+    /// about newly listed leaves that arrived before their file.
+    pub fn set_leaves(&mut self, leaves: BTreeSet<SocketAddr>, now_ms: u64) -> Vec<Fact> {
+        let arrived = self.scope.set_leaves(leaves);
+        self.forget();
+        let mut news = Vec::new();
+        for fact in arrived {
+            if self.insert(fact.clone(), None, Spread::Hold, now_ms) {
+                news.push(fact);
             }
-            self.toggle(&key, &entry.fact.rank());
         }
-        self.toggle(&key, &fact.rank());
-        self.queue.retain(|(queued, _)| *queued != key);
-        self.queue.push_front((key.clone(), 0));
-        if fact.is_urgent() {
-            self.urgent.push(key.clone());
-        }
-        self.facts.insert(
-            key,
-            Entry {
-                fact,
-                received_ms: now_ms,
-            },
-        );
-        true
+        news
     }
 
-    fn remove(&mut self, key: &FactKey) {
-        if let Some(entry) = self.facts.remove(key) {
-            self.toggle(key, &entry.fact.rank());
-        }
+    /// Returns whether a file lists the leaf; all leaves count as listed before the first file.
+    pub fn lists_leaf(&self, address: SocketAddr) -> bool {
+        self.scope.lists(address)
     }
 
-    /// Adds a fact to its bucket's digest, or takes it out again.
-    fn toggle(&mut self, key: &FactKey, rank: &[u64; 3]) {
-        let bucket = bucket_of(key);
-        self.buckets[bucket] ^= fact_hash(key, rank);
+    /// Sets the wall clock that ends quarantines, and forgets those that have ended.
+    pub fn set_wall_clock(&mut self, now_unix_ms: u64) {
+        self.scope.set_wall_clock(now_unix_ms);
+        self.forget();
+    }
+
+    /// Forgets facts that are out of scope.
+    fn forget(&mut self) {
+        let mut forgotten = Vec::new();
+        for (key, entry) in self.table.iter() {
+            if !self.scope.contains(&entry.fact) {
+                forgotten.push(key.clone());
+            }
+        }
+        for key in forgotten {
+            self.table.remove(&key);
+        }
     }
 
     /// Returns the peers that answer probes, in no particular order.
@@ -337,10 +285,7 @@
 
     fn peers_where(&self, keep: impl Fn(VmState) -> bool) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
-        for entry in self.facts.values() {
-            let Fact::Vm { address, state, .. } = entry.fact else {
-                continue;
-            };
+        for (address, state, _) in self.table.vms() {
             if address != self.address && keep(state) {
                 addresses.push(address);
             }
@@ -351,24 +296,20 @@
     /// Does what is due at `now_ms`; call it several times in each probe interval.
     pub fn tick(&mut self, now_ms: u64, rng: &mut impl Rng) -> Outgoing {
         let mut out = Vec::new();
+        if now_ms.saturating_sub(self.last_tick_ms) > self.timing.probe_interval_ms {
+            self.resume(now_ms);
+        }
+        self.last_tick_ms = now_ms;
         self.push_urgent(rng, &mut out);
         self.check_probe(now_ms, rng, &mut out);
-        self.expire(now_ms);
         if now_ms < self.next_probe_ms {
             return out;
         }
         self.next_probe_ms = now_ms + self.timing.probe_interval_ms;
+        self.urgent_room = URGENT_DATAGRAMS;
+        self.expire_vms(now_ms);
         self.ticks += 1;
-        if let Some(target) = self.next_target(rng) {
-            let sequence = self.sequence();
-            self.probe = Some(Probe {
-                sequence,
-                target,
-                sent_ms: now_ms,
-                relayed: false,
-            });
-            out.push((target, self.datagram(Purpose::Probe { sequence })));
-        }
+        self.start_probe(now_ms, rng, &mut out);
         if self.ticks.is_multiple_of(DEAD_PROBE_TICKS) {
             self.probe_dead(rng, &mut out);
         }
@@ -380,124 +321,18 @@
             return;
         }
         let keys = std::mem::take(&mut self.urgent);
-        let facts: Vec<Fact> = keys
-            .iter()
-            .filter_map(|key| self.facts.get(key))
-            .map(|e| e.fact.clone())
-            .collect();
+        let entries = keys.iter().filter_map(|key| self.table.get(key));
+        let parts = repair::split(entries);
         let peers = self.live_peers();
-        for part in split_facts(facts) {
-            for peer in peers.sample(rng, URGENT_FAN_OUT) {
-                let mut message = self.bare(Purpose::Push);
-                message.facts.clone_from(&part);
+        for part in parts {
+            for peer in peers.sample(rng, URGENT_FAN_OUT.min(self.urgent_room)) {
+                let message = Datagram {
+                    facts: part.clone(),
+                    ..self.bare(Purpose::Push)
+                };
                 out.push((*peer, message));
             }
-        }
-    }
-
-    /// Escalates the open probe: through relays after the ack timeout, then to a suspicion.
-    fn check_probe(&mut self, now_ms: u64, rng: &mut impl Rng, out: &mut Outgoing) {
-        let Some(mut probe) = self.probe else {
-            return;
-        };
-        let waited_ms = now_ms.saturating_sub(probe.sent_ms);
-        if waited_ms >= self.timing.probe_interval_ms {
-            self.probe = None;
-            self.suspect(probe.target, now_ms);
-            return;
-        }
-        if waited_ms < self.timing.ack_timeout_ms || probe.relayed {
-            return;
-        }
-        probe.relayed = true;
-        self.probe = Some(probe);
-        let mut peers = self.live_peers();
-        peers.retain(|peer| *peer != probe.target);
-        for relay in peers.sample(rng, RELAYS) {
-            let purpose = Purpose::Relay {
-                sequence: probe.sequence,
-                target: probe.target,
-            };
-            out.push((*relay, self.datagram(purpose)));
-        }
-    }
-
-    fn suspect(&mut self, target: SocketAddr, now_ms: u64) {
-        self.escalate(target, VmState::Suspect, now_ms);
-    }
-
-    /// Raises the state of a VM's current incarnation.
-    fn escalate(&mut self, target: SocketAddr, to: VmState, now_ms: u64) {
-        let Some(entry) = self.facts.get(&FactKey::Vm(target)) else {
-            return;
-        };
-        let Fact::Vm {
-            address,
-            incarnation,
-            refutation,
-            state,
-        } = entry.fact
-        else {
-            return;
-        };
-        if state < to {
-            self.insert(
-                Fact::Vm {
-                    address,
-                    incarnation,
-                    refutation,
-                    state: to,
-                },
-                now_ms,
-            );
-        }
-    }
-
-    /// Declares long suspects dead and forgets old facts.
-    fn expire(&mut self, now_ms: u64) {
-        let mut dead = Vec::new();
-        let mut forgotten = Vec::new();
-        for (key, entry) in &self.facts {
-            let Fact::Vm { address, state, .. } = entry.fact else {
-                continue;
-            };
-            let age_ms = now_ms.saturating_sub(entry.received_ms);
-            if state == VmState::Suspect && age_ms >= self.timing.suspicion_ms {
-                dead.push(address);
-            }
-            let listed = self.peers.contains(&address);
-            if state == VmState::Dead && !listed && age_ms >= self.timing.forget_ms {
-                forgotten.push(key.clone());
-            }
-        }
-        for address in dead {
-            self.escalate(address, VmState::Dead, now_ms);
-        }
-        for key in forgotten {
-            self.remove(&key);
-        }
-    }
-
-    /// Returns the next VM of a shuffled round over all that are not dead.
-    fn next_target(&mut self, rng: &mut impl Rng) -> Option<SocketAddr> {
-        if self.round.is_empty() {
-            self.round = self.peers_where(|state| state != VmState::Dead);
-            for peer in &self.peers {
-                if !self.facts.contains_key(&FactKey::Vm(*peer)) {
-                    self.round.push(*peer);
-                }
-            }
-            self.round.shuffle(rng);
-        }
-        self.round.pop()
-    }
-
-    fn probe_dead(&mut self, rng: &mut impl Rng, out: &mut Outgoing) {
-        let mut dead = self.peers_where(|state| state == VmState::Dead);
-        dead.retain(|peer| self.peers.contains(peer));
-        if let Some(target) = dead.choose(rng).copied() {
-            let sequence = self.sequence();
-            out.push((target, self.datagram(Purpose::Probe { sequence })));
+            self.urgent_room = self.urgent_room.saturating_sub(URGENT_FAN_OUT);
         }
     }
 
@@ -518,112 +353,33 @@
         if message.protocol_version != PROTOCOL_VERSION {
             return (out, Vec::new());
         }
-        let news = self.merge(message.facts, now_ms);
-        let differs = message.digest != self.digest();
+        let spread = match message.purpose {
+            Purpose::Repair => Spread::Hold,
+            _ => Spread::Queue,
+        };
+        let news = self.take(message.facts, from, spread, now_ms);
         match message.purpose {
             Purpose::Probe { sequence } => {
                 self.tell_state(from, message.incarnation);
                 out.push((from, self.datagram(Purpose::Ack { sequence })));
-                if differs {
-                    out.push((
-                        from,
-                        self.bare(Purpose::Compare {
-                            buckets: self.buckets.clone(),
-                        }),
-                    ));
+                if message.digest != self.digest() {
+                    self.offer_compare(from, now_ms, &mut out);
                 }
             }
             Purpose::Ack { sequence } => self.acknowledge(sequence, &mut out),
             Purpose::Relay { sequence, target } => {
-                let own = self.sequence();
-                let relayed = RelayedProbe {
-                    origin: from,
-                    origin_sequence: sequence,
-                    sent_ms: now_ms,
-                };
-                self.relayed
-                    .retain(|_, probe| now_ms < probe.sent_ms + 10_000);
-                self.relayed.insert(own, relayed);
-                out.push((target, self.datagram(Purpose::Probe { sequence: own })));
+                self.relay(from, sequence, target, now_ms, &mut out);
             }
-            Purpose::Push => {}
+            Purpose::Push | Purpose::Repair => {}
             Purpose::Compare { buckets } => self.compare(from, &buckets, rng, &mut out),
-            Purpose::Pull { buckets } => self.send_buckets(from, buckets, rng, &mut out),
+            Purpose::Hashes { hashes, answer } => {
+                self.answer_hashes(from, &hashes, answer, &mut out);
+            }
         }
         self.push_urgent(rng, &mut out);
         (out, news)
     }
 
-    /// Queues what is held against a peer that is thought dead or suspect, so that it can refute.
-    fn tell_state(&mut self, peer: SocketAddr, incarnation: Incarnation) {
-        let key = FactKey::Vm(peer);
-        let Some(entry) = self.facts.get(&key) else {
-            return;
-        };
-        let Fact::Vm {
-            incarnation: known,
-            state,
-            ..
-        } = entry.fact
-        else {
-            return;
-        };
-        if known == incarnation && state >= VmState::Suspect {
-            self.queue.retain(|(queued, _)| *queued != key);
-            self.queue.push_front((key, 0));
-        }
-    }
-
-    fn acknowledge(&mut self, sequence: u64, out: &mut Outgoing) {
-        if self.probe.is_some_and(|probe| probe.sequence == sequence) {
-            self.probe = None;
-        }
-        if let Some(relayed) = self.relayed.remove(&sequence) {
-            let purpose = Purpose::Ack {
-                sequence: relayed.origin_sequence,
-            };
-            out.push((relayed.origin, self.datagram(purpose)));
-        }
-    }
-
-    /// Sends the facts of buckets that differ, and asks for the peer's.
-    fn compare(
-        &self,
-        from: SocketAddr,
-        theirs: &[u64; BUCKETS],
-        rng: &mut impl Rng,
-        out: &mut Outgoing,
-    ) {
-        let mut differing = 0_u32;
-        for (index, bucket) in theirs.iter().enumerate() {
-            if *bucket != self.buckets[index] {
-                differing |= 1 << index;
-            }
-        }
-        if differing == 0 {
-            return;
-        }
-        self.send_buckets(from, differing, rng, out);
-        out.push((from, self.bare(Purpose::Pull { buckets: differing })));
-    }
-
-    fn send_buckets(&self, to: SocketAddr, wanted: u32, rng: &mut impl Rng, out: &mut Outgoing) {
-        let mut facts = Vec::new();
-        for (key, entry) in &self.facts {
-            if wanted & (1 << bucket_of(key)) != 0 {
-                facts.push(entry.fact.clone());
-            }
-        }
-        let mut parts = split_facts(facts);
-        let start = rng.random_range(0..parts.len().max(1));
-        parts.rotate_left(start);
-        for part in parts.into_iter().take(REPAIR_DATAGRAMS) {
-            let mut message = self.bare(Purpose::Push);
-            message.facts = part;
-            out.push((to, message));
-        }
-    }
-
     fn bare(&self, purpose: Purpose) -> Datagram {
         Datagram {
             protocol_version: PROTOCOL_VERSION,
@@ -636,77 +392,19 @@
 
     /// Makes a datagram that carries the facts sent least often so far.
     fn datagram(&mut self, purpose: Purpose) -> Datagram {
-        let mut message = self.bare(purpose);
         let limit = self.transmissions();
-        let mut room_bytes = MAX_DATAGRAM_BYTES - HEADER_BYTES;
-        let mut sent = Vec::new();
-        for _ in 0..self.queue.len() {
-            let Some((key, count)) = self.queue.pop_front() else {
-                break;
-            };
-            let Some(entry) = self.facts.get(&key) else {
-                continue;
-            };
-            let bytes = encoded_bytes(&entry.fact);
-            if bytes > room_bytes {
-                self.queue.push_front((key, count));
-                break;
-            }
-            room_bytes -= bytes;
-            message.facts.push(entry.fact.clone());
-            if count + 1 < limit {
-                sent.push((key, count + 1));
-            }
+        let room_bytes = MAX_DATAGRAM_BYTES - HEADER_BYTES;
+        let facts = self.table.take_queued(room_bytes, limit);
+        Datagram {
+            facts,
+            ..self.bare(purpose)
         }
-        self.queue.extend(sent);
-        message
     }
 
-    /// Returns how often one fact is sent: enough to reach all VMs with high probability.
+    /// Returns how often one fact is sent: enough to reach all VMs with high probability. Comparisons
+    /// bring the rest.
     fn transmissions(&self) -> u32 {
         let vms = self.peers.len().max(1);
-        3 * (vms.ilog2() + 1)
-    }
-}
-
-fn bucket_of(key: &FactKey) -> usize {
-    (fact_hash(key, &[0; 3]) % BUCKETS as u64) as usize
-}
-
-fn fact_hash(key: &FactKey, rank: &[u64; 3]) -> u64 {
-    let mut bytes = Vec::with_capacity(64);
-    match key {
-        FactKey::Vm(address) => bytes.extend_from_slice(format!("v{address}").as_bytes()),
-        FactKey::Document(name) => bytes.extend_from_slice(format!("d{name}").as_bytes()),
-        FactKey::Leaf(address) => bytes.extend_from_slice(format!("l{address}").as_bytes()),
-        FactKey::Quarantine(hash) => bytes.extend_from_slice(format!("q{hash}").as_bytes()),
-    }
-    for part in rank {
-        bytes.extend_from_slice(&part.to_le_bytes());
-    }
-    xxh3_64(&bytes)
-}
-
-fn encoded_bytes(fact: &Fact) -> usize {
-    encode(fact).map_or(MAX_DATAGRAM_BYTES, |bytes| bytes.len())
-}
-
-/// Splits facts into parts that fit a datagram each.
-fn split_facts(facts: Vec<Fact>) -> Vec<Vec<Fact>> {
-    let mut parts = Vec::new();
-    let mut part = Vec::new();
-    let mut room_bytes = MAX_DATAGRAM_BYTES - HEADER_BYTES;
-    for fact in facts {
-        let bytes = encoded_bytes(&fact);
-        if bytes > room_bytes && !part.is_empty() {
-            parts.push(std::mem::take(&mut part));
-            room_bytes = MAX_DATAGRAM_BYTES - HEADER_BYTES;
-        }
-        room_bytes = room_bytes.saturating_sub(bytes);
-        part.push(fact);
-    }
-    if !part.is_empty() {
-        parts.push(part);
+        vms.ilog2() + 3
     }
-    parts
 }
--- /dev/null
+++ b/src/gossip/probe.rs
@@ -0,0 +1,214 @@
+//! Probes: direct, through relays, then suspicion and death.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::seq::{IndexedRandom, SliceRandom};
+
+use super::table::Spread;
+use super::{Datagram, Gossip, Outgoing, Purpose};
+use crate::fact::{Fact, FactKey, VmState};
+use crate::ids::Incarnation;
+
+/// Peers asked to probe on our behalf.
+const RELAYS: usize = 3;
+
+/// Time for which the origin of a relayed probe is kept.
+const RELAY_KEEP_MS: u64 = 10_000;
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Probe {
+    pub(super) sequence: u64,
+    pub(super) target: SocketAddr,
+    pub(super) sent_ms: u64,
+    pub(super) relayed: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RelayedProbe {
+    origin: SocketAddr,
+    origin_sequence: u64,
+    sent_ms: u64,
+}
+
+impl Gossip {
+    /// Starts a probe of the next VM of the round.
+    pub(super) fn start_probe(&mut self, now_ms: u64, rng: &mut impl Rng, out: &mut Outgoing) {
+        let Some(target) = self.next_target(rng) else {
+            return;
+        };
+        let sequence = self.sequence();
+        self.probe = Some(Probe {
+            sequence,
+            target,
+            sent_ms: now_ms,
+            relayed: false,
+        });
+        out.push((target, self.datagram(Purpose::Probe { sequence })));
+    }
+
+    /// Escalates the open probe: through relays after the ack timeout, then to a suspicion.
+    pub(super) fn check_probe(&mut self, now_ms: u64, rng: &mut impl Rng, out: &mut Outgoing) {
+        let Some(mut probe) = self.probe else {
+            return;
+        };
+        let waited_ms = now_ms.saturating_sub(probe.sent_ms);
+        if waited_ms >= self.timing.probe_interval_ms {
+            self.probe = None;
+            self.suspect(probe.target, now_ms, out);
+            return;
+        }
+        if waited_ms < self.timing.ack_timeout_ms || probe.relayed {
+            return;
+        }
+        probe.relayed = true;
+        self.probe = Some(probe);
+        let mut peers = self.live_peers();
+        peers.retain(|peer| *peer != probe.target);
+        for relay in peers.sample(rng, RELAYS) {
+            let purpose = Purpose::Relay {
+                sequence: probe.sequence,
+                target: probe.target,
+            };
+            out.push((*relay, self.datagram(purpose)));
+        }
+    }
+
+    /// Suspects a VM and tells it so at once: it has the suspicion time to refute.
+    fn suspect(&mut self, target: SocketAddr, now_ms: u64, out: &mut Outgoing) {
+        self.escalate(target, VmState::Suspect, now_ms);
+        let Some(entry) = self.table.get(&FactKey::Vm(target)) else {
+            return;
+        };
+        let message = Datagram {
+            facts: vec![entry.fact.clone()],
+            ..self.bare(Purpose::Push)
+        };
+        out.push((target, message));
+    }
+
+    /// Raises the state of a VM's current incarnation.
+    fn escalate(&mut self, target: SocketAddr, to: VmState, now_ms: u64) {
+        let Some(entry) = self.table.get(&FactKey::Vm(target)) else {
+            return;
+        };
+        let mut fact = entry.fact.clone();
+        let Fact::Vm { state, .. } = &mut fact else {
+            return;
+        };
+        if *state < to {
+            *state = to;
+            self.insert(fact, None, Spread::Queue, now_ms);
+        }
+    }
+
+    /// Declares long suspects dead and forgets VMs that are dead and no longer listed.
+    pub(super) fn expire_vms(&mut self, now_ms: u64) {
+        let mut dead = Vec::new();
+        let mut forgotten = Vec::new();
+        for (address, state, entry) in self.table.vms() {
+            let age_ms = now_ms.saturating_sub(entry.received_ms);
+            if state == VmState::Suspect && age_ms >= self.timing.suspicion_ms {
+                dead.push(address);
+            }
+            let listed = self.peers.contains(&address);
+            if state == VmState::Dead && !listed && age_ms >= self.timing.forget_ms {
+                forgotten.push(FactKey::Vm(address));
+            }
+        }
+        for address in dead {
+            self.escalate(address, VmState::Dead, now_ms);
+        }
+        for key in forgotten {
+            self.table.remove(&key);
+        }
+    }
+
+    /// Restarts what time decides after this process did not run for a while: acknowledgements and
+    /// refutations may have arrived unread.
+    pub(super) fn resume(&mut self, now_ms: u64) {
+        self.probe = None;
+        self.table.restart_suspicions(now_ms);
+    }
+
+    /// Returns the next VM of a shuffled round over all that are not dead.
+    fn next_target(&mut self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        if self.round.is_empty() {
+            self.round = self.peers_where(|state| state != VmState::Dead);
+            for peer in &self.peers {
+                if self.table.get(&FactKey::Vm(*peer)).is_none() {
+                    self.round.push(*peer);
+                }
+            }
+            self.round.shuffle(rng);
+        }
+        loop {
+            let target = self.round.pop()?;
+            // A VM that died during the round is left to the probes of dead VMs.
+            if self.vm_state(target) != Some(VmState::Dead) {
+                return Some(target);
+            }
+        }
+    }
+
+    /// Probes a dead VM that is still listed, so that a partition heals.
+    pub(super) fn probe_dead(&mut self, rng: &mut impl Rng, out: &mut Outgoing) {
+        let mut dead = self.peers_where(|state| state == VmState::Dead);
+        dead.retain(|peer| self.peers.contains(peer));
+        if let Some(target) = dead.choose(rng).copied() {
+            let sequence = self.sequence();
+            out.push((target, self.datagram(Purpose::Probe { sequence })));
+        }
+    }
+
+    /// Relays a probe on a peer's behalf.
+    pub(super) fn relay(
+        &mut self,
+        origin: SocketAddr,
+        origin_sequence: u64,
+        target: SocketAddr,
+        now_ms: u64,
+        out: &mut Outgoing,
+    ) {
+        let sequence = self.sequence();
+        self.relayed
+            .retain(|_, probe| now_ms < probe.sent_ms + RELAY_KEEP_MS);
+        let relayed = RelayedProbe {
+            origin,
+            origin_sequence,
+            sent_ms: now_ms,
+        };
+        self.relayed.insert(sequence, relayed);
+        out.push((target, self.datagram(Purpose::Probe { sequence })));
+    }
+
+    pub(super) fn acknowledge(&mut self, sequence: u64, out: &mut Outgoing) {
+        if self.probe.is_some_and(|probe| probe.sequence == sequence) {
+            self.probe = None;
+        }
+        if let Some(relayed) = self.relayed.remove(&sequence) {
+            let purpose = Purpose::Ack {
+                sequence: relayed.origin_sequence,
+            };
+            out.push((relayed.origin, self.datagram(purpose)));
+        }
+    }
+
+    /// Queues what is held against a peer that is thought dead or suspect, or about its successor on
+    /// the address, so that it can refute or stop.
+    pub(super) fn tell_state(&mut self, peer: SocketAddr, sender: Incarnation) {
+        let key = FactKey::Vm(peer);
+        let Some(entry) = self.table.get(&key) else {
+            return;
+        };
+        let Fact::Vm {
+            incarnation, state, ..
+        } = entry.fact
+        else {
+            return;
+        };
+        if incarnation != sender || state >= VmState::Suspect {
+            self.table.queue(&key);
+        }
+    }
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -68,6 +68,11 @@
         self.0 >> INCARNATION_RANDOM_BITS
     }
 
+    /// Returns all bits, in the order of incarnations.
+    pub fn bits(self) -> u64 {
+        self.0
+    }
+
     /// Parses the form that `Display` writes.
     pub fn parse(text: &str) -> Option<Self> {
         if text.len() != 16 {
--- a/src/link.rs
+++ b/src/link.rs
@@ -362,6 +362,9 @@
             .kernel
             .find(CONTROL)
             .map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+        if control.is_superseded() {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
         if control.admits(address) {
             Ok(())
         } else {
@@ -378,6 +381,12 @@
         let Some(BatchCommand::Start(batch)) = frames.next().await? else {
             return Err(LinkStreamError::Unexpected);
         };
+        let control: Arc<Control> = self.kernel.find(CONTROL)?;
+        control.ensure_fresh().await;
+        if control.is_superseded() {
+            refuse(respond, StatusCode::SERVICE_UNAVAILABLE);
+            return Ok(());
+        }
         let mut stream = respond.send_response(Response::new(()), false)?;
         let (sender, mut replies) = mpsc::channel(REPLY_BUFFER);
         let running = owner.submit(batch, sender);
--- a/src/node.rs
+++ b/src/node.rs
@@ -100,6 +100,7 @@
         let control = Control::spawn(
             Arc::clone(&settings),
             Arc::clone(&link),
+            Arc::clone(&telemetry),
             incarnation,
             socket,
             &stop_internal,
@@ -173,6 +174,11 @@
 }
 
 impl Node<Ready> {
+    /// Waits until another process has taken this VM's address.
+    pub async fn superseded(&self) {
+        self.control.superseded().await;
+    }
+
     /// Leaves the address answers, and serves on for as long as an answer may be kept.
     pub async fn drain(self) -> Node<Draining> {
         info!(event = "node_draining", vm = %self.settings.vm, keep_ms = self.settings.keep_ms);
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -29,7 +29,13 @@
     pub in_flight: usize,
     /// How documents were compared with peers: `pending`, `none` or `done`.
     pub peer_check: &'static str,
-    /// Whether the platform serves older documents than those in force.
+    /// Pauses of this process that were noticed; after each one documents were compared again.
+    pub pauses: u64,
+    /// Whether another process has taken this VM's address, so that this one stops.
+    pub superseded: bool,
+    /// Whether this VM watches the platform.
+    pub is_watcher: bool,
+    /// Whether the platform serves older documents than those in force; known to watchers only.
     pub platform_behind: bool,
     /// Documents in force, and as last announced by peers.
     pub documents: Vec<DocumentStatus>,
@@ -130,6 +136,9 @@
                 PeerCheck::None => "none",
                 PeerCheck::Done => "done",
             },
+            pauses: control.pauses(),
+            superseded: control.is_superseded(),
+            is_watcher: control.is_watcher(),
             platform_behind: control.is_platform_behind(),
             documents,
             history: control.history(),
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::control::Control;
-use crate::fact::{Fact, LeafState};
+use crate::fact::LeafState;
 use crate::fleet::Leaf;
 use crate::ids::{CallId, Snapshot};
 use crate::leaf::{LeafConnection, LeafRequest, LeafStatus, Serving};
@@ -230,13 +230,7 @@
 
     fn publish(&self, address: SocketAddr, state: LeafState, snapshots: Vec<Snapshot>) {
         info!(event = "leaf_state", leaf = %address, state = ?state, snapshots = snapshots.len());
-        let observed_unix_ms = unix_ms();
-        self.control.publish(Fact::Leaf {
-            address,
-            observed_unix_ms,
-            state,
-            snapshots,
-        });
+        self.control.publish_leaf(address, state, snapshots);
     }
 
     async fn status(&self, leaf: &OwnedLeaf) -> Option<LeafStatus> {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 /// Prefix of all keys of the system.
@@ -22,7 +23,7 @@
 const MAX_ANSWER_BYTES: usize = 64 * 1_048_576;
 
 /// Longest wait for an answer beyond the time that a watch was asked to block.
-const ANSWER_TIMEOUT_MS: u64 = 2_000;
+const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
 /// A read or watch failed.
 #[derive(Debug, Error)]
@@ -68,6 +69,8 @@
     pub index: u64,
     /// All values.
     pub values: Vec<PlatformValue>,
+    /// Size of the answer.
+    pub answer_bytes: u64,
 }
 
 #[derive(Deserialize)]
@@ -115,16 +118,16 @@
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(failed)?;
-        let driver = tokio::spawn(connection);
+        // The driver ends with the set, also when the exchange times out.
+        let mut driver = JoinSet::new();
+        driver.spawn(connection);
         let path = format!("/v1/kv/{KEY_PREFIX}?recurse=true&index={index}&wait={wait_ms}ms");
         let request = http::Request::get(path)
             .header(http::header::HOST, address.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|_| PlatformError::Malformed)?;
         let response = sender.send_request(request).await.map_err(failed)?;
-        let result = parse(response).await;
-        driver.abort();
-        result
+        parse(response).await
     }
 }
 
@@ -144,6 +147,7 @@
         return Ok(PlatformRead {
             index,
             values: Vec::new(),
+            answer_bytes: 0,
         });
     }
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
@@ -151,6 +155,7 @@
         .await
         .map_err(|_| PlatformError::Malformed)?
         .to_bytes();
+    let body_bytes = body.len() as u64;
     let entries: Vec<KvEntry> =
         serde_json::from_slice(&body).map_err(|_| PlatformError::Malformed)?;
     let mut values = Vec::with_capacity(entries.len());
@@ -168,5 +173,9 @@
             body,
         });
     }
-    Ok(PlatformRead { index, values })
+    Ok(PlatformRead {
+        index,
+        values,
+        answer_bytes: body_bytes,
+    })
 }
--- a/src/root.rs
+++ b/src/root.rs
@@ -182,6 +182,9 @@
             return Err(refuse(Reason::Draining));
         }
         self.control.ensure_fresh().await;
+        if self.control.is_superseded() {
+            return Err(refuse(Reason::Draining));
+        }
         self.check(request).map_err(|reason| match reason {
             Reason::Quarantined => self.refuse_quarantined(request),
             reason => refuse(reason),
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -1,26 +1,43 @@
 //! Exchange of documents with peers: at start, after a pause, and when gossip announces one.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bincode::Encode;
+use bincode::enc::EncoderImpl;
+use bincode::enc::write::SizeWriter;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
 use crate::clock::boot_ms;
 use crate::config::MAX_FILE_BYTES;
-use crate::control::{Control, PeerCheck};
+use crate::control::{Control, PeerCheck, WatchPosition};
 use crate::fact::Fact;
+use crate::link::LinkError;
+use crate::watcher::Backoff;
 use crate::wire::{DocumentBody, DocumentRequest};
 
-/// Time between two looks for documents that are missing.
-const REPAIR_INTERVAL_MS: u64 = 100;
+/// Shortest delay after a fetch that left a document missing; it doubles up to 32 times this.
+const REPAIR_DELAY_MS: u64 = 50;
+
+/// Answers awaited from the peers asked.
+const WANTED_ANSWERS: usize = 2;
+
+/// Pause between two attempts to join, so that nodes started together don't ask in step.
+const JOIN_PAUSE_MS: std::ops::Range<u64> = 100..300;
+
+/// Time after which a node that met no peer yields its address to a process that claims it.
+const LONE_START_MS: u64 = 10_000;
 
 /// Peers asked when joining or after a pause.
 const PEERS_ASKED: usize = 3;
@@ -47,33 +64,44 @@
 }
 
 impl Control {
-    /// Learns documents and facts before the node serves: from peers, and from the platform.
+    /// Learns documents and facts before the node serves: from peers, and from the platform only if
+    /// it takes the platform to find a peer.
     ///
     /// Returns once a peer answered, or once the platform answered and no peer could be reached.
     pub async fn join(self: &Arc<Self>) {
-        loop {
-            let from_platform = match self.read_platform(0).await {
-                Ok(_) => true,
-                Err(error) => {
-                    warn!(event = "platform_read_failed", %error);
-                    false
-                }
-            };
+        let mut backoff = Backoff::default();
+        let mut next_read_ms = 0;
+        let check = loop {
             if self.ask_peers(JOIN_TIMEOUT_MS).await {
-                self.peer_check
-                    .store(PeerCheck::Done as u64, Ordering::Relaxed);
-                info!(event = "joined", peer_check = "done", from_platform);
-                return;
+                break PeerCheck::Done;
             }
-            if from_platform {
-                self.peer_check
-                    .store(PeerCheck::None as u64, Ordering::Relaxed);
-                info!(event = "joined", peer_check = "none", from_platform);
-                return;
+            if boot_ms() >= next_read_ms {
+                match self.read_platform(WatchPosition::default()).await {
+                    Ok(_) if self.ask_peers(JOIN_TIMEOUT_MS).await => break PeerCheck::Done,
+                    Ok(_) => break PeerCheck::None,
+                    Err(error) => {
+                        let delay_ms = backoff.next_delay_ms(&mut rand::rng());
+                        warn!(event = "platform_read_failed", %error, delay_ms);
+                        next_read_ms = boot_ms() + delay_ms;
+                    }
+                }
             }
-            let delay_ms = rand::random_range(100..500);
+            let delay_ms = rand::random_range(JOIN_PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        };
+        self.peer_check.store(check as u64, Ordering::Relaxed);
+        self.joined.cancel();
+        info!(event = "joined", peer_check = ?check);
+        if check == PeerCheck::Done {
+            self.state().gossip.establish();
+            return;
         }
+        let control = Arc::clone(self);
+        let lone = Duration::from_millis(LONE_START_MS);
+        tokio::spawn(async move {
+            tokio::time::sleep(lone).await;
+            control.state().gossip.establish();
+        });
     }
 
     fn known_peers(&self) -> Vec<SocketAddr> {
@@ -88,29 +116,55 @@
         peers
     }
 
-    /// Takes documents and facts from a few peers at once; returns whether any answered.
+    /// Takes facts and documents from a few peers at once; returns whether any answered.
+    ///
+    /// Two answers are awaited if two peers are asked: one peer alone may have been paused too.
     async fn ask_peers(&self, timeout_ms: u64) -> bool {
         let mut peers = self.known_peers();
         peers.shuffle(&mut rand::rng());
+        let limit = Duration::from_millis(timeout_ms);
         for group in peers.chunks(PEERS_ASKED) {
-            let limit = Duration::from_millis(timeout_ms);
-            let exchanges = group
+            let mut exchanges: FuturesUnordered<_> = group
                 .iter()
-                .map(|peer| timeout(limit, self.exchange(*peer)));
-            let results = futures_util::future::join_all(exchanges).await;
-            if results.into_iter().any(|result| result.unwrap_or(false)) {
+                .map(|peer| timeout(limit, self.exchange(*peer)))
+                .collect();
+            let mut answers = 0;
+            while let Some(result) = exchanges.next().await {
+                answers += usize::from(result.unwrap_or(false));
+                if answers == WANTED_ANSWERS {
+                    break;
+                }
+            }
+            if answers > 0 {
                 return true;
             }
         }
         false
     }
 
+    /// Takes a peer's facts, and the documents that it announces and this node lacks.
     async fn exchange(&self, peer: SocketAddr) -> bool {
-        let Ok(facts) = self.link.call::<_, Vec<Fact>>(peer, "/facts", &()).await else {
+        let mut facts = self.link.call::<_, Vec<Fact>>(peer, "/facts", &()).await;
+        if matches!(facts, Err(LinkError::Broken { .. })) {
+            // A connection from before a pause may be dead; the second call sets up a new one.
+            facts = self.link.call(peer, "/facts", &()).await;
+        }
+        let Ok(facts) = facts else {
             return false;
         };
-        self.merge(facts);
-        self.fetch(peer, Vec::new()).await
+        self.count_received(&facts);
+        self.merge(facts, peer);
+        let mut names = Vec::new();
+        for (name, _) in self.missing_documents() {
+            names.push(name);
+        }
+        names.is_empty() || self.fetch(peer, names).await
+    }
+
+    /// Counts a message of a control stream that was received.
+    fn count_received(&self, message: &impl Encode) {
+        self.telemetry
+            .count_control_bytes("link", "received", encoded_bytes(message));
     }
 
     /// Fetches documents from a peer; no names means all.
@@ -123,6 +177,7 @@
                 return false;
             }
         };
+        self.count_received(&bodies);
         for document in bodies {
             let Some(body) = inflate(&document.deflated) else {
                 warn!(event = "document_malformed", %peer, name = %document.name);
@@ -133,30 +188,66 @@
         true
     }
 
-    /// Fetches announced documents from peers until they are in force here.
+    /// Fetches announced documents until they are in force here: from the peer that announced them,
+    /// then from any.
     pub(crate) async fn run_repair(self: Arc<Self>) {
-        let mut interval = tokio::time::interval(Duration::from_millis(REPAIR_INTERVAL_MS));
+        let mut failures = 0_u32;
         loop {
-            interval.tick().await;
             let missing = self.missing_documents();
             if missing.is_empty() {
+                failures = 0;
+                self.announced.notified().await;
                 continue;
             }
+            let mut by_peer: BTreeMap<SocketAddr, Vec<Box<str>>> = BTreeMap::new();
             let peers = self.state().gossip.live_peers();
-            let Some(peer) = peers.choose(&mut rand::rng()).copied() else {
+            for (name, source) in missing {
+                let source = source.filter(|_| failures == 0);
+                let any = peers.choose(&mut rand::rng()).copied();
+                if let Some(peer) = source.or(any) {
+                    by_peer.entry(peer).or_default().push(name);
+                }
+            }
+            let limit = Duration::from_millis(JOIN_TIMEOUT_MS);
+            let fetches = by_peer
+                .into_iter()
+                .map(|(peer, names)| timeout(limit, self.fetch(peer, names)));
+            futures_util::future::join_all(fetches).await;
+            if self.missing_documents().is_empty() {
                 continue;
-            };
-            self.fetch(peer, missing).await;
+            }
+            failures = failures.saturating_add(1);
+            let ceiling_ms = REPAIR_DELAY_MS.saturating_mul(1 << failures.min(5));
+            let delay_ms = rand::random_range(REPAIR_DELAY_MS / 2..=ceiling_ms);
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
     }
 
     /// Asks peers for newer documents if the process may have been paused.
     pub async fn ensure_fresh(&self) {
-        if !self.stale.load(Ordering::SeqCst) && !self.is_paused(boot_ms()) {
-            return;
+        while let Some(pause) = self.freshness.check(boot_ms()) {
+            let _turn = self.refreshing.lock().await;
+            if self.freshness.check(boot_ms()) != Some(pause) {
+                continue;
+            }
+            let limit = Duration::from_millis(REFRESH_TIMEOUT_MS);
+            let asked = timeout(limit, self.ask_peers(REFRESH_TIMEOUT_MS)).await;
+            let answered = asked.unwrap_or(false);
+            info!(event = "refreshed_after_pause", answered);
+            let check = if answered {
+                PeerCheck::Done
+            } else {
+                PeerCheck::None
+            };
+            self.peer_check.store(check as u64, Ordering::Relaxed);
+            self.freshness.compared(pause);
         }
-        let answered = self.ask_peers(REFRESH_TIMEOUT_MS).await;
-        info!(event = "refreshed_after_pause", answered);
-        self.stale.store(false, Ordering::SeqCst);
     }
 }
+
+/// Returns the encoded size of a message without encoding it.
+pub(crate) fn encoded_bytes(message: &impl Encode) -> usize {
+    let mut size = EncoderImpl::new(SizeWriter::default(), bincode::config::standard());
+    let _ = message.encode(&mut size);
+    size.into_writer().bytes_written
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -5,6 +5,7 @@
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use rustix::time::{ClockId, clock_gettime};
 use thiserror::Error;
 use tracing_subscriber::EnvFilter;
 use tracing_subscriber::layer::SubscriberExt;
@@ -58,6 +59,36 @@
     lacking_shards: Counter<u64>,
     extra_calls: Counter<u64>,
     unexpected_replies: Counter<u64>,
+    platform_calls: Counter<u64>,
+    platform_bytes: Counter<u64>,
+    control_bytes: Counter<u64>,
+    control_cpu_us: Counter<u64>,
+}
+
+/// Processor time of the calling thread since a start; valid between two points without `await`.
+#[derive(Clone, Copy, Debug)]
+pub struct CpuTime {
+    started_us: u64,
+}
+
+impl CpuTime {
+    /// Starts to measure.
+    pub fn start() -> Self {
+        Self {
+            started_us: thread_cpu_us(),
+        }
+    }
+
+    /// Returns the time since the start.
+    pub fn elapsed_us(&self) -> u64 {
+        thread_cpu_us().saturating_sub(self.started_us)
+    }
+}
+
+fn thread_cpu_us() -> u64 {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    seconds * 1_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000
 }
 
 impl Telemetry {
@@ -80,6 +111,10 @@
             lacking_shards: meter.u64_counter("cloverrack_lacking_shards").build(),
             extra_calls: meter.u64_counter("cloverrack_extra_calls").build(),
             unexpected_replies: meter.u64_counter("cloverrack_unexpected_replies").build(),
+            platform_calls: meter.u64_counter("cloverrack_platform_calls").build(),
+            platform_bytes: meter.u64_counter("cloverrack_platform_bytes").build(),
+            control_bytes: meter.u64_counter("cloverrack_control_bytes").build(),
+            control_cpu_us: meter.u64_counter("cloverrack_control_cpu_us").build(),
             registry,
             _provider: provider,
         })
@@ -104,6 +139,33 @@
         self.unexpected_replies.add(1, &[]);
     }
 
+    /// Counts a call to the platform and the bytes of its answer.
+    pub fn count_platform_call(&self, succeeded: bool, answer_bytes: u64) {
+        self.platform_calls
+            .add(1, &[KeyValue::new("succeeded", succeeded)]);
+        self.platform_bytes.add(answer_bytes, &[]);
+    }
+
+    /// Counts bytes of control traffic; `transport` is `udp` or `link`, `direction` `sent` or
+    /// `received`.
+    pub fn count_control_bytes(
+        &self,
+        transport: &'static str,
+        direction: &'static str,
+        bytes: usize,
+    ) {
+        let labels = [
+            KeyValue::new("transport", transport),
+            KeyValue::new("direction", direction),
+        ];
+        self.control_bytes.add(bytes as u64, &labels);
+    }
+
+    /// Counts processor time that control used.
+    pub fn count_control_cpu(&self, time: &CpuTime) {
+        self.control_cpu_us.add(time.elapsed_us(), &[]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/watcher.rs
+++ b/src/watcher.rs
@@ -14,6 +14,31 @@
 /// Longest delay after failed reads.
 const MAX_DELAY_MS: u64 = 5_000;
 
+/// Bytes per second that one watcher spends on answers to watches that no change ended. The service
+/// answers each watch with all values; a fixed wait would cost more as the files grow.
+const WATCH_BYTES_PER_S: u64 = 8_192;
+
+/// Shortest wait of a watch; it bounds the calls.
+const MIN_WATCH_MS: u64 = 1_000;
+
+/// Longest wait of a watch; it bounds how long a stalled watch goes unnoticed.
+const MAX_WATCH_MS: u64 = 30_000;
+
+/// Returns how long the next watch blocks after an answer of `answer_bytes`, within a fifth.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::watcher::watch_wait_ms;
+/// let wait_ms = watch_wait_ms(32_768, &mut rand::rng());
+/// assert!((3_200..=4_800).contains(&wait_ms));
+/// ```
+pub fn watch_wait_ms(answer_bytes: u64, rng: &mut impl Rng) -> u64 {
+    let wait_ms =
+        (answer_bytes.saturating_mul(1_000) / WATCH_BYTES_PER_S).clamp(MIN_WATCH_MS, MAX_WATCH_MS);
+    wait_ms * rng.random_range(80..=120) / 100
+}
+
 /// Chooses the VMs that watch the platform: in each failure domain the first in hash order, and
 /// more in hash order up to [`MIN_WATCHERS`].
 ///
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod server;
 
 pub use leaf::{Execution, LeafOptions, LeafStandin, Misbehaviour};
-pub use platform::PlatformStandin;
+pub use platform::{Backup, PlatformStandin};
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -36,6 +36,15 @@
     stale: Option<(u64, BTreeMap<String, Value>)>,
     down: bool,
     calls: u64,
+    watches: u64,
+    stalled_of_three: u64,
+}
+
+/// Values at one time, as a backup holds them.
+#[derive(Clone, Debug)]
+pub struct Backup {
+    index: u64,
+    values: BTreeMap<String, Value>,
 }
 
 /// A running stand-in for the configuration service.
@@ -103,6 +112,30 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// Returns a backup of all values.
+    pub fn backup(&self) -> Backup {
+        let state = self.state();
+        Backup {
+            index: state.index,
+            values: state.values.clone(),
+        }
+    }
+
+    /// Replaces all values by a backup; revisions go on from those of the backup.
+    pub fn restore(&self, backup: Backup) {
+        {
+            let mut state = self.state();
+            state.index = backup.index;
+            state.values = backup.values;
+        }
+        self.changed.send_modify(|_| {});
+    }
+
+    /// Lets so many of any three successive watches hang without an answer. Reads are answered.
+    pub fn set_stalled_of_three(&self, watches: u64) {
+        self.state().stalled_of_three = watches;
+    }
+
     /// Returns the calls counted so far; a waiting watch is one.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -170,6 +203,9 @@
         let wait_ms: u64 = parameter("wait")
             .and_then(|text| text.trim_end_matches("ms").parse().ok())
             .unwrap_or(0);
+        if index > 0 && self.is_stalled() {
+            std::future::pending::<()>().await;
+        }
         let mut changed = self.changed.subscribe();
         let newer = async {
             while !self.state().down && self.visible_index() <= index {
@@ -182,6 +218,13 @@
         self.answer(prefix)
     }
 
+    /// Counts a watch; returns whether it is one of those that hang.
+    fn is_stalled(&self) -> bool {
+        let mut state = self.state();
+        state.watches += 1;
+        state.watches % 3 < state.stalled_of_three
+    }
+
     fn visible_index(&self) -> u64 {
         let state = self.state();
         state
--- /dev/null
+++ b/tests/configuration.rs
@@ -0,0 +1,345 @@
+//! Configuration on 8 separate processes: a file is in force completely or not at all, everywhere
+//! within 2 s, and never reverts, whatever the platform does.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail like tests")]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use cloverrack::Outcome;
+use cloverrack::answer::{Answer, Reason};
+use serde_json::Value;
+use support::{Cluster, Shape, eventually, exchange, request};
+
+const VMS: usize = 8;
+const KEY: &str = "cloverrack/config/test";
+
+/// Bound of the promise.
+const BOUND: Duration = Duration::from_secs(2);
+
+fn shape() -> Shape {
+    Shape {
+        vms: VMS,
+        ..Shape::default()
+    }
+}
+
+fn revision_of(status: &Value) -> Option<(u64, u64)> {
+    let documents = status["documents"].as_array()?;
+    let document = documents.iter().find(|d| d["name"] == "config/test")?;
+    let version = &document["version"];
+    Some((version["epoch"].as_u64()?, version["revision"].as_u64()?))
+}
+
+async fn revision(cluster: &Cluster, vm: usize) -> Option<(u64, u64)> {
+    revision_of(&cluster.status(vm).await?)
+}
+
+/// Waits until a version is in force on all VMs; returns the time it took.
+async fn in_force(cluster: &Cluster, version: (u64, u64)) -> Duration {
+    let started = Instant::now();
+    for vm in 0..cluster.daemons.len() {
+        eventually("the version is in force", async || {
+            revision(cluster, vm).await == Some(version)
+        })
+        .await;
+    }
+    started.elapsed()
+}
+
+/// Returns whether the history of a VM lists a revision in a state; `by` is the superseding one.
+async fn lists(cluster: &Cluster, vm: usize, state: &str, revision: u64, by: Option<u64>) -> bool {
+    let Some(status) = cluster.status(vm).await else {
+        return false;
+    };
+    let history = status["history"].as_array().cloned().unwrap_or_default();
+    history.iter().any(|entry| {
+        entry["name"] == "config/test"
+            && entry["state"] == state
+            && entry["version"]["revision"] == revision
+            && entry["superseded_by"]["revision"].as_u64() == by
+            && (state != "rejected" || entry["reason"].as_str().is_some_and(|r| !r.is_empty()))
+    })
+}
+
+/// Returns one counter of a VM's metrics, summed over its labels that contain `label`.
+async fn counter(cluster: &Cluster, vm: usize, name: &str, label: &str) -> f64 {
+    let operator = cluster.daemons[vm].operator;
+    let (_, text) = exchange(operator, "GET", "/metrics", Vec::new())
+        .await
+        .unwrap();
+    let text = String::from_utf8(text.to_vec()).unwrap();
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines
+        .filter(|line| line.contains(label))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+/// Guards against files that spread late, against invalid files that take effect in part, and
+/// against nodes that call the platform without being watchers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_file_is_in_force_everywhere_within_two_seconds_or_nowhere() {
+    let cluster = Cluster::start(shape()).await;
+    let mut last = 0;
+    for round in 0..5 {
+        last = cluster
+            .platform
+            .put(KEY, cluster.config(&format!("connect_ms = {}", round + 1)));
+        let took = in_force(&cluster, (0, last)).await;
+        assert!(took < BOUND, "round {round}: {took:?}");
+    }
+    // The first service of this file is valid and new, the second is not.
+    let broken = cluster.config("connect_ms = 9") + "[service.other]\npolicy = \"latency\"\n";
+    let rejected = cluster.platform.put(KEY, broken);
+    for vm in 0..VMS {
+        eventually("every node lists the rejected file", async || {
+            lists(&cluster, vm, "rejected", rejected, None).await
+        })
+        .await;
+        assert_eq!(revision(&cluster, vm).await, Some((0, last)));
+    }
+    let mut callers = 0;
+    for vm in 0..VMS {
+        let calls = counter(&cluster, vm, "cloverrack_platform_calls", "").await;
+        // Each node reads once when it starts without peers in its settings.
+        callers += usize::from(calls > 1.0);
+        assert!(counter(&cluster, vm, "cloverrack_control_bytes", "sent").await > 0.0);
+        assert!(counter(&cluster, vm, "cloverrack_control_cpu_us", "").await > 0.0);
+    }
+    assert!(callers <= 5, "{callers} nodes called the platform again");
+}
+
+/// Guards against losing the loser of two concurrent writes: an operator must find it listed on
+/// whichever node is asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loser_of_two_concurrent_writes_is_listed_on_every_node() {
+    let cluster = Cluster::start(shape()).await;
+    for round in 0..3 {
+        let lost = cluster.platform.put(KEY, cluster.config("connect_ms = 1"));
+        // The watchers see the first write, or skip it: only one that saw it can list it.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        let won = cluster.platform.put(KEY, cluster.config("connect_ms = 2"));
+        let took = in_force(&cluster, (0, won)).await;
+        assert!(took < BOUND, "round {round}: {took:?}");
+        let mut seen = false;
+        for vm in 0..VMS {
+            seen |= lists(&cluster, vm, "accepted", lost, None).await;
+        }
+        for vm in 0..VMS {
+            eventually("every node lists the loser", async || {
+                !seen || lists(&cluster, vm, "superseded", lost, Some(won)).await
+            })
+            .await;
+        }
+        assert!(seen, "round {round}: no watcher saw the first write");
+    }
+}
+
+/// Guards against nodes that depend on the platform to serve or to join, and against a burst of
+/// reads when it returns.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_platform_stops_neither_queries_nor_new_vms() {
+    let mut cluster = Cluster::start(shape()).await;
+    let newest = cluster.platform.put(KEY, cluster.config("connect_ms = 3"));
+    in_force(&cluster, (0, newest)).await;
+    cluster.platform.set_down(true);
+    let peer = cluster.daemons[1].internal.to_string();
+    cluster.daemons[7].kill();
+    cluster.spawn_with(7, &["--peers", &peer]);
+    let joined = Instant::now();
+    cluster.wait_until_covered().await;
+    assert!(joined.elapsed() < Duration::from_secs(10));
+    assert_eq!(revision(&cluster, 7).await, Some((0, newest)));
+    assert_eq!(cluster.status(7).await.unwrap()["peer_check"], "done");
+    // A joining node that has peers needs no read at all.
+    let reads = counter(&cluster, 7, "cloverrack_platform_calls", "").await;
+    let watches = cluster.status(7).await.unwrap()["is_watcher"] == true;
+    assert!(
+        reads == 0.0 || watches,
+        "{reads} reads by a node that joined by its peers"
+    );
+    let published = cluster.platform.put(KEY, cluster.config("connect_ms = 4"));
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(revision(&cluster, 0).await, Some((0, newest)));
+    let before = cluster.platform.calls();
+    cluster.platform.set_down(false);
+    in_force(&cluster, (0, published)).await;
+    let calls = cluster.platform.calls() - before;
+    assert!(calls <= 12, "{calls} calls when the platform returned");
+}
+
+/// Guards against a platform restored from a backup that reverts what is in force, that misleads a
+/// new VM, or that can't be overcome by an epoch.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restored_platform_reverts_nothing_until_the_epoch_is_raised() {
+    let mut cluster = Cluster::start(shape()).await;
+    let backup = cluster.platform.backup();
+    cluster.platform.put(KEY, cluster.config("connect_ms = 1"));
+    let newest = cluster
+        .platform
+        .put(KEY, cluster.config("max_deadline_ms = 2500"));
+    in_force(&cluster, (0, newest)).await;
+    cluster.platform.restore(backup);
+    eventually(
+        "a watcher reports that the platform is behind",
+        async || {
+            let mut behind = false;
+            for vm in 0..VMS {
+                let status = cluster.status(vm).await.unwrap();
+                assert_eq!(revision_of(&status), Some((0, newest)), "vm {vm}");
+                behind |= status["platform_behind"] == true;
+            }
+            behind
+        },
+    )
+    .await;
+    cluster.daemons[6].kill();
+    cluster.spawn(6);
+    eventually("the new VM answers a query", async || {
+        cluster.query(6, &request("first")).await.is_some()
+    })
+    .await;
+    assert_eq!(revision(&cluster, 6).await, Some((0, newest)));
+    // A lower revision with new content is not taken, but every node lists it.
+    let ignored = cluster.platform.put(KEY, cluster.config("connect_ms = 7"));
+    assert!(ignored < newest);
+    for vm in 0..VMS {
+        eventually("every node lists the ignored revision", async || {
+            lists(&cluster, vm, "superseded", ignored, Some(newest)).await
+        })
+        .await;
+    }
+    let raised = "epoch = 1\n".to_owned() + &cluster.config("connect_ms = 8");
+    let raised = cluster.platform.put(KEY, raised);
+    assert!(raised <= newest);
+    let took = in_force(&cluster, (1, raised)).await;
+    assert!(took < BOUND, "{took:?}");
+}
+
+/// Guards against a VM that starts with a stale platform and serves what that holds, although its
+/// peers hold a newer file.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_vm_learns_from_peers_before_it_serves() {
+    let mut cluster = Cluster::start(shape()).await;
+    let backup = cluster.platform.backup();
+    let newest = cluster
+        .platform
+        .put(KEY, cluster.config("max_deadline_ms = 100"));
+    in_force(&cluster, (0, newest)).await;
+    cluster.platform.restore(backup);
+    for vm in [2, 5, 7] {
+        cluster.daemons[vm].kill();
+        cluster.spawn(vm);
+        let mut first: Option<Answer> = None;
+        eventually("the new VM answers", async || {
+            first = cluster.query(vm, &request("first")).await;
+            first.is_some()
+        })
+        .await;
+        // The deadline of the request is over the limit of the newest file.
+        let reason = first.unwrap().reason;
+        assert_eq!(reason, Some(Reason::BadDeadline), "vm {vm}");
+    }
+}
+
+/// Guards against a watch that hangs: other watchers, and the limit on its wait, must make up for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_watches_delay_a_file_little() {
+    let cluster = Cluster::start(shape()).await;
+    cluster.platform.set_stalled_of_three(2);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for round in 0..3 {
+        let next = cluster
+            .platform
+            .put(KEY, cluster.config(&format!("connect_ms = {}", round + 1)));
+        let took = in_force(&cluster, (0, next)).await;
+        assert!(took < BOUND, "round {round}: {took:?}");
+    }
+    cluster.platform.set_stalled_of_three(3);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let next = cluster.platform.put(KEY, cluster.config("connect_ms = 9"));
+    let took = in_force(&cluster, (0, next)).await;
+    assert!(
+        took < Duration::from_secs(4),
+        "all watches stalled: {took:?}"
+    );
+}
+
+/// Guards against readers that need every revision: a stale platform may show only the last one.
+#[tokio::test(flavor = "multi_thread")]
+async fn skipped_revisions_are_harmless() {
+    let cluster = Cluster::start(shape()).await;
+    cluster.platform.set_stale(true);
+    let mut last = 0;
+    for round in 0..10 {
+        last = cluster
+            .platform
+            .put(KEY, cluster.config(&format!("connect_ms = {}", round + 1)));
+    }
+    cluster.platform.set_stale(false);
+    let took = in_force(&cluster, (0, last)).await;
+    assert!(took < BOUND, "{took:?}");
+}
+
+/// Guards against a process that wakes from a pause and answers by its old configuration, also
+/// before its first timer after the wake-up fires.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_process_notices_before_it_acts() {
+    let cluster = Cluster::start(shape()).await;
+    for round in 0..3 {
+        let old = cluster
+            .platform
+            .put(KEY, cluster.config("max_deadline_ms = 5000"));
+        in_force(&cluster, (0, old)).await;
+        cluster.daemons[0].signal("-STOP");
+        cluster
+            .platform
+            .put(KEY, cluster.config("max_deadline_ms = 100"));
+        // Longer than the pause that counts, and than the detection of a dead VM.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let ids: Vec<String> = (0..16)
+            .map(|number| format!("f-{round}-{number}"))
+            .collect();
+        let queries = ids
+            .iter()
+            .map(async |id| cluster.query(0, &request(id)).await);
+        let waiting = futures_util::future::join_all(queries);
+        let wake = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            cluster.daemons[0].signal("-CONT");
+        };
+        let (answers, ()) = tokio::join!(waiting, wake);
+        for answer in answers {
+            let answer = answer.unwrap();
+            assert_eq!(answer.reason, Some(Reason::BadDeadline), "{answer:?}");
+        }
+        let status = cluster.status(0).await.unwrap();
+        assert_eq!(status["pauses"], round + 1);
+        assert_eq!(status["peer_check"], "done");
+    }
+}
+
+/// Guards against a query that loses its layout because the file changed while it ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_running_query_keeps_the_fleet_it_started_with() {
+    let mut shape = shape();
+    shape.leaf.service_us = 1_200_000;
+    let cluster = Cluster::start(shape).await;
+    let running = request("long");
+    let query = cluster.query(0, &running);
+    let remove = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let removed = cluster.platform.put(KEY, "region = \"test\"\n");
+        in_force(&cluster, (0, removed)).await
+    };
+    let (answer, took) = tokio::join!(query, remove);
+    assert!(
+        took < Duration::from_millis(800),
+        "removed too late: {took:?}"
+    );
+    assert_eq!(answer.unwrap().outcome, Outcome::Complete);
+    let refused = cluster.query(0, &request("later")).await.unwrap();
+    assert_eq!(refused.reason, Some(Reason::UnknownService));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -193,12 +193,17 @@
 
     /// Starts the daemon of one VM, in place of an earlier one.
     pub fn spawn(&mut self, vm: usize) {
+        self.spawn_with(vm, &[]);
+    }
+
+    /// Starts the daemon of one VM with more flags, in place of an earlier one.
+    pub fn spawn_with(&mut self, vm: usize, flags: &[&str]) {
         let daemon = Daemon {
             vm: format!("vm-{vm}"),
             caller: self.address(vm, 7000),
             internal: self.address(vm, 7001),
             operator: self.address(vm, 7002),
-            child: self.command(vm).spawn().unwrap(),
+            child: self.command(vm).args(flags).spawn().unwrap(),
         };
         if vm < self.daemons.len() {
             self.daemons[vm] = daemon;
