--- a/src/owner.rs
+++ b/src/owner.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::control::{Control, PeerCheck};
-use crate::fact::{Fact, LeafState};
+use crate::fact::LeafState;
 use crate::fleet::{Fleet, Leaf};
 use crate::ids::{CallId, Snapshot};
 use crate::leaf::{LeafRequest, LeafStatus, has_ended};
@@ -258,14 +258,8 @@
 
     fn publish(&self, address: SocketAddr, state: LeafState, snapshots: Vec<Snapshot>) -> u64 {
         info!(event = "leaf_state", leaf = %address, state = ?state, snapshots = snapshots.len());
-        let observed_unix_ms = unix_ms();
-        self.control.publish(Fact::Leaf {
-            address,
-            observed_unix_ms,
-            state,
-            snapshots,
-        });
-        observed_unix_ms
+        self.control.publish_leaf(address, state, snapshots);
+        unix_ms()
     }
 
     async fn status(&self, leaf: &OwnedLeaf) -> Option<LeafStatus> {
--- a/tests/support/trial.rs
+++ b/tests/support/trial.rs
@@ -6,7 +6,7 @@
 
 use cloverrack::watcher::watchers;
 use cloverrack::{Outcome, Version};
-use cloverrack_standins::platform::PlatformImage;
+use cloverrack_standins::platform::Backup;
 use cloverrack_standins::{LeafOptions, LeafStandin};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -49,7 +49,7 @@
     /// Daemons that can't be asked at present.
     pub away: Vec<usize>,
     /// Platform's content at the start.
-    pub first_image: PlatformImage,
+    pub first_image: Backup,
     /// Layout that the leaves hold.
     pub layout: u32,
     /// Index version that the leaves hold.
@@ -84,7 +84,7 @@
             rng: StdRng::seed_from_u64(seed),
             retired: Vec::new(),
             away: Vec::new(),
-            first_image: cluster.platform.image(),
+            first_image: cluster.platform.backup(),
             layout: 1,
             version: 1,
             newest: BTreeMap::new(),
