--- a/benches/control/gossip.rs
+++ b/benches/control/gossip.rs
@@ -8,7 +8,7 @@
 use cloverrack::document::{CONFIG_PREFIX, VM_LIST, Version};
 use cloverrack::fact::{Fact, FactKey, LeafState, VmState};
 use cloverrack::gossip::{Datagram, Gossip, Outgoing, Timing};
-use cloverrack::watcher::watchers;
+use cloverrack::watcher::{watch_wait_ms, watchers};
 use cloverrack::wire::{decode, encode};
 use cloverrack::{DocumentStore, Fleet, Incarnation, Snapshot};
 use rand::rngs::StdRng;
@@ -359,13 +359,20 @@
         .map(|vm| (&*vm.entry.name, &*vm.entry.failure_domain))
         .collect();
     let watching = watchers(&names).len();
+    // A watcher reads all values, in base64, when one changes and when a watch ends without a change.
+    let answer_bytes = document_bytes * 4 / 3;
+    let wait_ms = watch_wait_ms(answer_bytes, &mut net.rng);
+    let reads_per_s = 1_000.0 / wait_ms as f64 + 1.0 / CHANGE_INTERVAL_S;
+    let platform_calls_per_s = reads_per_s * watching as f64;
+    let platform_bytes_per_s = reads_per_s * answer_bytes as f64;
     // The documents as read, their parsed form and the compiled view.
     let memory_bytes = node_bytes + 3.0 * document_bytes as f64;
     println!(
         "nodes={size} leaves={LEAVES} bytes_per_s={bytes_per_s:.0} datagrams_per_s={datagrams_per_s:.1} \
          gossip_core_percent={:.3} compile_ms={:.1} core_percent={:.3} memory_kb={:.0} \
          document_everywhere_ms={} urgent_everywhere_ms={} leaf_everywhere_ms={} detection_ms={} watchers={watching} \
-         document_bytes={document_bytes}",
+         platform_calls_per_s={platform_calls_per_s:.2} \
+         watcher_platform_bytes_per_s={platform_bytes_per_s:.0} document_bytes={document_bytes}",
         gossip_share * 100.0,
         compile.as_secs_f64() * 1_000.0,
         core_share * 100.0,
--- a/benches/control/processes.rs
+++ b/benches/control/processes.rs
@@ -1,4 +1,151 @@
-//! Time from publishing a file to its being in force on 8 processes.
+//! Time from publishing a file to its being in force on 8 processes, and what control costs them.
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use support::{Cluster, Shape, eventually, exchange};
+
+const VMS: usize = 8;
+const KEY: &str = "cloverrack/config/test";
+
+/// Files published on each path.
+const ROUNDS: u64 = 20;
+
+/// Time over which control's cost is measured while nothing changes.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// Pause between two looks at the status of one process.
+const LOOK: Duration = Duration::from_millis(2);
+
+async fn revision(cluster: &Cluster, vm: usize) -> Option<u64> {
+    let status = cluster.status(vm).await?;
+    let documents = status["documents"].as_array()?;
+    let document = documents.iter().find(|d| d["name"] == "config/test")?;
+    document["version"]["revision"].as_u64()
+}
+
+/// Returns the time until a revision is in force on all processes.
+async fn in_force(cluster: &Cluster, wanted: u64) -> Duration {
+    let started = Instant::now();
+    let waits = (0..VMS).map(async |vm| {
+        while revision(cluster, vm).await != Some(wanted) {
+            tokio::time::sleep(LOOK).await;
+        }
+        started.elapsed()
+    });
+    let times = futures_util::future::join_all(waits).await;
+    times.into_iter().max().unwrap_or_default()
+}
+
+async fn counters(cluster: &Cluster, name: &str) -> f64 {
+    let mut total = 0.0;
+    for daemon in &cluster.daemons {
+        let answer = exchange(daemon.operator, "GET", "/metrics", Vec::new()).await;
+        let Some((_, text)) = answer else { continue };
+        let text = String::from_utf8_lossy(&text).into_owned();
+        for line in text.lines().filter(|line| line.starts_with(name)) {
+            let value = line.rsplit(' ').next().and_then(|v| v.parse::<f64>().ok());
+            total += value.unwrap_or(0.0);
+        }
+    }
+    total
+}
+
+fn print(path: &str, mut times: Vec<Duration>) {
+    times.sort_unstable();
+    let ms = |time: Duration| time.as_secs_f64() * 1_000.0;
+    println!(
+        "processes={VMS} path={path} files={} median_ms={:.1} max_ms={:.1}",
+        times.len(),
+        ms(times[times.len() / 2]),
+        ms(times[times.len() - 1]),
+    );
+}
+
+async fn publish_files(cluster: &Cluster, path: &str) {
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        let text = cluster.config(&format!("connect_ms = {}", round + 1));
+        let revision = cluster.platform.put(KEY, text);
+        times.push(in_force(cluster, revision).await);
+    }
+    print(path, times);
+}
+
+/// Lets one watcher alone reach the platform, which fails once that one has read the file.
+async fn publish_to_one(cluster: &Cluster) {
+    let platform: [SocketAddr; 1] = [cluster.platform.address()];
+    let mut reader = None;
+    for vm in 0..VMS {
+        let status = cluster.status(vm).await;
+        let watches = status.is_some_and(|status| status["is_watcher"] == true);
+        if watches && reader.is_none() {
+            reader = Some(vm);
+        } else {
+            cluster.cut(vm, &platform).await;
+        }
+    }
+    let Some(reader) = reader else { return };
+    // Watches that were open before the cut end meanwhile.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        cluster.platform.set_down(false);
+        let text = cluster.config(&format!("connect_ms = {}", round + 100));
+        let wanted = cluster.platform.put(KEY, text);
+        while revision(cluster, reader).await != Some(wanted) {
+            tokio::time::sleep(LOOK).await;
+        }
+        cluster.platform.set_down(true);
+        times.push(in_force(cluster, wanted).await);
+    }
+    print("platform_down_after_one_read", times);
+}
+
+async fn measure() {
+    let shape = Shape {
+        vms: VMS,
+        ..Shape::default()
+    };
+    let cluster = Cluster::start(shape).await;
+    eventually("every process knows all others", async || {
+        let mut known = true;
+        for vm in 0..VMS {
+            let status = cluster.status(vm).await;
+            known &= status.is_some_and(|s| s["vms"].as_array().is_some_and(|v| v.len() == VMS));
+        }
+        known
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let before = [
+        counters(&cluster, "cloverrack_control_bytes").await,
+        counters(&cluster, "cloverrack_control_cpu_us").await,
+        counters(&cluster, "cloverrack_platform_calls").await,
+    ];
+    tokio::time::sleep(IDLE).await;
+    let node_seconds = VMS as f64 * IDLE.as_secs_f64();
+    println!(
+        "processes={VMS} idle control_bytes_per_s_per_node={:.0} control_core_percent={:.3} \
+         platform_calls_per_s={:.2}",
+        (counters(&cluster, "cloverrack_control_bytes").await - before[0]) / node_seconds,
+        (counters(&cluster, "cloverrack_control_cpu_us").await - before[1]) / node_seconds / 1e4,
+        (counters(&cluster, "cloverrack_platform_calls").await - before[2]) / IDLE.as_secs_f64(),
+    );
+    publish_files(&cluster, "platform_up").await;
+    if cfg!(feature = "fault-injection") {
+        publish_to_one(&cluster).await;
+    } else {
+        println!("path=platform_down_after_one_read not_run=needs_feature_fault-injection");
+    }
+}
 
 /// Runs the part.
-pub fn run() {}
+pub fn run() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(measure());
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -21,11 +21,12 @@
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::document::{Content, DocumentStore, HistoryEntry, VM_LIST, Verdict, Version};
-use crate::fact::{Fact, FactKey, LeafState, VmState};
+use crate::fact::{Fact, FactKey, LeafState};
 use crate::fleet::Fleet;
 use crate::gossip::{Gossip, Timing};
 use crate::ids::{Incarnation, Snapshot};
 use crate::link::Link;
+use crate::operator::VmStatus;
 use crate::platform::Platform;
 use crate::settings::Settings;
 use crate::telemetry::{CpuTime, Telemetry};
@@ -228,18 +229,29 @@
             .collect()
     }
 
-    /// Returns all VMs that gossip knows, with their state and the age of that fact.
-    pub fn vm_facts(&self) -> Vec<(SocketAddr, VmState, u64)> {
+    /// Returns all VMs that gossip knows.
+    pub fn vm_facts(&self) -> Vec<VmStatus> {
         let now_ms = boot_ms();
         let state = self.state();
-        let mut facts = Vec::new();
+        let mut vms = Vec::new();
         for entry in state.gossip.facts() {
-            let Fact::Vm { address, state, .. } = entry.fact else {
+            let Fact::Vm {
+                address,
+                state,
+                incarnation,
+                ..
+            } = entry.fact
+            else {
                 continue;
             };
-            facts.push((address, state, now_ms.saturating_sub(entry.received_ms)));
+            vms.push(VmStatus {
+                address,
+                state,
+                incarnation: incarnation.to_string().into(),
+                age_ms: now_ms.saturating_sub(entry.received_ms),
+            });
         }
-        facts
+        vms
     }
 
     /// Offers a document; returns whether it is in force now.
--- a/src/faults.rs
+++ b/src/faults.rs
@@ -5,7 +5,7 @@
 #[cfg(feature = "fault-injection")]
 static CUT: std::sync::RwLock<Vec<SocketAddr>> = std::sync::RwLock::new(Vec::new());
 
-/// Cuts the links to exactly these internal or leaf addresses.
+/// Cuts the links to exactly these internal, leaf or platform addresses.
 #[cfg(feature = "fault-injection")]
 pub fn set_cut(peers: Vec<SocketAddr>) {
     *CUT.write()
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -59,12 +59,14 @@
 }
 
 /// Status of one VM.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 pub struct VmStatus {
     /// Internal address.
     pub address: SocketAddr,
     /// State.
     pub state: VmState,
+    /// Process on that address.
+    pub incarnation: Box<str>,
     /// Age of that fact.
     pub age_ms: u64,
 }
@@ -119,14 +121,6 @@
                 announced,
             });
         }
-        let mut vms = Vec::new();
-        for (address, state, age_ms) in control.vm_facts() {
-            vms.push(VmStatus {
-                address,
-                state,
-                age_ms,
-            });
-        }
         NodeStatus {
             vm: control.settings.vm.clone(),
             incarnation: control.incarnation().to_string().into(),
@@ -142,7 +136,7 @@
             platform_behind: control.is_platform_behind(),
             documents,
             history: control.history(),
-            vms,
+            vms: control.vm_facts(),
             leaves: self.leaves(),
         }
     }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -16,6 +16,8 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use crate::faults::is_cut;
+
 /// Prefix of all keys of the system.
 pub const KEY_PREFIX: &str = "cloverrack/";
 
@@ -111,6 +113,9 @@
 
     async fn exchange(&self, index: u64, wait_ms: u64) -> Result<PlatformRead, PlatformError> {
         let address = self.address;
+        if is_cut(address) {
+            return Err(PlatformError::Connect { address });
+        }
         let failed = |_| PlatformError::Exchange { address };
         let stream = TcpStream::connect(address)
             .await
@@ -127,7 +132,11 @@
             .body(Empty::<Bytes>::new())
             .map_err(|_| PlatformError::Malformed)?;
         let response = sender.send_request(request).await.map_err(failed)?;
-        parse(response).await
+        let read = parse(response).await;
+        if is_cut(address) {
+            return Err(PlatformError::Exchange { address });
+        }
+        read
     }
 }
 
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -37,7 +37,7 @@
 const JOIN_PAUSE_MS: std::ops::Range<u64> = 100..300;
 
 /// Time after which a node that met no peer yields its address to a process that claims it.
-const LONE_START_MS: u64 = 10_000;
+const LONE_START_MS: u64 = 3_000;
 
 /// Peers asked when joining or after a pause.
 const PEERS_ASKED: usize = 3;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -161,7 +161,10 @@
         "{reads} reads by a node that joined by its peers"
     );
     let published = cluster.platform.put(KEY, cluster.config("connect_ms = 4"));
+    let before = cluster.platform.calls();
     tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = cluster.platform.calls() - before;
+    assert!(calls <= 60, "{calls} calls in 4 s of the outage");
     assert_eq!(revision(&cluster, 0).await, Some((0, newest)));
     let before = cluster.platform.calls();
     cluster.platform.set_down(false);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -307,8 +307,9 @@
 /// Waits until `check` holds, and fails after [`PATIENCE`].
 pub async fn eventually(what: &str, mut check: impl AsyncFnMut() -> bool) {
     let start = Instant::now();
-    while start.elapsed() < PATIENCE {
-        if check().await {
+    // A check that hangs, for instance on a listener that accepts nothing, is cut off as well.
+    while let Some(left) = PATIENCE.checked_sub(start.elapsed()) {
+        if tokio::time::timeout(left, check()).await == Ok(true) {
             return;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
