--- a/src/faults.rs
+++ b/src/faults.rs
@@ -170,7 +170,7 @@
         FIRED.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Cuts the links to exactly these internal or leaf addresses.
+    /// Cuts the links to exactly these internal, leaf or platform addresses.
     pub fn set_cut(peers: Vec<SocketAddr>) {
         *CUT.write().unwrap_or_else(PoisonError::into_inner) = peers;
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -333,8 +333,9 @@
 /// Waits until `check` holds, and returns whether it did within the patience.
 pub async fn eventually_within(patience: Duration, mut check: impl AsyncFnMut() -> bool) -> bool {
     let start = Instant::now();
-    while start.elapsed() < patience {
-        if check().await {
+    // A check that hangs, for instance on a listener that accepts nothing, is cut off as well.
+    while let Some(left) = patience.checked_sub(start.elapsed()) {
+        if tokio::time::timeout(left, check()).await == Ok(true) {
             return true;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
