Give back a slot whose grant meets its call's deadline

Cause: in the owner's acquire, select may take the deadline or the cancellation although the grant has arrived too; the grant had counted the slot as in use and nothing gave it back. After a freeze both are due at once, and each loss lasts as long as the process.

--- a/src/owner.rs
+++ b/src/owner.rs
@@ -367,7 +367,7 @@
     deadline_ms: u64,
     cancel: &CancellationToken,
 ) -> Result<Slot, NotStarted> {
-    let (sender, receiver) = oneshot::channel();
+    let (sender, mut receiver) = oneshot::channel();
     {
         let mut queue = leaf.queue();
         if queue.try_start() {
@@ -379,12 +379,18 @@
             .map_err(|_| NotStarted::Shed)?;
     }
     let limit = Duration::from_millis(deadline_ms.saturating_sub(boot_ms()));
-    tokio::select! {
-        granted = receiver => {
+    let refused = tokio::select! {
+        granted = &mut receiver => {
             granted.map_err(|_| NotStarted::Shed)?;
-            Ok(Slot::new(Arc::clone(leaf)))
+            return Ok(Slot::new(Arc::clone(leaf)));
         }
-        () = tokio::time::sleep(limit) => Err(NotStarted::Deadline),
-        () = cancel.cancelled() => Err(NotStarted::Cancelled),
+        () = tokio::time::sleep(limit) => NotStarted::Deadline,
+        () = cancel.cancelled() => NotStarted::Cancelled,
+    };
+    // A grant that came at the same time holds a slot, which goes to the next call.
+    receiver.close();
+    if receiver.try_recv().is_ok() {
+        drop(Slot::new(Arc::clone(leaf)));
     }
+    Err(refused)
 }
