--- a/src/owner.rs
+++ b/src/owner.rs
@@ -367,7 +367,7 @@
     deadline_ms: u64,
     cancel: &CancellationToken,
 ) -> Result<Slot, NotStarted> {
-    let (sender, mut receiver) = oneshot::channel();
+    let (sender, receiver) = oneshot::channel();
     {
         let mut queue = leaf.queue();
         if queue.try_start() {
@@ -379,18 +379,12 @@
             .map_err(|_| NotStarted::Shed)?;
     }
     let limit = Duration::from_millis(deadline_ms.saturating_sub(boot_ms()));
-    let refused = tokio::select! {
-        granted = &mut receiver => {
+    tokio::select! {
+        granted = receiver => {
             granted.map_err(|_| NotStarted::Shed)?;
-            return Ok(Slot::new(Arc::clone(leaf)));
+            Ok(Slot::new(Arc::clone(leaf)))
         }
-        () = tokio::time::sleep(limit) => NotStarted::Deadline,
-        () = cancel.cancelled() => NotStarted::Cancelled,
-    };
-    // A grant that came at the same time holds a slot, which goes to the next call.
-    receiver.close();
-    if receiver.try_recv().is_ok() {
-        drop(Slot::new(Arc::clone(leaf)));
+        () = tokio::time::sleep(limit) => Err(NotStarted::Deadline),
+        () = cancel.cancelled() => Err(NotStarted::Cancelled),
     }
-    Err(refused)
 }
