--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -6,12 +6,16 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use cloverrack::Outcome;
+use cloverrack_standins::LeafOptions;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use support::matrix::{COLUMNS, Cell, Fault, ROWS, run};
+use support::{Cluster, PATIENCE, Shape, eventually, eventually_within, request};
 use tokio::task::{JoinSet, LocalSet};
 
 /// Clusters that run at one time.
@@ -140,6 +144,58 @@
     assert_eq!(summary(&cells, start), 0, "violations are printed above");
 }
 
+/// Rounds of the slot test; each freezes the process while calls wait.
+const FREEZES: usize = 5;
+
+/// Calls that wait for the only slot when the process is frozen.
+const WAITING_CALLS: usize = 30;
+
+/// Guards against a slot that is lost when its grant meets the deadline of the call that waits for
+/// it: after a freeze both are due at once, and each loss lasts as long as the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_freeze_costs_no_slot() {
+    let leaf = LeafOptions {
+        slots: 1,
+        service_us: 100_000,
+        ..LeafOptions::default()
+    };
+    let shape = Shape {
+        vms: 1,
+        shards: 1,
+        replicas: 1,
+        leaf,
+        ..Shape::default()
+    };
+    let cluster = Arc::new(Cluster::start(shape).await);
+    for round in 0..FREEZES {
+        let mut calls = JoinSet::new();
+        for number in 0..WAITING_CALLS {
+            let cluster = Arc::clone(&cluster);
+            let request = cloverrack::CallerRequest {
+                deadline_ms: 500,
+                ..request(&format!("waiting-{round}-{number}"))
+            };
+            calls.spawn(async move { cluster.query(0, &request).await });
+        }
+        eventually("a call runs", async || {
+            cluster.leaves[0][0].counts().in_flight > 0
+        })
+        .await;
+        cluster.daemons[0].signal("-STOP");
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        cluster.daemons[0].signal("-CONT");
+        calls.join_all().await;
+        let mut last = None;
+        let served = eventually_within(PATIENCE, async || {
+            last = cluster.query(0, &request("after-the-freeze")).await;
+            last.as_ref()
+                .is_some_and(|answer| answer.outcome == Outcome::Complete)
+        });
+        let served = served.await;
+        assert!(served, "no slot is left after freeze {round}: {last:?}");
+    }
+}
+
 fn variable(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
