--- a/src/owner.rs
+++ b/src/owner.rs
@@ -146,7 +146,7 @@
             .control
             .vm_facts()
             .into_iter()
-            .map(|(address, _, _)| address)
+            .map(|vm| vm.address)
             .collect();
         let fleet = self.control.fleet();
         let mut listed = fleet.vms.iter().map(|vm| vm.entry.internal_address);
