Add the policy benchmark over real sockets

Cause: the policy had no figures. The bench runs eight daemons as processes against stand-in leaves with open-loop arrivals, and a direct client as baseline.

The load tool's histograms clamped every latency to 2 us, because saturating_record does not grow an auto-resizing histogram; they have fixed bounds now. Executions can be counted without being recorded, so that a long run keeps bounded memory.

--- /dev/null
+++ b/benches/policy.rs
@@ -0,0 +1,173 @@
+//! Benchmark of the query policy over real sockets: daemons are child processes, leaves are
+//! stand-ins in this process, arrivals are open-loop.
+//!
+//! `cargo bench --bench policy -- FILTER` runs the cases whose name contains FILTER. With
+//! `BASELINE_CLOVERRACKD=PATH` each case also runs an earlier build of the daemon.
+
+#[path = "policy/direct.rs"]
+mod direct;
+#[path = "policy/fault.rs"]
+mod fault;
+#[path = "policy/overload.rs"]
+mod overload;
+#[path = "policy/processor.rs"]
+mod processor;
+#[path = "policy/report.rs"]
+mod report;
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use cloverrack_standins::LeafOptions;
+use cloverrack_standins::load::LoadPlan;
+use fault::Fault;
+use report::{Extra, Line};
+use support::{Cluster, SERVICE, Shape};
+
+/// Fixed part of a leaf's service time.
+const SERVICE_US: u64 = 4_000;
+
+/// Mean of the exponential part of a leaf's service time.
+const SPREAD_US: u64 = 6_000;
+
+/// Queries a second: a third of what 90 slots serve at 10 ms a call.
+const RATE: f64 = 300.0;
+
+/// Time that a case measures.
+const MEASURED: Duration = Duration::from_secs(8);
+
+/// Time under load before a case measures.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// Deadline of each query.
+const DEADLINE_MS: u64 = 1_000;
+
+const FAULTS: &[Fault] = &[
+    Fault::None,
+    Fault::Stragglers(10_000),
+    Fault::Stragglers(50_000),
+    Fault::SlowLeaf,
+    Fault::LostReplicas,
+    Fault::LostDomain,
+    Fault::VersionChanges,
+];
+
+/// Shape of the service spec-desk.
+fn spec_desk() -> Shape {
+    Shape {
+        vms: 8,
+        shards: 10,
+        replicas: 3,
+        policy: "coverage",
+        leaf: LeafOptions {
+            connect_ms: 6,
+            service_us: SERVICE_US,
+            service_spread_us: SPREAD_US,
+            record: false,
+            ..LeafOptions::default()
+        },
+        keep_ms: 300,
+    }
+}
+
+fn plan(cluster: &Cluster, vms: &[usize], duration: Duration, seed: u64) -> LoadPlan {
+    let mut entries = Vec::new();
+    for vm in vms {
+        entries.push(cluster.daemons[*vm].caller);
+    }
+    LoadPlan {
+        entries,
+        service: SERVICE.to_owned(),
+        rate: RATE,
+        duration,
+        deadline_ms: DEADLINE_MS,
+        seed,
+    }
+}
+
+/// Runs one fault under the daemons that `CLOVERRACKD` selects, or under the current build.
+async fn run_daemons(policy: &str, fault: Fault, budget_ppm: u32) {
+    let shape = spec_desk();
+    let mut cluster = Cluster::start(shape.clone()).await;
+    let config = cluster.config(&format!("connect_ms = 6\nhedge_budget_ppm = {budget_ppm}"));
+    cluster.platform.put("cloverrack/config/test", config);
+    fault.prepare(&cluster.leaves);
+    let vms: Vec<usize> = (0..shape.vms).filter(|vm| fault.keeps_vm(*vm)).collect();
+    let _ = cloverrack_standins::load::run(&plan(&cluster, &vms, WARM_UP, 1)).await;
+    let extra = Extra::start(&cluster.leaves);
+    let load = tokio::spawn({
+        let plan = plan(&cluster, &vms, MEASURED, 2);
+        async move { cloverrack_standins::load::run(&plan).await }
+    });
+    tokio::time::sleep(fault::INJECT_AFTER).await;
+    fault.inject(&mut cluster);
+    let changes = fault.spawn_changes(&cluster.leaves);
+    let report = load
+        .await
+        .expect("load task")
+        .expect("entries are reachable");
+    changes.abort();
+    let least = report.sent * shape.shards as u64;
+    let line = Line::of_load(&report, extra.executions(&cluster.leaves), least);
+    let name = format!("{} budget_ppm={budget_ppm}", fault.name());
+    println!("case={name} policy={policy} {line}");
+}
+
+/// Runs one fault under a client that calls the leaves directly.
+async fn run_direct(policy: &str, fault: Fault, hedge_after: Option<Duration>) {
+    let shape = spec_desk();
+    let mut cluster = Cluster::prepare(shape.clone()).await;
+    fault.prepare(&cluster.leaves);
+    let client = direct::Client::connect(&cluster.leaves, hedge_after).await;
+    let extra = Extra::start(&cluster.leaves);
+    let load = tokio::spawn(direct::run(client, RATE, MEASURED, DEADLINE_MS));
+    tokio::time::sleep(fault::INJECT_AFTER).await;
+    fault.inject(&mut cluster);
+    let changes = fault.spawn_changes(&cluster.leaves);
+    let mut report = load.await.expect("load task");
+    changes.abort();
+    let least = report.sent * shape.shards as u64;
+    report.least = least;
+    let line = Line::of_direct(&report, extra.executions(&cluster.leaves));
+    println!("case={} policy={policy} {line}", fault.name());
+}
+
+async fn run_case(fault: Fault) {
+    run_direct("one_random", fault, None).await;
+    run_direct("fixed_hedge_10ms", fault, Some(Duration::from_millis(10))).await;
+    if let Ok(path) = std::env::var("BASELINE_CLOVERRACKD") {
+        report::with_daemon(&path, run_daemons("earlier", fault, 30_000)).await;
+    }
+    run_daemons("current", fault, 30_000).await;
+    if let Fault::Stragglers(ppm) = fault
+        && ppm > 30_000
+    {
+        run_daemons("current", fault, ppm + 20_000).await;
+    }
+}
+
+#[tokio::main]
+async fn main() {
+    let filters: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|argument| !argument.starts_with("--"))
+        .collect();
+    let wanted =
+        |name: &str| filters.is_empty() || filters.iter().any(|filter| name.contains(filter));
+    println!(
+        "cores={}",
+        std::thread::available_parallelism().map_or(0, usize::from)
+    );
+    for fault in FAULTS {
+        if wanted(&fault.name()) {
+            run_case(*fault).await;
+        }
+    }
+    if wanted("overload") {
+        overload::run_all().await;
+    }
+    if wanted("processor") {
+        processor::run_all().await;
+    }
+}
--- a/standins/src/leaf.rs
+++ b/standins/src/leaf.rs
@@ -47,6 +47,8 @@
     pub connect_ms: u64,
     /// Time to execute a call.
     pub service_us: u64,
+    /// Mean of an exponentially distributed time added to each execution.
+    pub service_spread_us: u64,
     /// Share of calls that are slow.
     pub straggler_ppm: u32,
     /// Factor on the time of a slow call.
@@ -63,6 +65,8 @@
     pub cut: bool,
     /// Whether the status endpoint goes on reporting the first status.
     pub status_frozen: bool,
+    /// Whether executions are recorded one by one; a long run only counts them.
+    pub record: bool,
 }
 
 impl Default for LeafOptions {
@@ -72,6 +76,7 @@
             connections: 30,
             connect_ms: 0,
             service_us: 500,
+            service_spread_us: 0,
             straggler_ppm: 0,
             straggler_factor: 20,
             draining: false,
@@ -80,6 +85,7 @@
             misbehaviour: None,
             cut: false,
             status_frozen: false,
+            record: true,
         }
     }
 }
@@ -114,6 +120,8 @@
     pub in_flight: u32,
     /// Most calls executing at one time.
     pub max_in_flight: u32,
+    /// Executions started.
+    pub started: u64,
     /// Calls shed because all slots were in use.
     pub shed: u64,
     /// Calls refused because the leaf drains.
@@ -324,7 +332,9 @@
     } else {
         1
     };
-    Duration::from_micros(options.service_us * factor)
+    let uniform: f64 = rand::rng().random_range(f64::MIN_POSITIVE..1.0);
+    let spread_us = (options.service_spread_us as f64 * -uniform.ln()) as u64;
+    Duration::from_micros((options.service_us + spread_us) * factor)
 }
 
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
@@ -385,7 +395,7 @@
 
 struct ExecutionGuard<'a> {
     leaf: &'a LeafStandin,
-    index: usize,
+    index: Option<usize>,
 }
 
 impl<'a> ExecutionGuard<'a> {
@@ -418,6 +428,10 @@
         }
         state.counts.in_flight += 1;
         state.counts.max_in_flight = state.counts.max_in_flight.max(state.counts.in_flight);
+        state.counts.started += 1;
+        if !state.options.record {
+            return Ok(Self { leaf, index: None });
+        }
         state.executions.push(Execution {
             call: header(headers, "x-call-id").to_owned(),
             request: header(headers, "x-request-id").to_owned(),
@@ -427,12 +441,14 @@
             started_unix_ms: unix_ms(),
             finished: false,
         });
-        let index = state.executions.len() - 1;
+        let index = Some(state.executions.len() - 1);
         Ok(Self { leaf, index })
     }
 
     fn finish(&self) {
-        self.leaf.state().executions[self.index].finished = true;
+        if let Some(index) = self.index {
+            self.leaf.state().executions[index].finished = true;
+        }
     }
 }
 
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -17,6 +17,9 @@
 use tokio::net::TcpStream;
 use tokio_util::task::TaskTracker;
 
+/// Largest latency recorded; a longer one counts as this.
+const MAX_LATENCY_US: u64 = 600_000_000;
+
 /// What to send.
 #[derive(Clone, Debug)]
 pub struct LoadPlan {
@@ -106,7 +109,8 @@
 }
 
 fn empty_report() -> LoadReport {
-    let histogram = || Histogram::new(3).expect("three digits are valid");
+    // An auto-resizing histogram would clamp in `saturating_record` instead of growing.
+    let histogram = || Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).expect("bounds are valid");
     LoadReport {
         sent: 0,
         outcomes: [0; 6],
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,6 +9,7 @@
 
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,14 @@
 
 static NEXT_NET: AtomicU16 = AtomicU16::new(0);
 
+/// Daemon that clusters start in place of the current build.
+static DAEMON: Mutex<Option<String>> = Mutex::new(None);
+
+/// Makes clusters start an earlier build of the daemon, for comparison.
+pub fn use_daemon(path: Option<&str>) {
+    *DAEMON.lock().unwrap() = path.map(str::to_owned);
+}
+
 /// One daemon process.
 pub struct Daemon {
     pub vm: String,
@@ -45,6 +54,10 @@
         assert!(status.success(), "kill {name} {pid}");
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -208,7 +221,9 @@
     }
 
     fn command(&self, vm: usize) -> Command {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_cloverrackd"));
+        let daemon = DAEMON.lock().unwrap().clone();
+        let current = env!("CARGO_BIN_EXE_cloverrackd").to_owned();
+        let mut command = Command::new(daemon.unwrap_or(current));
         let log = std::env::var("TEST_LOG").unwrap_or("off".to_owned());
         command
             .args(["--vm", &format!("vm-{vm}"), "--region", "test"])
