--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,61 +1,250 @@
-//! Admission of requests at the root: a bounded number in flight, shared fairly between members.
+//! Admission of requests at the root: places derived from slots, observed service time and queues,
+//! shared fairly between members (pure).
 
 use std::collections::HashMap;
 
 use crate::answer::Reason;
 
-/// Requests that one VM runs at a time.
+/// Requests that one VM runs at a time over all services; bounds memory.
 const MAX_IN_FLIGHT: usize = 2_000;
 
-/// Share of all places that one member may hold while others wait, as a divisor.
-const MEMBER_SHARE_DIVISOR: usize = 2;
+/// Share of a deadline that a request may take before its service counts as congested, as a
+/// divisor. Half of the deadline is left for the queues that grow before the limit reacts.
+const CONGESTED_DIVISOR: u64 = 2;
 
-/// Time after which a refused caller should come back.
-pub const RETRY_AFTER_MS: u64 = 500;
+/// Least time between two reductions of a limit: the effect of one has to show first.
+const REDUCE_INTERVAL_MS: u64 = 100;
 
-/// Requests in flight, by member.
+/// Factor on the limit of a congested service.
+const REDUCE_FACTOR: f64 = 0.9;
+
+/// Places that a limit never falls below, times what the slots of this VM's share serve.
+const FLOOR_FACTOR: f64 = 1.0;
+
+/// Time for which a member that asked counts as present.
+const PRESENT_MS: u64 = 1_000;
+
+/// Bounds of the time after which a refused caller should come back.
+const RETRY_AFTER_MS: (u64, u64) = (20, 5_000);
+
+/// Bounds of the requests in flight, as a multiple of those that all slots execute at a time. Below
+/// two some slots would idle, since the shards of a request do not end together.
+const MIN_ROUNDS: f64 = 2.0;
+const MAX_ROUNDS: f64 = 16.0;
+
+/// Weight of a longer sample in the average duration of a service's requests.
+const RISE_WEIGHT: f64 = 0.05;
+
+/// Weight of a shorter sample; larger, so that a few slow requests don't close the service.
+const FALL_WEIGHT: f64 = 0.25;
+
+/// What a service's leaves can take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Supply {
+    /// Slots of all live leaves.
+    pub slots: usize,
+    /// Calls that one request makes.
+    pub shards: usize,
+    /// Live VMs that share the slots.
+    pub vms: usize,
+}
+
+/// A refusal on arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the request was refused.
+    pub reason: Reason,
+    /// Time after which the caller should come back.
+    pub retry_after_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Member {
+    held: usize,
+    seen_ms: u64,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    /// Share of the highest limit in use; kept as a share because the supply changes.
+    share: f64,
+    highest: f64,
+    limit: f64,
+    in_flight: usize,
+    average_ms: f64,
+    reduced_ms: u64,
+    /// Whether the limit was never reduced and may double with each round of requests.
+    slow_start: bool,
+    refused: u64,
+    members: HashMap<Box<str>, Member>,
+}
+
+impl Default for ServiceState {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            highest: 1.0,
+            limit: 1.0,
+            in_flight: 0,
+            average_ms: 0.0,
+            reduced_ms: 0,
+            slow_start: true,
+            refused: 0,
+            members: HashMap::new(),
+        }
+    }
+}
+
+impl ServiceState {
+    /// Returns the places for the supply of the moment.
+    fn places(&mut self, supply: Supply, deadline_ms: u64) -> usize {
+        self.highest = ceiling(supply, deadline_ms as f64, self.average_ms);
+        self.limit = (self.highest * self.share).max(floor(supply));
+        self.limit as usize
+    }
+
+    /// Returns the most places that one member may hold.
+    fn fair_share(&mut self, limit: usize, now_ms: u64) -> usize {
+        self.members
+            .retain(|_, m| m.held > 0 || m.seen_ms + PRESENT_MS > now_ms);
+        limit.div_ceil(self.members.len().max(1))
+    }
+
+    /// Returns the time in which the requests in flight and those refused lately could be served.
+    fn retry_after_ms(&self) -> u64 {
+        let waiting = self.refused as f64 / self.limit.max(1.0);
+        let wait_ms = self.average_ms * (1.0 + waiting);
+        (wait_ms as u64).clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1)
+    }
+}
+
+/// Requests in flight, by service and member.
 #[derive(Debug, Default)]
 pub struct Admission {
     total: usize,
-    members: HashMap<Box<str>, usize>,
+    services: HashMap<Box<str>, ServiceState>,
+}
+
+/// A request that asks for a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival<'a> {
+    /// Full name of the service.
+    pub service: &'a str,
+    /// Member that the caller asks for.
+    pub member: &'a str,
+    /// Time allowed for the answer.
+    pub deadline_ms: u64,
+    /// Time since the machine started.
+    pub now_ms: u64,
+}
+
+/// A request that ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Departure<'a> {
+    /// Full name of the service.
+    pub service: &'a str,
+    /// Time allowed for the answer.
+    pub deadline_ms: u64,
+    /// Time that the request took.
+    pub elapsed_ms: u64,
+    /// Whether a call was shed or waited too long for a slot.
+    pub starved: bool,
+    /// Time since the machine started.
+    pub now_ms: u64,
 }
 
 impl Admission {
-    /// Admits a request of a member.
+    /// Admits a request, or refuses it before it costs a slot.
     ///
     /// # Errors
     ///
-    /// Fails with `Overloaded` if the VM is full or the member holds its share of it.
+    /// Fails with `Overloaded` if the VM or the service has no place, the member holds its share,
+    /// or the request would not end by its deadline.
     ///
     /// # Examples
     ///
     /// ```
-    /// let mut admission = cloverrack::Admission::default();
-    /// assert!(admission.admit("library").is_ok());
-    /// admission.release("library");
+    /// use cloverrack::admission::{Admission, Arrival, Supply};
+    /// let mut admission = Admission::default();
+    /// let supply = Supply { slots: 90, shards: 10, vms: 8 };
+    /// let arrival = Arrival { service: "a/b", member: "library", deadline_ms: 100, now_ms: 0 };
+    /// assert!(admission.admit(arrival, supply).is_ok());
+    /// admission.release("a/b", "library");
     /// ```
-    pub fn admit(&mut self, member: &str) -> Result<(), Reason> {
-        if self.total >= MAX_IN_FLIGHT {
-            return Err(Reason::Overloaded);
+    pub fn admit(&mut self, arrival: Arrival<'_>, supply: Supply) -> Result<(), Refusal> {
+        let full = self.total >= MAX_IN_FLIGHT;
+        if !self.services.contains_key(arrival.service) {
+            let state = ServiceState {
+                share: 1.0 / supply.vms.max(1) as f64,
+                ..ServiceState::default()
+            };
+            self.services.insert(arrival.service.into(), state);
         }
-        let held = self.members.get(member).copied().unwrap_or(0);
-        if held >= MAX_IN_FLIGHT / MEMBER_SHARE_DIVISOR {
-            return Err(Reason::Overloaded);
+        let Some(state) = self.services.get_mut(arrival.service) else {
+            return Ok(());
+        };
+        let limit = state.places(supply, arrival.deadline_ms);
+        let member = state.members.entry(arrival.member.into()).or_default();
+        member.seen_ms = arrival.now_ms;
+        let held = member.held;
+        let share = state.fair_share(limit, arrival.now_ms);
+        // One request is always let through, so that the measured time can fall again.
+        let late = state.in_flight > 0 && state.average_ms > arrival.deadline_ms as f64;
+        if full || late || state.in_flight >= limit || held >= share {
+            state.refused += 1;
+            return Err(Refusal {
+                reason: Reason::Overloaded,
+                retry_after_ms: state.retry_after_ms(),
+            });
         }
+        if let Some(member) = state.members.get_mut(arrival.member) {
+            member.held += 1;
+        }
+        state.in_flight += 1;
         self.total += 1;
-        *self.members.entry(member.into()).or_default() += 1;
         Ok(())
     }
 
+    /// Adjusts the limit of a service after one of its requests ended.
+    pub fn learn(&mut self, departure: Departure<'_>) {
+        let Some(state) = self.services.get_mut(departure.service) else {
+            return;
+        };
+        let elapsed_ms = departure.elapsed_ms as f64;
+        if state.average_ms == 0.0 {
+            state.average_ms = elapsed_ms.max(1.0);
+        }
+        let longer = elapsed_ms > state.average_ms;
+        let weight = if longer { RISE_WEIGHT } else { FALL_WEIGHT };
+        state.average_ms += (elapsed_ms - state.average_ms) * weight;
+        state.refused -= state.refused.div_ceil(8).min(state.refused);
+        let late = departure.elapsed_ms * CONGESTED_DIVISOR > departure.deadline_ms;
+        if !late && !departure.starved {
+            // Grows by one place for each round of requests, after slow start, and only while
+            // places are in use.
+            if state.in_flight as f64 * 2.0 >= state.limit {
+                let round = if state.slow_start { 1.0 } else { state.limit };
+                let step = 1.0 / round / state.highest;
+                state.share = (state.share + step).min(1.0);
+            }
+            return;
+        }
+        if departure.now_ms >= state.reduced_ms + REDUCE_INTERVAL_MS {
+            state.reduced_ms = departure.now_ms;
+            state.slow_start = false;
+            state.share = state.limit / state.highest * REDUCE_FACTOR;
+        }
+    }
+
     /// Gives back the place of a request that ended.
-    pub fn release(&mut self, member: &str) {
+    pub fn release(&mut self, service: &str, member: &str) {
         self.total = self.total.saturating_sub(1);
-        let Some(held) = self.members.get_mut(member) else {
+        let Some(state) = self.services.get_mut(service) else {
             return;
         };
-        *held -= 1;
-        if *held == 0 {
-            self.members.remove(member);
+        state.in_flight = state.in_flight.saturating_sub(1);
+        if let Some(member) = state.members.get_mut(member) {
+            member.held = member.held.saturating_sub(1);
         }
     }
 
@@ -64,3 +253,21 @@
         self.total
     }
 }
+
+/// Requests whose calls this VM's share of the slots executes at a time; at least one.
+fn floor(supply: Supply) -> f64 {
+    let share = supply.slots as f64 / supply.vms.max(1) as f64;
+    (share * FLOOR_FACTOR / supply.shards.max(1) as f64).max(1.0)
+}
+
+/// Requests that all slots could serve in half of the deadline, for a VM that gets all the load.
+///
+/// The measured duration contains the wait for slots, so that the limit falls as queues grow.
+fn ceiling(supply: Supply, deadline_ms: f64, average_ms: f64) -> f64 {
+    let at_a_time = supply.slots as f64 / supply.shards.max(1) as f64;
+    let rounds = match average_ms {
+        0.0 => MIN_ROUNDS,
+        measured => (deadline_ms / 2.0 / measured).clamp(MIN_ROUNDS, MAX_ROUNDS),
+    };
+    (at_a_time * rounds).max(floor(supply))
+}
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -6,16 +6,36 @@
 /// Price of one extra call.
 const CALL_PPM: u64 = 1_000_000;
 
+/// Full rate of earning, in parts per thousand.
+const FULL_RATE: u64 = 1_000;
+
+/// Lowest rate of earning under overload, in parts per thousand.
+const LOWEST_RATE: u64 = 50;
+
+/// Share of the rate of earning that a shed call takes away, as a divisor.
+const SHED_DIVISOR: u64 = 128;
+
+/// First calls after which the rate of earning rises by one part per thousand.
+const CALLS_PER_RATE_STEP: u64 = 4;
+
 /// Token bucket: each first call earns a fraction of an extra call.
+///
+/// Each call that a leaf sheds lowers the rate of earning, since extra calls to overloaded leaves
+/// take slots from first calls. A shed call for each 32 first calls leaves the rate as it is: a
+/// leaf sheds now and then because its owner frees the slot of a cancelled call before the leaf.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     tokens_ppm: u64,
+    rate: u64,
+    calls_towards_step: u64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
         Self {
             tokens_ppm: MAX_TOKENS_PPM / 2,
+            rate: FULL_RATE,
+            calls_towards_step: 0,
         }
     }
 }
@@ -31,10 +51,21 @@
     /// assert!(budget.try_spend());
     /// ```
     pub fn earn(&mut self, calls: u64, budget_ppm: u32) {
-        let earned = calls.saturating_mul(u64::from(budget_ppm));
+        let earned = calls
+            .saturating_mul(u64::from(budget_ppm))
+            .saturating_mul(self.rate)
+            / FULL_RATE;
+        let towards_step = self.calls_towards_step.saturating_add(calls);
+        self.calls_towards_step = towards_step % CALLS_PER_RATE_STEP;
+        self.rate = (self.rate + towards_step / CALLS_PER_RATE_STEP).min(FULL_RATE);
         self.tokens_ppm = self.tokens_ppm.saturating_add(earned).min(MAX_TOKENS_PPM);
     }
 
+    /// Lowers the budget after a leaf shed a call.
+    pub fn shrink(&mut self) {
+        self.rate = (self.rate - self.rate / SHED_DIVISOR).max(LOWEST_RATE);
+    }
+
     /// Takes one extra call from the budget, if it has one.
     pub fn try_spend(&mut self) -> bool {
         if self.tokens_ppm < CALL_PPM {
--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -195,14 +195,25 @@
     Request::post(format!("http://{address}/v1/execute"))
         .header("x-service", &*request.service)
         .header("x-member", &*request.member)
-        .header("x-request-id", &*request.request_id)
-        .header(CALL_HEADER, request.call.to_string())
+        .header("x-request-id", once(&request.request_id)?)
+        .header(CALL_HEADER, once(&request.call.to_string())?)
         .header(SHARD_HEADER, request.shard)
         .header(SNAPSHOT_HEADER, request.snapshot.to_string())
-        .header(DEADLINE_HEADER, request.deadline_unix_ms)
+        .header(
+            DEADLINE_HEADER,
+            once(&request.deadline_unix_ms.to_string())?,
+        )
         .body(Full::new(request.payload.clone()))
 }
 
+/// Makes the value of a header that differs for each call. HTTP/2 keeps a sensitive value out of the
+/// connection's compression table, which it would churn.
+fn once(text: &str) -> Result<HeaderValue, http::Error> {
+    let mut value = HeaderValue::from_str(text)?;
+    value.set_sensitive(true);
+    Ok(value)
+}
+
 /// Tells a call that provably did not start from one that may have run.
 fn failed_send(mut error: TrySendError<Request<Full<Bytes>>>) -> LeafResult {
     if error.take_message().is_some() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,12 +12,14 @@
 
 pub mod admission;
 pub mod answer;
+pub mod attempt;
 pub mod clock;
 pub mod config;
 pub mod control;
 pub mod dispatch;
 pub mod document;
 pub mod entries;
+mod execute;
 pub mod fact;
 pub mod faults;
 pub mod fleet;
@@ -30,6 +32,7 @@
 pub mod latency;
 pub mod leaf;
 pub mod link;
+mod measurements;
 pub mod node;
 pub mod operator;
 pub mod owner;
@@ -42,11 +45,13 @@
 pub mod root;
 pub mod settings;
 pub mod snapshot;
+mod supply;
 mod sync;
 pub mod telemetry;
 pub mod ticket;
 pub mod watcher;
 pub mod wire;
+mod work;
 
 pub use admission::Admission;
 pub use answer::{Answer, CallerRequest, Outcome, Reason};
--- /dev/null
+++ b/src/measurements.rs
@@ -0,0 +1,167 @@
+//! What the root measured: latency and budget of services, load of leaves, owners to avoid.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use rand::rngs::ThreadRng;
+
+use crate::clock::boot_ms;
+use crate::control::LeafView;
+use crate::fleet::{Fleet, Service};
+use crate::hedge::Budget;
+use crate::ids::Snapshot;
+use crate::latency::Distribution;
+use crate::plan::{Choice, LeafLoad};
+
+/// Share of the budget that the hedge delay aims to spend; the rest is left for retries.
+const HEDGE_SHARE: f64 = 0.9;
+
+/// Share of calls hedged at most, if the budget is larger.
+const MAX_HEDGED: f64 = 0.25;
+
+/// Samples before the observed distribution decides the hedge delay.
+const MIN_SAMPLES: u64 = 50;
+
+/// Samples between two computations of the hedge delay, which sorts the whole distribution.
+const REFRESH_SAMPLES: u64 = 256;
+
+/// Hedge delay without enough samples.
+const DEFAULT_HEDGE_DELAY_US: u64 = 20_000;
+
+/// Time for which an owner that could not be reached is avoided.
+const AVOID_MS: u64 = 1_000;
+
+/// How a call ended for the measurements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// The leaf answered.
+    Done,
+    /// The root gave the call up; it would have taken at least this long.
+    Cancelled,
+    /// The leaf shed the call.
+    Shed,
+    /// Any other end, which says nothing about latency.
+    Other,
+}
+
+#[derive(Default)]
+struct ServiceState {
+    latency: Distribution,
+    budget: Budget,
+    delay_us: Option<u64>,
+    until_refresh: u64,
+}
+
+impl ServiceState {
+    fn record(&mut self, latency_us: u64) {
+        self.latency.record(latency_us);
+        self.until_refresh = self.until_refresh.saturating_sub(1);
+    }
+
+    fn hedge_delay_us(&mut self, budget_ppm: u32) -> u64 {
+        if self.latency.samples() < MIN_SAMPLES {
+            return DEFAULT_HEDGE_DELAY_US;
+        }
+        if self.until_refresh == 0 || self.delay_us.is_none() {
+            self.until_refresh = REFRESH_SAMPLES;
+            let hedged = (f64::from(budget_ppm) / 1e6 * HEDGE_SHARE).min(MAX_HEDGED);
+            self.delay_us = self.latency.quantile_us(1.0 - hedged);
+        }
+        self.delay_us.unwrap_or(DEFAULT_HEDGE_DELAY_US)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    services: HashMap<Box<str>, ServiceState>,
+    loads: HashMap<SocketAddr, LeafLoad>,
+    avoided: HashMap<SocketAddr, u64>,
+}
+
+impl State {
+    fn service(&mut self, name: &str) -> &mut ServiceState {
+        if !self.services.contains_key(name) {
+            self.services.insert(name.into(), ServiceState::default());
+        }
+        self.services.get_mut(name).expect("inserted above")
+    }
+}
+
+/// Measurements of one root.
+#[derive(Default)]
+pub(crate) struct Measurements {
+    state: Mutex<State>,
+}
+
+impl Measurements {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Calls `choose` with the state that replica choice reads and the owners to avoid.
+    pub(crate) fn with_choice(
+        &self,
+        fleet: &Fleet,
+        views: &HashMap<SocketAddr, LeafView>,
+        snapshot: Snapshot,
+        choose: impl FnOnce(Choice<'_>, &dyn Fn(SocketAddr) -> bool, &mut ThreadRng),
+    ) {
+        let now_ms = boot_ms();
+        let state = self.state();
+        let choice = Choice {
+            fleet,
+            views,
+            loads: &state.loads,
+            snapshot,
+            now_ms,
+        };
+        let avoided = |owner: SocketAddr| {
+            let until_ms = state.avoided.get(&owner);
+            until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+        };
+        choose(choice, &avoided, &mut rand::rng());
+    }
+
+    /// Counts calls that are sent.
+    pub(crate) fn calls_started(&self, leaves: impl Iterator<Item = SocketAddr>) {
+        let mut state = self.state();
+        for leaf in leaves {
+            state.loads.entry(leaf).or_default().in_flight += 1;
+        }
+    }
+
+    /// Counts a call that ended.
+    pub(crate) fn call_ended(&self, service: &str, leaf: SocketAddr, latency_us: u64, end: Ended) {
+        let mut state = self.state();
+        let load = state.loads.entry(leaf).or_default();
+        load.in_flight = load.in_flight.saturating_sub(1);
+        match end {
+            Ended::Done => load.record(latency_us, boot_ms()),
+            Ended::Cancelled => load.record_at_least(latency_us, boot_ms()),
+            Ended::Shed => state.service(service).budget.shrink(),
+            Ended::Other => {}
+        }
+        if matches!(end, Ended::Done | Ended::Cancelled) {
+            state.service(service).record(latency_us);
+        }
+    }
+
+    /// Earns budget for the first calls of a run and returns its hedge delay.
+    pub(crate) fn start_run(&self, service: &Service, calls: u64) -> u64 {
+        let mut state = self.state();
+        let state = state.service(&service.name);
+        state.budget.earn(calls, service.hedge_budget_ppm);
+        state.hedge_delay_us(service.hedge_budget_ppm)
+    }
+
+    /// Takes one extra call from the service's budget, if it has one.
+    pub(crate) fn try_spend(&self, service: &str) -> bool {
+        self.state().service(service).budget.try_spend()
+    }
+
+    /// Avoids an owner that could not be reached for a while.
+    pub(crate) fn avoid(&self, owner: SocketAddr) {
+        self.state().avoided.insert(owner, boot_ms() + AVOID_MS);
+    }
+}
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -366,7 +366,7 @@
     deadline_ms: u64,
     cancel: &CancellationToken,
 ) -> Result<Slot, NotStarted> {
-    let (sender, receiver) = oneshot::channel();
+    let (sender, mut receiver) = oneshot::channel();
     {
         let mut queue = leaf.queue();
         if queue.try_start() {
@@ -378,12 +378,18 @@
             .map_err(|_| NotStarted::Shed)?;
     }
     let limit = Duration::from_millis(deadline_ms.saturating_sub(boot_ms()));
-    tokio::select! {
-        granted = receiver => {
+    let given_up = tokio::select! {
+        granted = &mut receiver => {
             granted.map_err(|_| NotStarted::Shed)?;
-            Ok(Slot::new(Arc::clone(leaf)))
+            return Ok(Slot::new(Arc::clone(leaf)));
         }
-        () = tokio::time::sleep(limit) => Err(NotStarted::Deadline),
-        () = cancel.cancelled() => Err(NotStarted::Cancelled),
+        () = tokio::time::sleep(limit) => NotStarted::Deadline,
+        () = cancel.cancelled() => NotStarted::Cancelled,
+    };
+    // A slot granted at the same moment would otherwise stay taken for good.
+    receiver.close();
+    if receiver.try_recv().is_ok() {
+        drop(Slot::new(Arc::clone(leaf)));
     }
+    Err(given_up)
 }
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -9,7 +9,7 @@
 use crate::control::LeafView;
 use crate::fact::LeafState;
 use crate::fleet::Fleet;
-use crate::ids::{LeafKey, Snapshot};
+use crate::ids::{LeafKey, Snapshot, VmKey};
 use crate::latency::Average;
 use crate::snapshot::serves;
 
@@ -19,13 +19,51 @@
 /// Factor on the cost of a leaf that started recently.
 const WARMING_FACTOR: u64 = 4;
 
+/// Time after which a measured latency counts half, so that a slow leaf is measured again.
+const HALF_LIFE_MS: u64 = 5_000;
+
+/// Losses to a hedge that count, as doublings of the expected latency.
+const MAX_LOSSES: u32 = 5;
+
 /// What this node measured of a leaf.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeafLoad {
     /// Calls of this node in flight.
     pub in_flight: u32,
     /// Latency of this node's calls.
-    pub latency: Average,
+    latency: Average,
+    measured_ms: u64,
+    losses: u32,
+}
+
+impl LeafLoad {
+    /// Records the latency of a call that was answered.
+    pub fn record(&mut self, latency_us: u64, now_ms: u64) {
+        self.latency.record(latency_us);
+        self.measured_ms = now_ms;
+        self.losses = 0;
+    }
+
+    /// Records that a call was given up after a time; without this, a leaf whose calls always lose
+    /// to a hedge would keep a good average.
+    ///
+    /// The time until the hedge won says little about how slow the leaf is, so each loss in a row
+    /// doubles the expected latency.
+    pub fn record_at_least(&mut self, latency_us: u64, now_ms: u64) {
+        if latency_us > self.latency.value_us() {
+            self.latency.record(latency_us);
+            self.measured_ms = now_ms;
+            self.losses = (self.losses + 1).min(MAX_LOSSES);
+        }
+    }
+
+    fn expected_us(&self, now_ms: u64) -> u64 {
+        let age = now_ms.saturating_sub(self.measured_ms) / HALF_LIFE_MS;
+        match self.latency.value_us() {
+            0 => UNKNOWN_LATENCY_US,
+            measured => ((measured << self.losses) >> age.min(16)).max(UNKNOWN_LATENCY_US),
+        }
+    }
 }
 
 /// State that replica choice reads.
@@ -39,6 +77,8 @@
     pub loads: &'a HashMap<SocketAddr, LeafLoad>,
     /// Pinned snapshot.
     pub snapshot: Snapshot,
+    /// Time since the machine started.
+    pub now_ms: u64,
 }
 
 impl Choice<'_> {
@@ -60,6 +100,20 @@
             .min_by_key(|leaf| (self.cost(*leaf), rng.random::<u32>()))
     }
 
+    /// Returns whether the snapshot has vanished from a shard: a replica is live, but none of the
+    /// live ones holds it. Replicas in `gone` refused it, whatever their view says.
+    pub fn has_vanished(&self, replicas: &[LeafKey], gone: &[LeafKey]) -> bool {
+        let mut live = false;
+        for leaf in replicas {
+            if self.is_usable(*leaf) && !gone.contains(leaf) {
+                return false;
+            }
+            let view = self.views.get(&self.fleet.leaf(*leaf).address);
+            live |= view.is_some_and(|v| matches!(v.state, LeafState::Up | LeafState::Warming));
+        }
+        live
+    }
+
     fn is_usable(&self, key: LeafKey) -> bool {
         let leaf = self.fleet.leaf(key);
         let view = self.views.get(&leaf.address);
@@ -69,10 +123,7 @@
     fn cost(&self, key: LeafKey) -> u64 {
         let address = self.fleet.leaf(key).address;
         let load = self.loads.get(&address).copied().unwrap_or_default();
-        let latency_us = match load.latency.value_us() {
-            0 => UNKNOWN_LATENCY_US,
-            measured => measured,
-        };
+        let latency_us = load.expected_us(self.now_ms);
         let warming = self
             .views
             .get(&address)
@@ -81,3 +132,18 @@
         latency_us * (u64::from(load.in_flight) + 1) * factor
     }
 }
+
+/// Returns the VM that calls to a leaf go through.
+pub fn owner_of(
+    fleet: &Fleet,
+    leaf: SocketAddr,
+    avoided: &dyn Fn(SocketAddr) -> bool,
+) -> Option<VmKey> {
+    let owners = fleet.find_leaf(leaf)?.owners;
+    let reachable = |vm: &VmKey| !avoided(fleet.vm(*vm).entry.internal_address);
+    owners
+        .primary
+        .filter(reachable)
+        .or(owners.standby.filter(reachable))
+        .or(owners.primary)
+}
--- a/src/query.rs
+++ b/src/query.rs
@@ -9,13 +9,17 @@
 use tracing::{debug, info};
 
 use crate::answer::{Lack, Reason, ShardResult};
+use crate::attempt::{Attempts, Failure};
 use crate::clock::{boot_ms, boot_us, unix_ms};
+use crate::config::Policy;
 use crate::dispatch::Sent;
-use crate::fleet::{Fleet, Layout};
-use crate::ids::{CallId, LeafKey, ServiceKey, Snapshot, VmKey};
-use crate::plan::Choice;
+use crate::fleet::{Fleet, Layout, Service};
+use crate::ids::{CallId, LeafKey, Snapshot, VmKey};
+use crate::measurements::Ended;
+use crate::plan::owner_of;
 use crate::root::Root;
 use crate::wire::{Batch, LeafCall, LeafReply, LeafResult, NotStarted};
+use crate::work::{RunResult, Work};
 
 /// Replies buffered for one run.
 const REPLY_BUFFER: usize = 1_024;
@@ -23,43 +27,15 @@
 /// Share of the remaining time after which a shard without an answer is hedged at the latest.
 const LATEST_HEDGE_DIVISOR: u64 = 2;
 
-/// What a run works on.
-#[derive(Clone, Debug)]
-pub(crate) struct Work {
-    pub(crate) service: ServiceKey,
-    pub(crate) member: Box<str>,
-    pub(crate) request_id: Box<str>,
-    pub(crate) payload: Vec<u8>,
-    pub(crate) fingerprint: u64,
-    pub(crate) idempotent: bool,
-    pub(crate) deadline_ms: u64,
-}
-
-/// How a run ended.
-#[derive(Debug, Default)]
-pub(crate) struct RunResult {
-    pub(crate) results: Vec<ShardResult>,
-    pub(crate) lacking: Vec<Lack>,
-    /// Whether a call may have run without an answer that was merged.
-    pub(crate) uncertain: bool,
-    /// Whether a shard is lacking because no replica holds the snapshot any more.
-    pub(crate) snapshot_gone: bool,
-}
-
-#[derive(Debug, Default)]
-struct ShardState {
-    tried: Vec<LeafKey>,
-    open: u32,
-    last_sent_us: u64,
-    body: Option<Box<str>>,
-    lack: Option<Reason>,
-    hedged: bool,
-}
+/// Under policy `latency`, hedge delays after which an answer is given with the shards covered so
+/// far. A hedge and a retry have had their time by then.
+const EARLY_HEDGE_DELAYS: u64 = 4;
 
 #[derive(Debug)]
 struct OpenCall {
     shard: u32,
     leaf: LeafKey,
+    owner: SocketAddr,
     sent_us: u64,
     batch: usize,
 }
@@ -71,127 +47,143 @@
     work: &'a Work,
     snapshot: Snapshot,
     layout: Layout,
-    shards: Vec<ShardState>,
+    shards: Vec<Attempts>,
     calls: HashMap<CallId, OpenCall>,
     batches: Vec<Sent>,
     replies: mpsc::Sender<LeafReply>,
     hedge_delay_us: u64,
+    early_us: u64,
     uncertain: bool,
-    snapshot_gone: bool,
+    vanished: bool,
 }
 
 impl<'a> Run<'a> {
-    /// Runs `work` at `snapshot` until all shards have ended or the deadline passed.
+    /// Runs `work` at `snapshot` until all shards have ended, the policy is satisfied or the
+    /// deadline passed.
     pub(crate) async fn run(
         root: &'a Root,
         fleet: Arc<Fleet>,
         work: &'a Work,
         snapshot: Snapshot,
     ) -> Option<RunResult> {
-        let layout = fleet.service(work.service).layout(snapshot.layout)?.clone();
+        let service = fleet.service(work.service);
+        let layout = service.layout(snapshot.layout)?.clone();
         let (replies, received) = mpsc::channel(REPLY_BUFFER);
-        let shards = layout
-            .shards
-            .iter()
-            .map(|_| ShardState::default())
-            .collect();
-        let hedge_delay_us = root.hedge_delay_us(work.service, &fleet);
+        let count = layout.shards.len();
+        let remaining_ms = work.deadline_ms.saturating_sub(boot_ms());
+        let observed_us = root.measurements().start_run(service, count as u64);
+        let hedge_delay_us = bounded_hedge_delay_us(observed_us, remaining_ms);
+        let early_us = match work.policy {
+            Policy::Coverage => u64::MAX,
+            Policy::Latency => boot_us() + hedge_delay_us * EARLY_HEDGE_DELAYS,
+        };
         let mut run = Self {
             root,
-            fleet,
             work,
             snapshot,
             layout,
-            shards,
+            shards: vec![Attempts::default(); count],
             calls: HashMap::new(),
             batches: Vec::new(),
             replies,
             hedge_delay_us,
+            early_us,
             uncertain: false,
-            snapshot_gone: false,
+            vanished: false,
+            fleet,
         };
-        run.start();
+        let all: Vec<u32> = (0..count).map(|shard| shard as u32).collect();
+        run.dispatch(&all);
         run.collect(received).await;
         Some(run.finish())
     }
 
-    fn start(&mut self) {
-        let all: Vec<u32> = (0..self.shards.len()).map(|shard| shard as u32).collect();
-        self.root
-            .earn_budget(self.work.service, &self.fleet, all.len() as u64);
-        self.dispatch(&all);
+    fn service(&self) -> &Service {
+        self.fleet.service(self.work.service)
     }
 
     /// Picks a replica for each of `shards` and sends one batch to each owner.
     fn dispatch(&mut self, shards: &[u32]) {
-        let mut picked = Vec::with_capacity(shards.len());
+        // Layout and leaves are those that the run started with, but an owner that has given up a
+        // leaf since then may hold stale state of it.
+        let current = self.root.current_fleet();
+        let mut groups: BTreeMap<VmKey, Vec<(u32, LeafKey)>> = BTreeMap::new();
+        let mut without = Vec::new();
+        let mut vanished = false;
+        let (fleet, layout, attempts) = (&self.fleet, &self.layout, &self.shards);
         self.root
-            .with_choice(&self.fleet, self.snapshot, |choice: Choice<'_>, rng| {
+            .with_choice(fleet, self.snapshot, |choice, avoided, rng| {
                 for shard in shards {
-                    let state = &self.shards[*shard as usize];
-                    let replicas = &self.layout.shards[*shard as usize];
-                    picked.push((*shard, choice.pick(replicas, &state.tried, rng)));
+                    let state = &attempts[*shard as usize];
+                    let replicas = &layout.shards[*shard as usize];
+                    let leaf = choice.pick(replicas, &state.excluded(), rng);
+                    let owner =
+                        leaf.and_then(|leaf| owner_of(&current, fleet.leaf(leaf).address, avoided));
+                    match (leaf, owner) {
+                        (Some(leaf), Some(owner)) => {
+                            groups.entry(owner).or_default().push((*shard, leaf));
+                        }
+                        _ => {
+                            vanished |= choice.has_vanished(replicas, &state.gone);
+                            without.push(*shard);
+                        }
+                    }
                 }
             });
-        let mut groups: BTreeMap<VmKey, Vec<(u32, LeafKey)>> = BTreeMap::new();
-        for (shard, leaf) in picked {
-            let owner = leaf.and_then(|leaf| self.owner_of(leaf));
-            let (Some(leaf), Some(owner)) = (leaf, owner) else {
-                let state = &mut self.shards[shard as usize];
-                state.lack.get_or_insert(Reason::Unreachable);
-                continue;
-            };
-            groups.entry(owner).or_default().push((shard, leaf));
-        }
+        let name = &self.service().name;
+        self.vanished |= vanished && self.root.has_other_snapshot(self.work, name, self.snapshot);
         for (owner, calls) in groups {
+            let owner = current.vm(owner).entry.internal_address;
             self.send(owner, &calls);
         }
+        let now_us = boot_us();
+        for shard in without {
+            // A hedge without a free replica leaves the first call as it is.
+            self.shards[shard as usize].defer_hedge(u64::MAX);
+            let known = self.shards[shard as usize].lack;
+            let failure = Failure {
+                reason: known.unwrap_or(Reason::Unreachable),
+                may_have_run: false,
+                no_replica: true,
+            };
+            self.plan_retry(shard, failure, now_us);
+        }
     }
 
-    fn owner_of(&self, leaf: LeafKey) -> Option<VmKey> {
-        let owners = self.fleet.leaf(leaf).owners;
-        let reachable = |vm: &VmKey| !self.root.is_avoided(self.internal_address(*vm));
-        owners
-            .primary
-            .filter(reachable)
-            .or(owners.standby.filter(reachable))
-            .or(owners.primary)
-    }
-
-    fn internal_address(&self, vm: VmKey) -> SocketAddr {
-        self.fleet.vm(vm).entry.internal_address
+    fn plan_retry(&mut self, shard: u32, failure: Failure, now_us: u64) {
+        let replicas = self.layout.shards[shard as usize].len();
+        // Views of leaves lag behind a new version; the wait for it is bounded by the policy.
+        let persistent = self.work.is_persistent() || failure.reason == Reason::SnapshotGone;
+        self.shards[shard as usize].failed(failure, replicas, persistent, now_us);
     }
 
-    fn send(&mut self, owner: VmKey, picked: &[(u32, LeafKey)]) {
+    fn send(&mut self, address: SocketAddr, picked: &[(u32, LeafKey)]) {
         let now_us = boot_us();
         let remaining_ms = self.work.deadline_ms.saturating_sub(boot_ms());
         let mut calls = Vec::with_capacity(picked.len());
         for (shard, leaf) in picked {
             let call = self.root.next_call();
-            let address = self.fleet.leaf(*leaf).address;
             calls.push(LeafCall {
                 call,
-                leaf: address,
+                leaf: self.fleet.leaf(*leaf).address,
                 shard: *shard,
             });
-            let batch = self.batches.len();
             let open = OpenCall {
                 shard: *shard,
                 leaf: *leaf,
+                owner: address,
                 sent_us: now_us,
-                batch,
+                batch: self.batches.len(),
             };
             self.calls.insert(call, open);
-            let state = &mut self.shards[*shard as usize];
-            state.tried.push(*leaf);
-            state.open += 1;
-            state.last_sent_us = now_us;
-            self.root.call_started(address);
+            self.shards[*shard as usize].sent(*leaf, now_us, self.hedge_delay_us);
         }
-        let address = self.internal_address(owner);
+        self.root
+            .measurements()
+            .calls_started(calls.iter().map(|call| call.leaf));
         debug!(event = "dispatch", owner = %address, calls = calls.len(), snapshot = %self.snapshot);
         let batch = Batch {
-            service: self.fleet.service(self.work.service).name.clone(),
+            service: self.service().name.clone(),
             member: self.work.member.clone(),
             request_id: self.work.request_id.clone(),
             snapshot: self.snapshot,
@@ -209,72 +201,97 @@
         self.batches.push(sent);
     }
 
-    /// Takes replies and hedges until nothing is open or the deadline passed.
+    /// Takes replies, hedges and retries until the run has ended.
     async fn collect(&mut self, mut received: mpsc::Receiver<LeafReply>) {
-        while !self.calls.is_empty() && !self.is_covered() {
-            let now_ms = boot_ms();
-            if now_ms >= self.work.deadline_ms {
-                break;
+        while !self.has_ended() {
+            let wake = Duration::from_micros(self.wake_us().saturating_sub(boot_us()));
+            if wake.is_zero() {
+                self.act();
+                continue;
             }
-            let deadline = Duration::from_millis(self.work.deadline_ms - now_ms);
-            let hedge = Duration::from_micros(self.next_hedge_us().saturating_sub(boot_us()));
             tokio::select! {
                 reply = received.recv() => {
-                    if let Some(reply) = reply {
+                    let mut next = reply;
+                    while let Some(reply) = next {
                         self.take(reply);
+                        next = received.try_recv().ok();
                     }
                 }
-                () = tokio::time::sleep(hedge.min(deadline)) => self.hedge(),
+                () = tokio::time::sleep(wake) => {}
             }
         }
         self.cancel_open();
     }
 
-    fn is_covered(&self) -> bool {
-        self.shards.iter().all(|shard| shard.body.is_some())
+    fn has_ended(&self) -> bool {
+        if self.shards.iter().all(Attempts::is_settled) {
+            return true;
+        }
+        // Calls of a request that must not run twice are never given up for a restart.
+        let may_restart = self.work.idempotent || self.calls.is_empty();
+        if self.vanished && may_restart {
+            return true;
+        }
+        let covered = self.shards.iter().any(|shard| shard.body.is_some());
+        let early = covered && boot_us() >= self.early_us && self.work.idempotent;
+        early || boot_ms() >= self.work.answer_by_ms()
     }
 
-    /// Returns the time at which the next shard is hedged.
-    fn next_hedge_us(&self) -> u64 {
-        if !self.work.idempotent {
-            return u64::MAX;
+    /// Returns the time of the next hedge, retry or end.
+    fn wake_us(&self) -> u64 {
+        let mut next_us = self.work.answer_by_ms() * 1_000;
+        if self.early_us > boot_us() {
+            next_us = next_us.min(self.early_us);
         }
-        let mut next_us = u64::MAX;
         for shard in &self.shards {
-            if shard.body.is_none() && shard.open > 0 && !shard.hedged {
-                next_us = next_us.min(shard.last_sent_us + self.hedge_delay_us);
-            }
+            next_us = next_us.min(shard.wake_us(self.work.idempotent));
         }
         next_us
     }
 
-    /// Sends a second call for each shard that is late, as far as the budget goes.
-    fn hedge(&mut self) {
-        if !self.work.idempotent {
-            return;
-        }
+    /// Sends the hedges and retries that are due, as far as the budget goes.
+    fn act(&mut self) {
         let now_us = boot_us();
-        let mut late = Vec::new();
+        let mut due = Vec::new();
+        let mut hedges = 0;
         for index in 0..self.shards.len() {
-            let shard = &mut self.shards[index];
-            let due = shard.last_sent_us + self.hedge_delay_us <= now_us;
-            if shard.body.is_some() || shard.open == 0 || shard.hedged || !due {
+            let shard = &self.shards[index];
+            if shard.body.is_some() {
                 continue;
             }
-            shard.hedged = true;
-            if self.root.spend_budget(self.work.service, &self.fleet) {
-                late.push(index as u32);
+            if let Some(pending) = shard.pending {
+                if pending.at_us > now_us {
+                    continue;
+                }
+                if pending.priced && !self.try_spend() {
+                    let persistent = self.work.is_persistent();
+                    self.shards[index].denied(persistent, now_us);
+                    continue;
+                }
+                due.push(index as u32);
+            } else if self.work.idempotent && shard.is_hedge_due(now_us) {
+                self.shards[index].defer_hedge(now_us + self.hedge_delay_us.max(1_000));
+                if self.has_untried(index) && self.try_spend() {
+                    hedges += 1;
+                    due.push(index as u32);
+                }
             }
         }
-        if late.is_empty() {
+        if due.is_empty() {
             return;
         }
-        info!(
-            event = "hedge",
-            shards = late.len(),
-            delay_us = self.hedge_delay_us
-        );
-        self.dispatch(&late);
+        let retries = due.len() - hedges;
+        let delay_us = self.hedge_delay_us;
+        info!(event = "extra_calls", request = %self.work.request_id, hedges, retries, delay_us);
+        self.dispatch(&due);
+    }
+
+    fn has_untried(&self, shard: usize) -> bool {
+        self.shards[shard].tried.len() < self.layout.shards[shard].len()
+    }
+
+    fn try_spend(&self) -> bool {
+        self.root.try_spend(&self.service().name)
     }
 
     fn take(&mut self, reply: LeafReply) {
@@ -283,16 +300,20 @@
             return;
         };
         let address = self.fleet.leaf(call.leaf).address;
-        let latency_us = boot_us().saturating_sub(call.sent_us);
-        let done = matches!(reply.result, LeafResult::Done { .. });
-        self.root
-            .call_ended(self.work.service, &self.fleet, address, latency_us, done);
+        let end = match &reply.result {
+            LeafResult::Done { .. } => Ended::Done,
+            LeafResult::NotStarted(NotStarted::Shed) => Ended::Shed,
+            _ => Ended::Other,
+        };
+        self.measure(&call, end);
         let shard = &mut self.shards[call.shard as usize];
         shard.open -= 1;
         match reply.result {
             LeafResult::Done { body, .. } if shard.body.is_none() => {
                 shard.body = Some(String::from_utf8_lossy(&body).into());
-                self.cancel_shard(call.shard);
+                if shard.open > 0 {
+                    self.cancel_shard(call.shard);
+                }
             }
             LeafResult::Done { .. } => {}
             LeafResult::NotStarted(reason) => self.not_started(&call, reason),
@@ -305,54 +326,56 @@
         }
     }
 
-    /// Handles a call that provably did not run: any request may try another replica.
-    fn not_started(&mut self, call: &OpenCall, reason: NotStarted) {
-        let lack = match reason {
-            NotStarted::SnapshotGone => Reason::SnapshotGone,
+    fn measure(&self, call: &OpenCall, end: Ended) {
+        let latency_us = boot_us().saturating_sub(call.sent_us);
+        let address = self.fleet.leaf(call.leaf).address;
+        self.root
+            .measurements()
+            .call_ended(&self.service().name, address, latency_us, end);
+    }
+
+    /// Handles a call that provably did not run: any request may try again, without a price.
+    fn not_started(&mut self, call: &OpenCall, not_started: NotStarted) {
+        let state = &mut self.shards[call.shard as usize];
+        let reason = match not_started {
+            NotStarted::SnapshotGone => {
+                state.gone.push(call.leaf);
+                Reason::SnapshotGone
+            }
+            NotStarted::OwnerUnreachable => {
+                state.tried.retain(|leaf| *leaf != call.leaf);
+                self.root.avoid(call.owner);
+                Reason::Unreachable
+            }
             NotStarted::Shed | NotStarted::Draining => Reason::Shed,
             NotStarted::Deadline | NotStarted::Cancelled => Reason::Timeout,
-            NotStarted::Quarantined => Reason::Quarantined,
+            NotStarted::Quarantined => {
+                state.lack = Some(Reason::Quarantined);
+                return;
+            }
             _ => Reason::Unreachable,
         };
-        if reason == NotStarted::OwnerUnreachable {
-            if let Some(owner) = self.fleet.leaf(call.leaf).owners.primary {
-                self.root.avoid(self.internal_address(owner));
-            }
-            self.shards[call.shard as usize]
-                .tried
-                .retain(|leaf| *leaf != call.leaf);
-        }
-        self.retry(call.shard, lack);
+        let failure = Failure {
+            reason,
+            may_have_run: false,
+            no_replica: false,
+        };
+        self.plan_retry(call.shard, failure, boot_us());
     }
 
     /// Handles a call that may have run.
     fn failed(&mut self, shard: u32, reason: Reason) {
         self.uncertain = true;
-        if self.work.idempotent {
-            self.retry(shard, reason);
-        } else {
+        if !self.work.idempotent {
             self.shards[shard as usize].lack = Some(reason);
-        }
-    }
-
-    /// Tries another replica of a shard that has no other call open.
-    fn retry(&mut self, shard: u32, reason: Reason) {
-        let state = &mut self.shards[shard as usize];
-        if state.body.is_some() || state.open > 0 {
-            return;
-        }
-        state.lack = Some(reason);
-        if boot_ms() >= self.work.deadline_ms {
             return;
         }
-        if !self.root.spend_budget(self.work.service, &self.fleet) {
-            return;
-        }
-        let before = state.tried.len();
-        debug!(event = "retry", shard, reason = ?reason);
-        self.dispatch(&[shard]);
-        let state = &self.shards[shard as usize];
-        self.snapshot_gone |= reason == Reason::SnapshotGone && state.tried.len() == before;
+        let failure = Failure {
+            reason,
+            may_have_run: true,
+            no_replica: false,
+        };
+        self.plan_retry(shard, failure, boot_us());
     }
 
     /// Cancels the losers of a shard that has its answer.
@@ -388,14 +411,14 @@
             return;
         };
         self.batches[call.batch].cancel(id);
-        self.root.call_cancelled(self.fleet.leaf(call.leaf).address);
+        self.measure(&call, Ended::Cancelled);
         self.shards[call.shard as usize].open -= 1;
     }
 
     fn finish(mut self) -> RunResult {
         let mut result = RunResult {
             uncertain: self.uncertain,
-            snapshot_gone: self.snapshot_gone,
+            vanished: self.vanished,
             ..RunResult::default()
         };
         for (index, shard) in self.shards.iter_mut().enumerate() {
@@ -419,6 +442,6 @@
 }
 
 /// Returns the hedge delay, bounded by what the deadline leaves.
-pub(crate) fn bounded_hedge_delay_us(observed_us: u64, remaining_ms: u64) -> u64 {
+fn bounded_hedge_delay_us(observed_us: u64, remaining_ms: u64) -> u64 {
     observed_us.min(remaining_ms * 1_000 / LATEST_HEDGE_DIVISOR)
 }
--- a/src/root.rs
+++ b/src/root.rs
@@ -9,66 +9,46 @@
 use tokio_util::task::TaskTracker;
 use tracing::{info, warn};
 
-use crate::admission::{Admission, RETRY_AFTER_MS};
+use crate::admission::{Admission, Arrival, Refusal, Supply};
 use crate::answer::{Answer, CallerRequest, Outcome, Reason};
 use crate::clock::{boot_ms, unix_ms};
-use crate::control::{Control, LeafView};
+use crate::control::Control;
 use crate::dispatch::Dispatcher;
 use crate::fact::Fact;
 use crate::fleet::Fleet;
-use crate::hedge::Budget;
-use crate::ids::{CallId, CallIds, ServiceKey, Snapshot, fingerprint};
-use crate::latency::Distribution;
+use crate::ids::{CallId, CallIds, Snapshot, fingerprint};
 use crate::link::{Link, LinkError};
-use crate::plan::{Choice, LeafLoad};
+use crate::measurements::Measurements;
+use crate::plan::Choice;
 use crate::quarantine::{QUARANTINE_MS, Quarantine};
-use crate::query::{Run, RunResult, Work, bounded_hedge_delay_us};
-use crate::snapshot::choose;
+use crate::supply::spread;
 use crate::telemetry::Telemetry;
 use crate::ticket::{Redeem, Ticket, Tickets};
+use crate::work::Work;
 
-/// Runs of one request at different snapshots.
-const MAX_RUNS: usize = 3;
-
-/// Share of calls that end before the hedge delay.
-const HEDGE_QUANTILE: f64 = 0.95;
-
-/// Samples before the observed distribution decides the hedge delay.
-const MIN_SAMPLES: u64 = 50;
-
-/// Hedge delay without enough samples.
-const DEFAULT_HEDGE_DELAY_US: u64 = 20_000;
+/// Time after which a caller should come back that was refused for another reason than load.
+pub(crate) const RETRY_AFTER_MS: u64 = 500;
 
 /// Longest member name and request id.
 const MAX_NAME_BYTES: usize = 128;
 
-/// Time for which an owner that could not be reached is avoided.
-const AVOID_MS: u64 = 1_000;
-
-#[derive(Default)]
-struct ServiceState {
-    latency: Distribution,
-    budget: Budget,
-}
-
 #[derive(Default)]
-struct State {
-    services: HashMap<Box<str>, ServiceState>,
-    loads: HashMap<SocketAddr, LeafLoad>,
-    avoided: HashMap<SocketAddr, u64>,
+pub(crate) struct State {
     in_flight_ids: HashSet<(Box<str>, Box<str>)>,
-    admission: Admission,
+    pub(crate) admission: Admission,
+    pub(crate) supplies: HashMap<Box<str>, (Supply, u64)>,
     quarantine: Quarantine,
     tickets: Option<Tickets>,
 }
 
 /// Service that runs callers' requests.
 pub struct Root {
-    control: Arc<Control>,
+    pub(crate) control: Arc<Control>,
     dispatcher: Dispatcher,
     link: Arc<Link>,
     telemetry: Arc<Telemetry>,
     call_ids: CallIds,
+    measurements: Measurements,
     state: Mutex<State>,
     draining: AtomicBool,
     tasks: TaskTracker,
@@ -77,6 +57,7 @@
 /// A place in admission and a request id in flight; dropping it gives both back.
 struct Place<'a> {
     root: &'a Root,
+    service: Box<str>,
     member: Box<str>,
     request_id: Box<str>,
 }
@@ -84,7 +65,7 @@
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         let mut state = self.root.state();
-        state.admission.release(&self.member);
+        state.admission.release(&self.service, &self.member);
         let id = (
             std::mem::take(&mut self.member),
             std::mem::take(&mut self.request_id),
@@ -109,6 +90,7 @@
             link,
             telemetry,
             call_ids: CallIds::new(incarnation),
+            measurements: Measurements::default(),
             state: Mutex::new(State {
                 tickets: Some(tickets),
                 ..State::default()
@@ -119,7 +101,7 @@
         })
     }
 
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -147,6 +129,9 @@
             Ok(_place) => self.run_ticket(request.clone()).await,
             Err(answer) => answer,
         };
+        if !answer.results.is_empty() || !answer.lacking.is_empty() {
+            self.learn(&request, &answer, boot_ms() - started_ms);
+        }
         self.telemetry.count_answer(&answer, boot_ms() - started_ms);
         info!(
             event = "answer",
@@ -178,6 +163,10 @@
             let answer = Answer::empty(&request.request_id, Outcome::NotRun, reason);
             answer.retry_after(RETRY_AFTER_MS)
         };
+        let refuse_full = |refusal: Refusal| {
+            let answer = Answer::empty(&request.request_id, Outcome::NotRun, refusal.reason);
+            answer.retry_after(spread(refusal.retry_after_ms))
+        };
         if self.draining.load(Ordering::SeqCst) {
             return Err(refuse(Reason::Draining));
         }
@@ -192,10 +181,21 @@
         {
             return Err(refuse(Reason::DuplicateRequestId));
         }
-        state.admission.admit(&request.member).map_err(refuse)?;
+        let arrival = Arrival {
+            service: &request.service,
+            member: &request.member,
+            deadline_ms: request.deadline_ms,
+            now_ms: boot_ms(),
+        };
+        let supply = self.supply(&mut state, &request.service);
+        state
+            .admission
+            .admit(arrival, supply)
+            .map_err(refuse_full)?;
         state.in_flight_ids.insert(id);
         Ok(Place {
             root: self,
+            service: request.service.clone(),
             member: request.member.clone(),
             request_id: request.request_id.clone(),
         })
@@ -295,152 +295,38 @@
         }
     }
 
-    /// Runs a request at one snapshot, and at another if the first vanishes.
-    async fn execute(&self, request: &CallerRequest) -> Answer {
-        let fleet = self.control.fleet();
-        let Some(service) = fleet.find_service(&request.service) else {
-            return Answer::empty(&request.request_id, Outcome::NotRun, Reason::UnknownService);
-        };
-        let work = Work {
-            service,
-            member: request.member.clone(),
-            request_id: request.request_id.clone(),
-            payload: request.payload.as_bytes().to_vec(),
-            fingerprint: fingerprint(&request.service, request.payload.as_bytes()),
-            idempotent: request.idempotent,
-            deadline_ms: boot_ms() + request.deadline_ms,
-        };
-        let mut excluded = Vec::new();
-        let mut uncertain = false;
-        for _ in 0..MAX_RUNS {
-            let snapshot = self
-                .control
-                .with_leaf_views(|views| choose(&fleet, fleet.service(service), views, &excluded));
-            let Some(snapshot) = snapshot else {
-                break;
-            };
-            info!(event = "pin", request = %request.request_id, snapshot = %snapshot);
-            let Some(result) = Run::run(self, Arc::clone(&fleet), &work, snapshot).await else {
-                break;
-            };
-            uncertain |= result.uncertain;
-            let restart = result.snapshot_gone && work.idempotent;
-            if !restart || boot_ms() >= work.deadline_ms {
-                return answer(request, &work, snapshot, result, uncertain);
-            }
-            excluded.push(snapshot);
-        }
-        let outcome = if uncertain {
-            Outcome::Unknown
-        } else {
-            Outcome::NotRun
-        };
-        let reason = if excluded.is_empty() {
-            Reason::Unreachable
-        } else {
-            Reason::SnapshotGone
-        };
-        Answer::empty(&request.request_id, outcome, reason).retry_after(RETRY_AFTER_MS)
-    }
-
     pub(crate) fn dispatcher(&self) -> &Dispatcher {
         &self.dispatcher
     }
 
-    pub(crate) fn next_call(&self) -> CallId {
-        self.call_ids.next()
-    }
-
-    /// Calls `choose` with the state that replica choice reads.
-    pub(crate) fn with_choice(
-        &self,
-        fleet: &Fleet,
-        snapshot: Snapshot,
-        choose: impl FnOnce(Choice<'_>, &mut ThreadRng),
-    ) {
-        let state = self.state();
-        let loads = &state.loads;
-        self.control
-            .with_leaf_views(|views: &HashMap<SocketAddr, LeafView>| {
-                choose(
-                    Choice {
-                        fleet,
-                        views,
-                        loads,
-                        snapshot,
-                    },
-                    &mut rand::rng(),
-                );
-            });
+    pub(crate) fn current_fleet(&self) -> Arc<Fleet> {
+        self.control.fleet()
     }
 
-    pub(crate) fn call_started(&self, leaf: SocketAddr) {
-        self.state().loads.entry(leaf).or_default().in_flight += 1;
+    pub(crate) fn next_call(&self) -> CallId {
+        self.call_ids.next()
     }
 
-    pub(crate) fn call_cancelled(&self, leaf: SocketAddr) {
-        let mut state = self.state();
-        let load = state.loads.entry(leaf).or_default();
-        load.in_flight = load.in_flight.saturating_sub(1);
+    pub(crate) fn measurements(&self) -> &Measurements {
+        &self.measurements
     }
 
-    pub(crate) fn call_ended(
+    /// Calls `choose` with the state that replica choice reads and the owners to avoid.
+    pub(crate) fn with_choice(
         &self,
-        service: ServiceKey,
         fleet: &Fleet,
-        leaf: SocketAddr,
-        latency_us: u64,
-        done: bool,
+        snapshot: Snapshot,
+        choose: impl FnOnce(Choice<'_>, &dyn Fn(SocketAddr) -> bool, &mut ThreadRng),
     ) {
-        let mut state = self.state();
-        let load = state.loads.entry(leaf).or_default();
-        load.in_flight = load.in_flight.saturating_sub(1);
-        if !done {
-            return;
-        }
-        load.latency.record(latency_us);
-        let name = fleet.service(service).name.clone();
-        state
-            .services
-            .entry(name)
-            .or_default()
-            .latency
-            .record(latency_us);
-    }
-
-    pub(crate) fn hedge_delay_us(&self, service: ServiceKey, fleet: &Fleet) -> u64 {
-        let state = self.state();
-        let latency = state
-            .services
-            .get(&fleet.service(service).name)
-            .map(|s| &s.latency);
-        let observed = latency
-            .filter(|latency| latency.samples() >= MIN_SAMPLES)
-            .and_then(|latency| latency.quantile_us(HEDGE_QUANTILE));
-        let limit_ms = fleet.service(service).max_deadline_ms;
-        bounded_hedge_delay_us(observed.unwrap_or(DEFAULT_HEDGE_DELAY_US), limit_ms)
+        self.control.with_leaf_views(|views| {
+            self.measurements
+                .with_choice(fleet, views, snapshot, choose);
+        });
     }
 
-    pub(crate) fn earn_budget(&self, service: ServiceKey, fleet: &Fleet, calls: u64) {
-        let service = fleet.service(service);
-        let mut state = self.state();
-        let budget = &mut state
-            .services
-            .entry(service.name.clone())
-            .or_default()
-            .budget;
-        budget.earn(calls, service.hedge_budget_ppm);
-    }
-
-    pub(crate) fn spend_budget(&self, service: ServiceKey, fleet: &Fleet) -> bool {
-        let name = fleet.service(service).name.clone();
-        let spent = self
-            .state()
-            .services
-            .entry(name)
-            .or_default()
-            .budget
-            .try_spend();
+    /// Takes one extra call from the service's budget, if it has one.
+    pub(crate) fn try_spend(&self, service: &str) -> bool {
+        let spent = self.measurements.try_spend(service);
         self.telemetry.count_extra_call(spent);
         spent
     }
@@ -452,15 +338,7 @@
     /// Avoids an owner that could not be reached for a while.
     pub(crate) fn avoid(&self, owner: SocketAddr) {
         info!(event = "owner_avoided", owner = %owner);
-        self.state().avoided.insert(owner, boot_ms() + AVOID_MS);
-    }
-
-    pub(crate) fn is_avoided(&self, owner: SocketAddr) -> bool {
-        let state = self.state();
-        state
-            .avoided
-            .get(&owner)
-            .is_some_and(|until_ms| boot_ms() < *until_ms)
+        self.measurements.avoid(owner);
     }
 
     /// Records that a leaf was lost while it ran the request.
@@ -492,35 +370,3 @@
     warn!(event = "forward_failed", request = %request.request_id, %error);
     issuer_lost(&request.request_id)
 }
-
-/// Makes the final answer of a run.
-fn answer(
-    request: &CallerRequest,
-    work: &Work,
-    snapshot: Snapshot,
-    result: RunResult,
-    uncertain: bool,
-) -> Answer {
-    let covered: Vec<u32> = result.results.iter().map(|result| result.shard).collect();
-    let first_lack = result.lacking.first().map(|lack| lack.reason);
-    let outcome = match (covered.is_empty(), result.lacking.is_empty(), uncertain) {
-        (_, true, _) => Outcome::Complete,
-        (_, false, true) if !work.idempotent => Outcome::Unknown,
-        (true, false, true) => Outcome::Unknown,
-        (true, false, false) => Outcome::NotRun,
-        (false, false, _) => Outcome::Partial,
-    };
-    let retry_after_ms = (outcome != Outcome::Complete).then_some(RETRY_AFTER_MS);
-    Answer {
-        request_id: request.request_id.clone(),
-        outcome,
-        reason: first_lack,
-        snapshot: Some(snapshot),
-        shards: (result.results.len() + result.lacking.len()) as u32,
-        covered,
-        lacking: result.lacking,
-        results: result.results,
-        retry_after_ms,
-        ticket_block: None,
-    }
-}
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -11,6 +11,9 @@
 /// Copies of every shard that the newest snapshot should have before it is used.
 const WANTED_COPIES: usize = 2;
 
+/// A share of one in parts per million.
+const ALL_PPM: u64 = 1_000_000;
+
 /// How well the live leaves hold a snapshot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Support {
@@ -21,6 +24,15 @@
     snapshot: Snapshot,
 }
 
+/// A snapshot to pin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pinned {
+    /// Index version and layout.
+    pub snapshot: Snapshot,
+    /// Whether every shard has a live copy.
+    pub covers_all: bool,
+}
+
 /// Chooses the newest snapshot with enough live copies of every shard; without one, the snapshot
 /// that covers most shards, the newest first.
 ///
@@ -30,7 +42,7 @@
     service: &Service,
     leaves: &HashMap<SocketAddr, LeafView>,
     excluded: &[Snapshot],
-) -> Option<Snapshot> {
+) -> Option<Pinned> {
     let mut best: Option<Support> = None;
     for layout in &service.layouts {
         for snapshot in held(fleet, layout, leaves) {
@@ -43,7 +55,10 @@
             }
         }
     }
-    best.map(|support| support.snapshot)
+    best.map(|support| Pinned {
+        snapshot: support.snapshot,
+        covers_all: support.covered_ppm == ALL_PPM,
+    })
 }
 
 /// Returns whether a leaf serves a snapshot.
@@ -83,7 +98,7 @@
         ample &= copies >= WANTED_COPIES.min(shard.len());
         covered += u64::from(copies > 0);
     }
-    let covered_ppm = covered * 1_000_000 / layout.shards.len().max(1) as u64;
+    let covered_ppm = covered * ALL_PPM / layout.shards.len().max(1) as u64;
     Support {
         ample,
         covered_ppm,
--- a/standins/src/leaf.rs
+++ b/standins/src/leaf.rs
@@ -61,6 +61,8 @@
     pub snapshots: Vec<(u64, u32)>,
     /// Way in which answers are wrong.
     pub misbehaviour: Option<Misbehaviour>,
+    /// Whether answers are valid but have no content.
+    pub empty: bool,
     /// Whether all connections are cut and new ones refused.
     pub cut: bool,
     /// Whether the status endpoint goes on reporting the first status.
@@ -83,6 +85,7 @@
             cold: false,
             snapshots: vec![(1, 1)],
             misbehaviour: None,
+            empty: false,
             cut: false,
             status_frozen: false,
             record: true,
@@ -363,7 +366,10 @@
         Some(Misbehaviour::Error) => return status(StatusCode::INTERNAL_SERVER_ERROR),
         _ => {}
     }
-    let body = format!("{snapshot}:{shard}:{payload}");
+    let body = match options.empty {
+        true => String::new(),
+        false => format!("{snapshot}:{shard}:{payload}"),
+    };
     Response::builder()
         .header("x-call-id", call)
         .header("x-shard", shard)
--- /dev/null
+++ b/tests/coverage.rs
@@ -0,0 +1,132 @@
+//! Promise 2: every response states accurately which shards it covers.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cloverrack::{Answer, Outcome, Reason};
+use cloverrack_standins::Misbehaviour;
+use support::{Cluster, Shape, request};
+
+/// Asserts that results, covered and lacking partition the pinned layout, and that each covered
+/// shard has a finished execution at the pinned snapshot in the leaves' records.
+fn assert_true_coverage(cluster: &Cluster, answer: &Answer) {
+    let with_content: Vec<u32> = answer.results.iter().map(|result| result.shard).collect();
+    assert_eq!(with_content, answer.covered, "{answer:?}");
+    let mut all = answer.covered.clone();
+    all.extend(answer.lacking.iter().map(|lack| lack.shard));
+    all.sort_unstable();
+    let layout: Vec<u32> = (0..cluster.shape.shards as u32).collect();
+    assert_eq!(all, layout, "{answer:?}");
+    let snapshot = answer.snapshot.expect("answer has a snapshot").to_string();
+    for result in answer
+        .results
+        .iter()
+        .filter(|result| !result.body.is_empty())
+    {
+        let expected = format!(
+            "{snapshot}:{}:payload of {}",
+            result.shard, answer.request_id
+        );
+        assert_eq!(&*result.body, expected, "{answer:?}");
+    }
+    for shard in &answer.covered {
+        let ran = cluster.leaves[*shard as usize].iter().any(|leaf| {
+            leaf.executions().iter().any(|execution| {
+                *execution.request == *answer.request_id
+                    && execution.snapshot == snapshot
+                    && execution.shard == *shard
+                    && execution.finished
+            })
+        });
+        assert!(ran, "shard {shard} never ran for {answer:?}");
+    }
+}
+
+/// Guards against counting a shard by its content: an empty answer covers it, a timeout does not.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_answer_covers_and_a_timeout_does_not() {
+    let cluster = Cluster::start(Shape::default()).await;
+    for leaf in &cluster.leaves[0] {
+        leaf.set(|options| options.empty = true);
+    }
+    for leaf in &cluster.leaves[1] {
+        leaf.set(|options| options.misbehaviour = Some(Misbehaviour::Silent));
+    }
+    for vm in 0..3 {
+        let mut query = request(&format!("q-{vm}"));
+        query.deadline_ms = 500;
+        let answer = cluster.query(vm, &query).await.unwrap();
+        assert_true_coverage(&cluster, &answer);
+        assert_eq!(answer.outcome, Outcome::Partial, "{answer:?}");
+        assert_eq!(answer.covered, vec![0, 2]);
+        assert_eq!(&*answer.results[0].body, "");
+        assert_eq!(answer.lacking[0].reason, Reason::Timeout);
+    }
+}
+
+/// Changes the faults of the leaves in turn, so that each shard loses some or all replicas.
+async fn misbehave(cluster: &Cluster) {
+    let faults = [
+        Misbehaviour::WrongSnapshot,
+        Misbehaviour::Error,
+        Misbehaviour::WrongCall,
+        Misbehaviour::WrongShard,
+    ];
+    for (step, fault) in faults.into_iter().enumerate() {
+        for leaf in &cluster.leaves[step % 3] {
+            leaf.set(|options| options.misbehaviour = Some(fault));
+        }
+        let cut = &cluster.leaves[(step + 1) % 3];
+        for leaf in &cut[..2] {
+            leaf.set(|options| options.cut = true);
+        }
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        for leaf in cluster.leaves.iter().flatten() {
+            leaf.set(|options| {
+                options.misbehaviour = None;
+                options.cut = false;
+            });
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+/// Guards against coverage that is claimed for a wrong, late or missing answer of a leaf.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_is_true_under_concurrent_faults() {
+    let cluster = Arc::new(Cluster::start(Shape::default()).await);
+    let faults = tokio::spawn({
+        let cluster = Arc::clone(&cluster);
+        async move { misbehave(&cluster).await }
+    });
+    let mut callers = tokio::task::JoinSet::new();
+    for caller in 0..6 {
+        let (cluster, faults) = (Arc::clone(&cluster), faults.abort_handle());
+        callers.spawn(async move {
+            let mut answers = Vec::new();
+            while !faults.is_finished() {
+                let mut query = request(&format!("q-{caller}-{}", answers.len()));
+                query.deadline_ms = 250;
+                answers.push(cluster.query(caller % 3, &query).await.unwrap());
+            }
+            answers
+        });
+    }
+    let answers = callers.join_all().await.concat();
+    faults.await.unwrap();
+    let with = |outcome| answers.iter().filter(|a| a.outcome == outcome).count();
+    let (complete, partial) = (with(Outcome::Complete), with(Outcome::Partial));
+    assert!(
+        complete > 0 && partial > 0,
+        "complete {complete}, partial {partial}"
+    );
+    for answer in &answers {
+        if answer.snapshot.is_some() {
+            assert_true_coverage(&cluster, answer);
+        } else {
+            assert!(answer.covered.is_empty() && answer.results.is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/tests/policy.rs
@@ -0,0 +1,171 @@
+//! Policies `latency` and `coverage`, retries and refusals on real processes.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cloverrack::answer::Preference;
+use cloverrack::{Outcome, Reason};
+use cloverrack_standins::{LeafOptions, Misbehaviour};
+use support::{Cluster, Shape, eventually, request};
+
+async fn without_budget(cluster: &Cluster) {
+    let config = cluster.config("hedge_budget_ppm = 0");
+    cluster.platform.put("cloverrack/config/test", config);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
+/// Guards against a service that prefers latency and waits for a lost shard until the deadline,
+/// and against a caller's preference that is ignored.
+#[tokio::test(flavor = "multi_thread")]
+async fn latency_answers_early_and_a_preference_goes_first() {
+    let shape = Shape {
+        policy: "latency",
+        ..Shape::default()
+    };
+    let cluster = Cluster::start(shape).await;
+    for leaf in &cluster.leaves[1] {
+        leaf.set(|options| options.misbehaviour = Some(Misbehaviour::Silent));
+    }
+    let mut query = request("early");
+    query.deadline_ms = 5_000;
+    let start = Instant::now();
+    let answer = cluster.query(0, &query).await.unwrap();
+    assert_eq!(answer.outcome, Outcome::Partial, "{answer:?}");
+    assert_eq!(answer.covered, vec![0, 2]);
+    assert!(
+        start.elapsed() < Duration::from_millis(2_500),
+        "waited {:?}",
+        start.elapsed()
+    );
+
+    let returning = cluster.leaves[1][0].clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        returning.set(|options| options.misbehaviour = Some(Misbehaviour::Error));
+        returning.set(|options| options.misbehaviour = None);
+    });
+    // Under coverage the calls to the silent replicas stay open; a cut ends them.
+    query.request_id = "preferred".into();
+    query.prefer = Some(Preference::Coverage);
+    query.deadline_ms = 1_200;
+    let start = Instant::now();
+    let answer = cluster.query(0, &query).await.unwrap();
+    assert!(
+        start.elapsed() > Duration::from_millis(900),
+        "answered early: {answer:?}"
+    );
+}
+
+/// Guards against a shard that is given up while no replica is usable, although one returns before
+/// the deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn coverage_waits_for_a_replica_that_returns() {
+    let cluster = Cluster::start(Shape::default()).await;
+    for leaf in &cluster.leaves[1] {
+        leaf.set(|options| options.draining = true);
+    }
+    let mut early = request("early");
+    early.deadline_ms = 200;
+    eventually("the shard is lacking", async || {
+        let answer = cluster.query(0, &early).await.unwrap();
+        answer.lacking.iter().any(|lack| lack.shard == 1)
+    })
+    .await;
+    let returning = cluster.leaves[1][2].clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        returning.set(|options| options.draining = false);
+    });
+    let mut query = request("patient");
+    query.deadline_ms = 10_000;
+    let answer = cluster.query(0, &query).await.unwrap();
+    assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+}
+
+/// Guards against calls that provably did not start and are not retried for want of budget.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_did_not_start_need_no_budget() {
+    let cluster = Arc::new(Cluster::start(Shape::default()).await);
+    without_budget(&cluster).await;
+    // The budget saved before the change is used up by losses, of which each costs one token.
+    for leaf in cluster.leaves.iter().flatten() {
+        leaf.set(|options| options.misbehaviour = Some(Misbehaviour::Error));
+    }
+    for number in 0..20 {
+        let mut query = request(&format!("spend-{number}"));
+        query.deadline_ms = 60;
+        for vm in 0..3 {
+            cluster.query(vm, &query).await;
+        }
+    }
+    for leaf in cluster.leaves.iter().flatten() {
+        leaf.set(|options| options.misbehaviour = None);
+    }
+    for shard in &cluster.leaves {
+        shard[0].set(|options| options.slots = 0);
+        shard[1].set(|options| options.slots = 0);
+    }
+    for number in 0..15 {
+        let query = request(&format!("q-{number}"));
+        let answer = cluster.query(number % 3, &query).await.unwrap();
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+    }
+}
+
+/// Guards against overload that queues requests until their deadlines: most are refused at once,
+/// with a time to come back, and most of those admitted are answered in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn overload_is_refused_at_once() {
+    let shape = Shape {
+        leaf: LeafOptions {
+            service_us: 30_000,
+            ..LeafOptions::default()
+        },
+        ..Shape::default()
+    };
+    let cluster = Arc::new(Cluster::start(shape).await);
+    // The first requests wait for views of the leaves and say nothing about the service's time.
+    for number in 0..20 {
+        cluster
+            .query(0, &request(&format!("normal-{number}")))
+            .await;
+    }
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..400 {
+        let cluster = Arc::clone(&cluster);
+        callers.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(number as u64)).await;
+            let mut query = request(&format!("q-{number}"));
+            query.deadline_ms = 300;
+            let start = Instant::now();
+            let answer = cluster.query(0, &query).await.unwrap();
+            (answer, start.elapsed())
+        });
+    }
+    let answers = callers.join_all().await;
+    let with = |outcome| answers.iter().filter(|(a, _)| a.outcome == outcome).count();
+    let admitted = answers.len() - with(Outcome::NotRun);
+    let complete = with(Outcome::Complete);
+    let mut refused_ms: Vec<u128> = Vec::new();
+    for (answer, elapsed) in &answers {
+        if answer.outcome != Outcome::NotRun {
+            continue;
+        }
+        assert_eq!(answer.reason, Some(Reason::Overloaded), "{answer:?}");
+        assert!(answer.retry_after_ms.is_some_and(|wait_ms| wait_ms > 0));
+        refused_ms.push(elapsed.as_millis());
+    }
+    refused_ms.sort_unstable();
+    assert!(
+        complete > 0 && complete * 2 >= admitted,
+        "{complete} of {admitted} complete"
+    );
+    assert!(refused_ms.len() >= 100, "only {} refused", refused_ms.len());
+    let median_ms = refused_ms[refused_ms.len() / 2];
+    assert!(
+        median_ms < 100,
+        "half of the refusals took {median_ms} ms or more"
+    );
+}
