--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod attempt;
 pub mod backoff;
 pub mod clock;
 pub mod config;
@@ -20,6 +21,7 @@
 pub mod document;
 pub mod drain;
 pub mod entries;
+mod execute;
 pub mod fact;
 pub mod faults;
 pub mod fleet;
@@ -32,6 +34,7 @@
 pub mod latency;
 pub mod leaf;
 pub mod link;
+mod measurements;
 pub mod node;
 mod once;
 pub mod operator;
@@ -48,11 +51,13 @@
 pub mod settings;
 pub mod slots;
 pub mod snapshot;
+mod supply;
 mod sync;
 pub mod telemetry;
 pub mod ticket;
 pub mod watcher;
 pub mod wire;
+mod work;
 
 pub use admission::Admission;
 pub use answer::{Answer, CallerRequest, Outcome, Reason};
