Stop a node without cutting off a request, and list only VMs that serve

Causes: hyper's graceful shutdown closed idle HTTP/1.1 connections and those without a first request at the end of the stop, and open connections were not told to go before it; connections in the kernel's backlog were reset; a VM gossiped before it served; a VM that leaves as the last one had no owner, so it refused all queries while it still had to serve; a second SIGTERM had no effect; callers without a name all got the same order of addresses; with 4 live VMs in a failure domain the answer named no other.

Changes: the listener has the phases leaving and stop. While leaving, answers over HTTP/1.1 carry `connection: close` and HTTP/2 connections get GOAWAY; new connections are served. At the stop the backlog is taken for 20 ms, a connection without a first request has 250 ms, the rest is refused as not run. A second SIGTERM ends the wait for kept addresses, not the requests. A stop ends at the longest deadline plus 10 s even if a client or peer never finishes. Gossip starts when the callers' listener serves, and a VM that is starting tells no peer its state. Without a live VM the base placement stays in force. The last of four addresses is in another failure domain.

Ruled out: closing idle HTTP/1.1 connections at the first signal (a request may be on its way).

Tests and how they were seen red: stop under load (connections dropped instead of shut down; no `leave`), told to go (no close header; no GOAWAY; no owner without a live VM), second signal (ignored), signal while starting (ignored), not ready (gossip before the join), batches of peers (no wait for tasks), spread of callers (same seed for all; no distant address).

--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use cloverrack::entries::rank;
 use cloverrack::placement::{Bundle, Candidate, assign};
 use cloverrack::{DocumentStore, Fleet, VmKey};
 use serde_json::json;
@@ -21,6 +22,7 @@
 /// Victims tried in each movement case.
 const VICTIMS: usize = 40;
 const TIMED_RUNS: u32 = 5;
+const CALLERS: usize = 1_000;
 
 type Ownership = HashMap<SocketAddr, String>;
 
@@ -253,8 +255,27 @@
     );
 }
 
+/// Prints how evenly callers, a third or so in each failure domain, spread over first addresses.
+fn entries(case: &Case) {
+    let fleet = Fleet::compile(&case.store(None), "r", |_| true);
+    let mut first: HashMap<SocketAddr, u32> = HashMap::new();
+    for caller in 0..CALLERS {
+        let domain = case.domain(caller);
+        let ranked = rank(&fleet, Some(&domain), &format!("caller-{caller}"));
+        *first.entry(ranked[0]).or_default() += 1;
+    }
+    let mean = CALLERS as f64 / case.vms.len() as f64;
+    let most = f64::from(first.into_values().max().unwrap_or(0));
+    println!(
+        "entries vms={} callers={CALLERS} max_over_mean={:.2}",
+        case.vms.len(),
+        most / mean
+    );
+}
+
 fn main() {
     for (vms, domains) in [(8, 3), (50, 3), (200, 3), (760, 6)] {
+        entries(&Case::new(vms, domains, 1));
         for bundle_leaves in [1, 6] {
             let case = Case::new(vms, domains, bundle_leaves);
             report(&case);
--- a/src/bin/cloverrackd.rs
+++ b/src/bin/cloverrackd.rs
@@ -58,7 +58,12 @@
             _ = terminate.recv() => return ExitCode::SUCCESS,
         };
         terminate.recv().await;
-        node.drain().await.stop().await;
+        // A second signal ends the wait for callers with kept addresses; requests in flight are
+        // finished all the same.
+        let hurry = async {
+            terminate.recv().await;
+        };
+        node.drain(hurry).await.stop().await;
         ExitCode::SUCCESS
     })
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -85,6 +85,7 @@
     quarantine: RwLock<HashMap<u64, u64>>,
     changed: watch::Sender<u64>,
     last_tick_ms: AtomicU64,
+    announced: AtomicBool,
     pub(crate) stale: AtomicBool,
     pub(crate) peer_check: AtomicU64,
     platform_behind: AtomicBool,
@@ -120,17 +121,24 @@
             quarantine: RwLock::default(),
             changed: watch::Sender::new(0),
             last_tick_ms: AtomicU64::new(now_ms),
+            announced: AtomicBool::new(false),
             stale: AtomicBool::new(false),
             peer_check: AtomicU64::new(PeerCheck::Pending as u64),
             platform_behind: AtomicBool::new(false),
         });
-        spawn_until(tasks, stop, Arc::clone(&control).run_gossip());
-        spawn_until(tasks, stop, Arc::clone(&control).run_receive());
         spawn_until(tasks, stop, Arc::clone(&control).run_watch());
         spawn_until(tasks, stop, Arc::clone(&control).run_repair());
         control
     }
 
+    /// Starts to gossip, which makes this VM known as one that takes work.
+    pub fn announce(self: &Arc<Self>, stop: &CancellationToken, tasks: &TaskTracker) {
+        self.last_tick_ms.store(boot_ms(), Ordering::SeqCst);
+        self.announced.store(true, Ordering::SeqCst);
+        spawn_until(tasks, stop, Arc::clone(self).run_gossip());
+        spawn_until(tasks, stop, Arc::clone(self).run_receive());
+    }
+
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -242,12 +250,14 @@
         self.apply(&news);
     }
 
-    /// Returns all facts, for a peer that joins.
+    /// Returns all facts, for a peer that joins; the state of this VM only once it is announced.
     pub fn all_facts(&self) -> Vec<Fact> {
-        self.state()
-            .gossip
-            .facts()
-            .map(|entry| entry.fact.clone())
+        let own = FactKey::Vm(self.settings.internal_address);
+        let announced = self.announced.load(Ordering::SeqCst);
+        let state = self.state();
+        let facts = state.gossip.facts().map(|entry| entry.fact.clone());
+        facts
+            .filter(|fact| announced || fact.key() != own)
             .collect()
     }
 
--- a/src/entries.rs
+++ b/src/entries.rs
@@ -23,23 +23,32 @@
 
 /// Ranks the live VMs for a caller: own failure domain first, then in an order that differs from
 /// caller to caller, so that callers spread evenly.
+///
+/// The last address is one of another failure domain if there is any, so that the loss of the own
+/// one does not leave the caller without an address.
 pub fn rank(fleet: &Fleet, failure_domain: Option<&str>, caller: &str) -> Vec<SocketAddr> {
-    let mut ranked = Vec::new();
+    let seed = xxh3_64_with_seed(caller.as_bytes(), 0);
+    let (mut near, mut distant) = (Vec::new(), Vec::new());
     for vm in &fleet.vms {
         if !vm.live {
             continue;
         }
-        let distant = failure_domain != Some(&*vm.entry.failure_domain);
-        let order = xxh3_64_with_seed(
-            vm.entry.name.as_bytes(),
-            xxh3_64_with_seed(caller.as_bytes(), 0),
-        );
-        ranked.push((distant, order, vm.entry.caller_address));
+        let order = xxh3_64_with_seed(vm.entry.name.as_bytes(), seed);
+        let list = if failure_domain == Some(&*vm.entry.failure_domain) {
+            &mut near
+        } else {
+            &mut distant
+        };
+        list.push((order, vm.entry.caller_address));
     }
-    ranked.sort_unstable();
+    near.sort_unstable();
+    distant.sort_unstable();
+    if !distant.is_empty() {
+        near.truncate(MAX_ENTRIES - 1);
+    }
+    let ranked = near.into_iter().chain(distant);
     ranked
-        .into_iter()
         .take(MAX_ENTRIES)
-        .map(|(_, _, address)| address)
+        .map(|(_, address)| address)
         .collect()
 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -64,7 +64,13 @@
         };
         let domain = parameter("failure_domain");
         let caller = parameter("caller").unwrap_or("");
-        let addresses = rank(&self.control.fleet(), domain, caller);
+        let addresses = if caller.is_empty() {
+            // All callers without a name would get the same order.
+            let any = rand::random::<u64>().to_string();
+            rank(&self.control.fleet(), domain, &any)
+        } else {
+            rank(&self.control.fleet(), domain, caller)
+        };
         info!(
             event = "entries",
             caller,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -5,18 +5,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use tracing::debug;
 
 /// Time allowed for a client to send its headers, and for it to send its body.
@@ -25,6 +25,12 @@
 /// Connections that one listener holds at a time.
 const MAX_CONNECTIONS: usize = 4_096;
 
+/// Wait at the end for the first request of a connection that is open already.
+const FIRST_REQUEST_MS: u64 = 250;
+
+/// Time at the end for taking the connections that the kernel has accepted.
+const BACKLOG_MS: u64 = 20;
+
 /// Answer of a handler.
 pub type HttpResponse = Response<Full<Bytes>>;
 
@@ -34,41 +40,114 @@
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = HttpResponse> + Send;
 }
 
+/// Phases of the end of a listener.
+#[derive(Clone, Debug, Default)]
+pub struct Phases {
+    /// Tells clients of open connections to go; requests are served on.
+    pub leaving: CancellationToken,
+    /// Ends the listener; requests in flight are finished first.
+    pub stop: CancellationToken,
+}
+
 /// Serves a listener until `stop`; requests in flight are finished first.
-pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>, stop: CancellationToken) {
-    let graceful = GracefulShutdown::new();
+pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>, phases: Phases) {
+    let connections = TaskTracker::new();
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+        let permit = tokio::select! {
+            permit = Arc::clone(&permits).acquire_owned() => permit,
+            () = phases.stop.cancelled() => break,
+        };
+        let Ok(permit) = permit else {
             break;
         };
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => break,
+            () = phases.stop.cancelled() => break,
         };
-        let Ok((stream, from)) = accepted else {
+        let Ok((stream, _)) = accepted else {
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let connection = graceful.watch(connection(stream, Arc::clone(&handler)));
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                debug!(event = "connection_ended", %from, %error);
-            }
+        let connection = serve_connection(stream, Arc::clone(&handler), phases.clone());
+        connections.spawn(async move {
+            connection.await;
             drop(permit);
         });
     }
+    serve_backlog(&listener, &handler, &phases, &connections).await;
     drop(listener);
-    graceful.shutdown().await;
+    connections.close();
+    connections.wait().await;
+}
+
+/// Serves the connections that the kernel accepted before the end; closing the listener would
+/// reset them.
+async fn serve_backlog<H: Handler>(
+    listener: &TcpListener,
+    handler: &Arc<H>,
+    phases: &Phases,
+    connections: &TaskTracker,
+) {
+    let accepting = async {
+        while let Ok((stream, _)) = listener.accept().await {
+            let connection = serve_connection(stream, Arc::clone(handler), phases.clone());
+            connections.spawn(connection);
+        }
+    };
+    let _ = timeout(Duration::from_millis(BACKLOG_MS), accepting).await;
+}
+
+async fn serve_connection<H: Handler>(stream: TcpStream, handler: Arc<H>, phases: Phases) {
+    let _ = stream.set_nodelay(true);
+    let seen = watch::Sender::new(None);
+    let until_close = close_time(seen.subscribe(), phases.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let version = request.version();
+        seen.send_replace(Some(version));
+        let handler = Arc::clone(&handler);
+        let leaving = phases.leaving.clone();
+        async move {
+            let mut response = handler.handle(request).await;
+            if leaving.is_cancelled() && version < Version::HTTP_2 {
+                let close = http::HeaderValue::from_static("close");
+                response
+                    .headers_mut()
+                    .insert(http::header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let builder = builder();
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = until_close => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        debug!(event = "connection_ended", %error);
+    }
+}
+
+/// Ends when a connection is to be closed.
+///
+/// An HTTP/2 connection gets its GOAWAY with the first request after the node began to leave. An
+/// HTTP/1.1 connection stays open until then, because closing an idle one may cut off a request
+/// on its way; the answer to its next request closes it.
+async fn close_time(mut seen: watch::Receiver<Option<Version>>, phases: Phases) {
+    phases.leaving.cancelled().await;
+    tokio::select! {
+        _ = seen.wait_for(|version| *version == Some(Version::HTTP_2)) => return,
+        () = phases.stop.cancelled() => {}
+    }
+    let first_request = seen.wait_for(Option::is_some);
+    let _ = timeout(Duration::from_millis(FIRST_REQUEST_MS), first_request).await;
 }
 
-fn connection<H: Handler>(
-    stream: TcpStream,
-    handler: Arc<H>,
-) -> impl hyper_util::server::graceful::GracefulConnection<
-    Error = Box<dyn std::error::Error + Send + Sync>,
-> + Send
-+ 'static {
+fn builder() -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -78,13 +157,7 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(16_384);
-    let service = service_fn(move |request| {
-        let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
-    });
     builder
-        .serve_connection(TokioIo::new(stream), service)
-        .into_owned()
 }
 
 /// A body could not be read.
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,7 +14,7 @@
 use crate::control::Control;
 use crate::dispatch::Dispatcher;
 use crate::front::Front;
-use crate::http_server::serve;
+use crate::http_server::{Phases, serve};
 use crate::ids::Incarnation;
 use crate::kernel::{CONTROL, Kernel, LINK, OWNER, ROOT, TELEMETRY};
 use crate::link::{Link, LinkServer};
@@ -30,6 +30,9 @@
 /// Longest wait, once the configuration is known, for the state of all leaves.
 const KNOW_LEAVES_MS: u64 = 1_000;
 
+/// Time beyond the longest deadline after which a stop no longer waits for clients and peers.
+const STOP_MARGIN_MS: u64 = 10_000;
+
 /// A node could not start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum NodeError {
@@ -65,7 +68,7 @@
     control: Arc<Control>,
     root: Arc<Root>,
     settings: Arc<Settings>,
-    stop_callers: CancellationToken,
+    phases: Phases,
     stop_internal: CancellationToken,
     tasks: TaskTracker,
     state: S,
@@ -137,7 +140,10 @@
         tasks.spawn(serve(
             operator_listener,
             Arc::new(operator),
-            stop_internal.clone(),
+            Phases {
+                leaving: stop_internal.clone(),
+                stop: stop_internal.clone(),
+            },
         ));
         info!(event = "node_starting", vm = %settings.vm, incarnation = %incarnation);
         Ok(Self {
@@ -145,7 +151,7 @@
             control,
             root,
             settings,
-            stop_callers: CancellationToken::new(),
+            phases: Phases::default(),
             stop_internal,
             tasks,
             state: Starting { caller_listener },
@@ -180,14 +186,15 @@
             Arc::clone(&self.root),
         ));
         let listener = self.state.caller_listener;
-        let callers = tokio::spawn(serve(listener, front, self.stop_callers.clone()));
+        let callers = tokio::spawn(serve(listener, front, self.phases.clone()));
+        self.control.announce(&self.stop_internal, &self.tasks);
         info!(event = "node_ready", vm = %self.settings.vm);
         Node {
             kernel: self.kernel,
             control: self.control,
             root: self.root,
             settings: self.settings,
-            stop_callers: self.stop_callers,
+            phases: self.phases,
             stop_internal: self.stop_internal,
             tasks: self.tasks,
             state: Ready { callers },
@@ -196,17 +203,22 @@
 }
 
 impl Node<Ready> {
-    /// Leaves the address answers, and serves on for as long as an answer may be kept.
-    pub async fn drain(self) -> Node<Draining> {
+    /// Leaves the address answers, tells clients to go, and serves on for as long as an answer may
+    /// be kept or until `hurry` ends.
+    pub async fn drain(self, hurry: impl Future<Output = ()>) -> Node<Draining> {
         info!(event = "node_draining", vm = %self.settings.vm, keep_ms = self.settings.keep_ms);
         self.control.leave();
-        tokio::time::sleep(Duration::from_millis(self.settings.keep_ms)).await;
+        self.phases.leaving.cancel();
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(self.settings.keep_ms)) => {}
+            () = hurry => info!(event = "node_hurried", vm = %self.settings.vm),
+        }
         Node {
             kernel: self.kernel,
             control: self.control,
             root: self.root,
             settings: self.settings,
-            stop_callers: self.stop_callers,
+            phases: self.phases,
             stop_internal: self.stop_internal,
             tasks: self.tasks,
             state: Draining {
@@ -219,8 +231,23 @@
 impl Node<Draining> {
     /// Finishes what is in flight and ends all services.
     pub async fn stop(self) {
+        let limit_ms = self.longest_deadline_ms() + STOP_MARGIN_MS;
+        let vm = self.settings.vm.clone();
+        let finish = tokio::time::timeout(Duration::from_millis(limit_ms), self.finish());
+        let finished = finish.await.is_ok();
+        info!(event = "node_stopped", vm = %vm, finished);
+    }
+
+    /// Returns the longest time for which a request in flight may run.
+    fn longest_deadline_ms(&self) -> u64 {
+        let fleet = self.control.fleet();
+        let deadlines = fleet.services.iter().map(|s| s.max_deadline_ms);
+        deadlines.max().unwrap_or(0)
+    }
+
+    async fn finish(self) {
         self.root.drain();
-        self.stop_callers.cancel();
+        self.phases.stop.cancel();
         let _ = self.state.callers.await;
         while self.root.in_flight() > 0 {
             tokio::time::sleep(Duration::from_millis(CHECK_MS)).await;
@@ -229,6 +256,5 @@
         self.tasks.close();
         self.tasks.wait().await;
         self.kernel.clear();
-        info!(event = "node_stopped", vm = %self.settings.vm);
     }
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -199,6 +199,8 @@
 
     /// Moves the bundles of VMs that are not live to live VMs, own failure domain first.
     ///
+    /// Without any live VM the base stays in force, since VMs that are leaving serve until they end.
+    ///
     /// Failure domains without a live VM come last, so that they find the load of the others.
     fn overlay(
         &self,
@@ -206,6 +208,10 @@
         base: &[Option<usize>],
     ) -> Vec<Option<usize>> {
         let mut owners = base.to_vec();
+        let all = self.indices(|vm| vm.live);
+        if all.is_empty() {
+            return owners;
+        }
         let mut load = vec![0_u64; self.vms.len()];
         for (index, owner) in owners.iter_mut().enumerate() {
             match *owner {
@@ -213,7 +219,6 @@
                 _ => *owner = None,
             }
         }
-        let all = self.indices(|vm| vm.live);
         let total = self.bundles.iter().map(|b| u64::from(b.leaves)).sum();
         let region = Pool::new(all, total);
         let mut distant = Vec::new();
--- /dev/null
+++ b/tests/graceful_shutdown.rs
@@ -0,0 +1,330 @@
+//! Promise 7: a planned stop is a graceful shutdown: no request in flight is interrupted.
+
+#![allow(clippy::unwrap_used, reason = "tests")]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cloverrack::answer::Answer;
+use cloverrack::{Entries, Outcome};
+use cloverrack_standins::LeafOptions;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::{http1, http2};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use support::{Cluster, Shape, eventually, exchange, request};
+use tokio::net::TcpStream;
+
+/// Open connection of a caller.
+enum Connection {
+    Http1(http1::SendRequest<Full<Bytes>>),
+    Http2(http2::SendRequest<Full<Bytes>>),
+}
+
+impl Connection {
+    async fn open(address: SocketAddr, version: u8) -> Option<Self> {
+        let stream = TokioIo::new(TcpStream::connect(address).await.ok()?);
+        if version == 1 {
+            let (sender, connection) = http1::handshake(stream).await.ok()?;
+            tokio::spawn(connection);
+            return Some(Self::Http1(sender));
+        }
+        let executor = TokioExecutor::new();
+        let (sender, connection) = http2::handshake(executor, stream).await.ok()?;
+        tokio::spawn(connection);
+        Some(Self::Http2(sender))
+    }
+
+    fn is_usable(&self) -> bool {
+        match self {
+            Self::Http1(sender) => sender.is_ready(),
+            Self::Http2(sender) => !sender.is_closed(),
+        }
+    }
+
+    async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+        match self {
+            Self::Http1(sender) => sender.send_request(request).await,
+            Self::Http2(sender) => sender.send_request(request).await,
+        }
+    }
+}
+
+fn message(address: SocketAddr, id: &str) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(&request(id)).unwrap();
+    Request::post(format!("http://{address}/v1/query"))
+        .header("host", address.to_string())
+        .body(Full::new(body.into()))
+        .unwrap()
+}
+
+/// What one caller saw.
+#[derive(Debug, Default)]
+struct Seen {
+    complete: usize,
+    not_run: usize,
+    /// Requests that a GOAWAY left out; HTTP/2 defines them as not processed.
+    left_out: Vec<String>,
+    broken: Vec<String>,
+}
+
+/// Sends requests one after the other, on a connection that is kept, until no one listens.
+async fn call(address: SocketAddr, version: u8, name: String) -> Seen {
+    let mut seen = Seen::default();
+    let mut connection = None;
+    for number in 0.. {
+        if connection
+            .as_ref()
+            .is_none_or(|open: &Connection| !open.is_usable())
+        {
+            connection = Connection::open(address, version).await;
+        }
+        let Some(open) = &mut connection else {
+            break;
+        };
+        let sent = open
+            .send(message(address, &format!("{name}-{number}")))
+            .await;
+        let body = match sent {
+            Ok(response) => response.into_body().collect().await,
+            Err(error) if error.is_canceled() => {
+                // The connection closed before the request was written.
+                connection = None;
+                continue;
+            }
+            Err(error) => Err(error),
+        };
+        match body {
+            Ok(body) => match serde_json::from_slice::<Answer>(&body.to_bytes()) {
+                Ok(answer) if answer.outcome == Outcome::Complete => seen.complete += 1,
+                Ok(answer) if answer.outcome == Outcome::NotRun => seen.not_run += 1,
+                other => seen.broken.push(format!("{other:?}")),
+            },
+            Err(error) if format!("{error:?}").contains("GoAway(b\"\", NO_ERROR, Remote)") => {
+                seen.left_out.push(format!("{name}-{number}"));
+                connection = None;
+            }
+            Err(error) => {
+                seen.broken.push(format!("{name}-{number}: {error:?}"));
+                connection = None;
+            }
+        }
+    }
+    seen
+}
+
+fn slow(vms: usize, keep_ms: u64) -> Shape {
+    let leaf = LeafOptions {
+        service_us: 80_000,
+        slots: 30,
+        ..LeafOptions::default()
+    };
+    Shape {
+        vms,
+        leaf,
+        keep_ms,
+        ..Shape::default()
+    }
+}
+
+async fn entries(cluster: &Cluster, vm: usize) -> Vec<SocketAddr> {
+    let path = "/v1/entries?failure_domain=fd-0&caller=me";
+    let caller = cluster.daemons[vm].caller;
+    let Some((_, body)) = exchange(caller, "GET", path, Vec::new()).await else {
+        return Vec::new();
+    };
+    serde_json::from_slice::<Entries>(&body).unwrap().addresses
+}
+
+/// Guards against a stop that cuts off callers of either protocol, or a peer that uses this VM as
+/// owner at the moment, or that goes on being listed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_under_load_interrupts_no_request() {
+    let mut cluster = Cluster::start(slow(3, 700)).await;
+    let address = cluster.daemons[0].caller;
+    let mut callers = Vec::new();
+    for number in 0..8 {
+        let version = 1 + number % 2;
+        callers.push(tokio::spawn(call(address, version, format!("c{number}"))));
+    }
+    let running = Arc::new(AtomicBool::new(true));
+    let mut peers = Vec::new();
+    for vm in 1..3 {
+        let (caller, running) = (cluster.daemons[vm].caller, Arc::clone(&running));
+        peers.push(tokio::spawn(async move {
+            let mut open = Connection::open(caller, 2).await.unwrap();
+            let mut outcomes = Vec::new();
+            for number in 0.. {
+                if !running.load(Ordering::SeqCst) {
+                    break;
+                }
+                let response = open.send(message(caller, &format!("p{vm}-{number}"))).await;
+                let body = response.unwrap().into_body().collect().await.unwrap();
+                let answer: Answer = serde_json::from_slice(&body.to_bytes()).unwrap();
+                outcomes.push(answer.outcome);
+            }
+            outcomes
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.daemons[0].signal("-TERM");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(!entries(&cluster, 0).await.contains(&address), "own answer");
+    eventually("the peers no longer list the VM", async || {
+        let [one, two] = [entries(&cluster, 1).await, entries(&cluster, 2).await];
+        !one.contains(&address) && !two.contains(&address)
+    })
+    .await;
+    for caller in callers {
+        let seen = caller.await.unwrap();
+        assert!(seen.complete > 3, "{seen:?}");
+        assert_eq!(seen.broken, Vec::<String>::new(), "{seen:?}");
+        for id in &seen.left_out {
+            assert_eq!(cluster.executions_of(id), 0, "{id} ran and has no answer");
+        }
+        println!("{seen:?}");
+    }
+    eventually("the daemon has ended", async || {
+        cluster.daemons[0].has_ended() == Some(0)
+    })
+    .await;
+    running.store(false, Ordering::SeqCst);
+    for peer in peers {
+        let outcomes = peer.await.unwrap();
+        let bad = outcomes.iter().filter(|o| **o != Outcome::Complete).count();
+        assert_eq!(bad, 0, "of {} answers at a peer", outcomes.len());
+    }
+}
+
+/// Guards against open connections that are never told to go, and so meet a closed socket later.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_connections_are_told_to_go_while_the_vm_still_serves() {
+    let cluster = Cluster::start(slow(1, 3_000)).await;
+    let address = cluster.daemons[0].caller;
+    let mut first = Connection::open(address, 1).await.unwrap();
+    let mut second = Connection::open(address, 2).await.unwrap();
+    second.send(message(address, "before")).await.unwrap();
+    cluster.daemons[0].signal("-TERM");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let response = first.send(message(address, "after")).await.unwrap();
+    assert_eq!(response.headers()["connection"], "close");
+    assert!(!second.is_usable(), "no GOAWAY");
+    let mut fresh = Connection::open(address, 2).await.unwrap();
+    let body = fresh.send(message(address, "fresh")).await.unwrap();
+    let body = body.into_body().collect().await.unwrap().to_bytes();
+    let answer: Answer = serde_json::from_slice(&body).unwrap();
+    assert_eq!(answer.outcome, Outcome::Complete);
+}
+
+/// Guards against a second signal that is ignored, or that cuts off what is in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_signal_ends_the_wait_and_no_request() {
+    let mut cluster = Cluster::start(slow(1, 60_000)).await;
+    for leaf in cluster.leaves.iter().flatten() {
+        leaf.set(|options| options.service_us = 800_000);
+    }
+    let address = cluster.daemons[0].caller;
+    let mut open = Connection::open(address, 1).await.unwrap();
+    let running = tokio::spawn(async move {
+        let response = open.send(message(address, "long")).await.unwrap();
+        response.into_body().collect().await.unwrap().to_bytes()
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    cluster.daemons[0].signal("-TERM");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    cluster.daemons[0].signal("-TERM");
+    let answer: Answer = serde_json::from_slice(&running.await.unwrap()).unwrap();
+    assert_eq!(answer.outcome, Outcome::Complete);
+    eventually("the daemon has ended", async || {
+        cluster.daemons[0].has_ended() == Some(0)
+    })
+    .await;
+}
+
+/// Guards against a start that a signal does not end, and against a VM that is listed then.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_signal_ends_a_vm_that_is_starting() {
+    let mut cluster = Cluster::prepare(Shape::default()).await;
+    cluster.spawn(0);
+    cluster.spawn(1);
+    cluster.wait_until_covered().await;
+    cluster.platform.set_down(true);
+    cluster.spawn(2);
+    let starting = cluster.daemons[2].caller;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(1_000) {
+        assert!(!entries(&cluster, 0).await.contains(&starting));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    cluster.daemons[2].signal("-TERM");
+    eventually("the starting daemon has ended", async || {
+        cluster.daemons[2].has_ended() == Some(0)
+    })
+    .await;
+}
+
+/// Guards against a VM that is listed before it serves callers: a leaf whose state no VM can learn
+/// soon keeps it from being ready for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_is_not_ready_is_not_listed() {
+    let mut cluster = Cluster::prepare(Shape::default()).await;
+    cluster.spawn(0);
+    cluster.spawn(1);
+    cluster.wait_until_covered().await;
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = silent.local_addr().unwrap();
+    let leaf = format!(
+        "[service.search.leaf]\nsilent = {{ address = \"{address}\", \
+         failure_domain = \"fd-0\", target = \"t\" }}\n"
+    );
+    let config = cluster.config("").replace("[service.search.leaf]\n", &leaf);
+    cluster.platform.put("cloverrack/config/test", config);
+    cluster.spawn(2);
+    let starting = cluster.daemons[2].caller;
+    eventually("the VM is listed", async || {
+        entries(&cluster, 0).await.contains(&starting)
+    })
+    .await;
+    let start = Instant::now();
+    assert!(!entries(&cluster, 2).await.is_empty());
+    let waited = start.elapsed();
+    assert!(
+        waited < Duration::from_millis(200),
+        "served after {waited:?}"
+    );
+}
+
+/// Guards against an owner that ends before the batches of its peers do: their calls would be lost
+/// or run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_owner_finishes_the_batches_of_its_peers() {
+    let shape = Shape {
+        replicas: 1,
+        ..slow(3, 0)
+    };
+    let mut cluster = Cluster::start(shape).await;
+    for leaf in cluster.leaves.iter().flatten() {
+        leaf.set(|options| options.service_us = 900_000);
+    }
+    let caller = cluster.daemons[1].caller;
+    let mut open = Connection::open(caller, 2).await.unwrap();
+    let running = tokio::spawn(async move {
+        let response = open.send(message(caller, "batch")).await.unwrap();
+        response.into_body().collect().await.unwrap().to_bytes()
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    cluster.daemons[0].signal("-TERM");
+    let answer: Answer = serde_json::from_slice(&running.await.unwrap()).unwrap();
+    assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+    assert_eq!(cluster.executions_of("batch"), 3);
+    eventually("the daemon has ended", async || {
+        cluster.daemons[0].has_ended() == Some(0)
+    })
+    .await;
+}
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -140,7 +140,7 @@
 fn fleet(files: &[(&str, String)]) -> Fleet {
     let mut store = DocumentStore::default();
     let mut vms = Vec::new();
-    for vm in 0..9 {
+    for vm in 0..18 {
         vms.push(json!({
             "name": format!("vm-{vm}"), "region": "r", "failure_domain": DOMAINS[vm % 3],
             "caller_address": format!("10.0.0.{vm}:1"), "internal_address": format!("10.0.0.{vm}:2"),
@@ -207,3 +207,27 @@
         }
     }
 }
+
+/// Guards against callers that gather at a few VMs, and against an answer that names only the own
+/// failure domain.
+#[test]
+fn callers_spread_over_the_vms() {
+    let fleet = fleet(&[]);
+    let mut first: HashMap<_, usize> = HashMap::new();
+    for caller in 0..1_000 {
+        let domain = DOMAINS[caller % 3];
+        let ranked = cloverrack::entries::rank(&fleet, Some(domain), &format!("caller-{caller}"));
+        let domain_of = |address: &std::net::SocketAddr| {
+            let mut vms = fleet.vms.iter();
+            let vm = vms.find(|vm| vm.entry.caller_address == *address);
+            vm.unwrap().entry.failure_domain.clone()
+        };
+        let near = ranked.iter().filter(|a| &*domain_of(a) == domain).count();
+        assert_eq!(ranked.len(), 4);
+        assert_eq!(near, 3);
+        assert_eq!(&*domain_of(&ranked[0]), domain);
+        *first.entry(ranked[0]).or_default() += 1;
+    }
+    let most = *first.values().max().unwrap() as f64 * 18.0 / 1_000.0;
+    assert!(most <= 1.4, "max over mean {most}");
+}
