Count a connection that closes without an answer as a failed attempt

Cause: a leaf at its limit accepts a connection and closes it. The attempt counted as a success, so each call and status read tried again.

Change: an attempt succeeds with the first answer on its connection. A connection that closes before counts as failed and starts the backoff; a restart lifts a refusal only after an answer.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -24,11 +24,15 @@
         self.until_ms = now_ms + rng.random_range(delay_ms / 2..=delay_ms);
     }
 
-    /// Takes a successful attempt; returns whether earlier ones failed.
-    pub fn succeeded(&mut self) -> bool {
-        let failed_before = self.failures > 0;
+    /// Takes the first answer on a connection: only then has an attempt succeeded, since a leaf at
+    /// its limit accepts a connection and closes it.
+    pub fn succeeded(&mut self) {
         *self = Self::default();
-        failed_before
+    }
+
+    /// Returns whether attempts failed since the last success.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
     }
 
     /// Returns whether an attempt is allowed.
--- a/src/owned_leaf.rs
+++ b/src/owned_leaf.rs
@@ -94,10 +94,24 @@
     configured: u32,
     signals: DrainSignals,
     backoff: ConnectBackoff,
+    /// Whether the leaf has answered on the current connection.
+    answered: bool,
     last_used_ms: u64,
 }
 
 impl Decisions {
+    /// Takes an answer of the leaf: the connection works.
+    fn answered(&mut self) {
+        if self.answered {
+            return;
+        }
+        self.answered = true;
+        if self.backoff.has_failed() {
+            self.signals.restarted();
+        }
+        self.backoff.succeeded();
+    }
+
     fn refresh(&mut self, now_ms: u64) {
         let limit = self.slots.limit(now_ms);
         self.queue.set_slots(self.configured, limit);
@@ -139,6 +153,7 @@
                 configured: leaf.slots,
                 signals: DrainSignals::default(),
                 backoff: ConnectBackoff::default(),
+                answered: false,
                 last_used_ms: boot_ms(),
             }),
             stage: tokio::sync::Mutex::default(),
@@ -185,10 +200,14 @@
         let mut decisions = self.decisions();
         match result {
             LeafResult::NotStarted(NotStarted::Shed) => {
+                decisions.answered();
                 decisions.slots.shed();
                 info!(event = "leaf_shed", leaf = %self.address, limit = decisions.slots.limit(boot_ms()));
             }
-            LeafResult::Done { .. } => decisions.slots.succeeded(),
+            LeafResult::Done { .. } => {
+                decisions.answered();
+                decisions.slots.succeeded();
+            }
             _ => {}
         }
         decisions.refresh(boot_ms());
@@ -198,6 +217,7 @@
     pub(crate) fn observe(&self, status: &LeafStatus) -> LeafState {
         let now_ms = boot_ms();
         let mut decisions = self.decisions();
+        decisions.answered();
         decisions.signals.reported(status.draining, now_ms);
         if status.cold {
             decisions.slots.start_warming(now_ms);
@@ -247,8 +267,8 @@
     ) -> Option<Handle> {
         let mut stage = self.stage.lock().await;
         if stage.is_closed() {
-            *stage = Stage::Closed;
-            if !self.decisions().backoff.allows(boot_ms()) {
+            let was_open = !matches!(std::mem::take(&mut *stage), Stage::Closed);
+            if !self.may_open(was_open) {
                 return None;
             }
             *stage = self.open(pace, expected_ms).await?;
@@ -275,6 +295,17 @@
         Some(Handle(stage.clone()))
     }
 
+    /// Returns whether a connection may be set up now; one that closed without any answer counts as
+    /// a failed attempt.
+    fn may_open(&self, was_open: bool) -> bool {
+        let now_ms = boot_ms();
+        let mut decisions = self.decisions();
+        if was_open && !decisions.answered {
+            decisions.backoff.failed(now_ms, &mut rand::rng());
+        }
+        decisions.backoff.allows(now_ms)
+    }
+
     async fn open(&self, pace: &Arc<Semaphore>, expected_ms: u64) -> Option<Stage> {
         let permit = Arc::clone(pace).acquire_owned().await.ok()?;
         let opened = LeafConnection::<Connecting>::new(self.address)
@@ -290,8 +321,8 @@
         let mut decisions = self.decisions();
         match opened {
             Ok(open) => {
-                if decisions.backoff.succeeded() {
-                    decisions.signals.restarted();
+                decisions.answered = false;
+                if decisions.backoff.has_failed() {
                     decisions.slots.start_warming(now_ms);
                     decisions.refresh(now_ms);
                 }
--- a/tests/leaf_limits.rs
+++ b/tests/leaf_limits.rs
@@ -5,8 +5,8 @@
 mod support;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 
 use cloverrack::backoff::ConnectBackoff;
 use cloverrack::slots::Slots;
@@ -49,8 +49,9 @@
             prop_assert!(backoff.allows(now_ms + 1_000));
             now_ms += 1_000;
         }
-        prop_assert!(backoff.succeeded());
-        prop_assert!(backoff.allows(now_ms));
+        prop_assert!(backoff.has_failed());
+        backoff.succeeded();
+        prop_assert!(backoff.allows(now_ms) && !backoff.has_failed());
     }
 }
 
@@ -180,3 +181,94 @@
     assert!(run > 100, "{run} calls ran");
     assert!(shed as f64 <= 0.2 * run as f64, "{shed} shed for {run} run");
 }
+
+/// Guards against calls that each try a leaf again which closes every connection, as one at its
+/// limit does, and against calls that wait for such a leaf.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaf_that_closes_connections_is_tried_rarely() {
+    let shape = Shape {
+        vms: 1,
+        shards: 1,
+        replicas: 1,
+        ..Shape::default()
+    };
+    let cluster = Cluster::start(shape).await;
+    let leaf = &cluster.leaves[0][0];
+    leaf.set(|options| options.connections = 0);
+    let address = leaf.address();
+    leaf.stop();
+    eventually("the port is free", async || {
+        std::net::TcpListener::bind(address).is_ok()
+    })
+    .await;
+    let listener = tokio::net::TcpListener::bind(address).await.unwrap();
+    let attempts = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&attempts);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            drop(stream);
+        }
+    });
+    let start = Instant::now();
+    let mut slowest = Duration::ZERO;
+    for number in 0..150 {
+        let sent = Instant::now();
+        cluster
+            .query(0, &request(&format!("closed-{number}")))
+            .await;
+        slowest = slowest.max(sent.elapsed());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let attempts = attempts.load(Ordering::SeqCst);
+    assert!(
+        attempts <= 15,
+        "{attempts} attempts in {:?}",
+        start.elapsed()
+    );
+    assert!(
+        slowest < Duration::from_millis(200),
+        "a call waited {slowest:?}"
+    );
+}
+
+/// Guards against connections to all leaves at one moment when a failure domain returns.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_a_returning_failure_domain_are_paced() {
+    let shape = Shape {
+        vms: 1,
+        shards: 60,
+        replicas: 1,
+        ..Shape::default()
+    };
+    let mut cluster = Cluster::prepare(shape).await;
+    let config = cluster.config("connect_ms = 100");
+    cluster.platform.put("cloverrack/config/test", config);
+    cluster.spawn(0);
+    cluster.wait_until_covered().await;
+    let set_cut = |cut| {
+        for leaf in cluster.leaves.iter().flatten() {
+            leaf.set(|options| options.cut = cut);
+        }
+    };
+    let open = || {
+        let leaves = cluster.leaves.iter().flatten();
+        leaves.map(|leaf| leaf.counts().connections).sum::<u32>()
+    };
+    set_cut(true);
+    eventually("no leaf is connected", async || open() == 0).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    set_cut(false);
+    let mut seen = vec![0];
+    while *seen.last().unwrap() < 60 && seen.len() < 1_000 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        seen.push(open());
+    }
+    let most = seen.windows(9).map(|window| window[8] - window[0]).max();
+    println!(
+        "connected after {} ms, most in 80 ms: {most:?}",
+        10 * seen.len()
+    );
+    assert_eq!(open(), 60);
+    assert!(most.unwrap() <= 16, "{most:?} connections in 80 ms");
+}
