--- a/src/control.rs
+++ b/src/control.rs
@@ -106,6 +106,7 @@
     pub(crate) refreshing: tokio::sync::Mutex<()>,
     pub(crate) announced: Notify,
     pub(crate) joined: CancellationToken,
+    is_announced: AtomicBool,
     pub(crate) peer_check: AtomicU64,
     platform_behind: AtomicBool,
     superseded: CancellationToken,
@@ -152,18 +153,26 @@
             refreshing: tokio::sync::Mutex::new(()),
             announced: Notify::new(),
             joined: CancellationToken::new(),
+            is_announced: AtomicBool::new(false),
             peer_check: AtomicU64::new(PeerCheck::Pending as u64),
             platform_behind: AtomicBool::new(false),
             superseded: CancellationToken::new(),
             telemetry,
         });
-        spawn_until(tasks, stop, Arc::clone(&control).run_gossip());
-        spawn_until(tasks, stop, Arc::clone(&control).run_receive());
         spawn_until(tasks, stop, Arc::clone(&control).run_watch());
         spawn_until(tasks, stop, Arc::clone(&control).run_repair());
         control
     }
 
+    /// Starts to gossip, which makes this VM known as one that takes work.
+    pub fn announce(self: &Arc<Self>, stop: &CancellationToken, tasks: &TaskTracker) {
+        // A long start counts as a pause: the first admission compares documents once more.
+        self.freshness.tick(boot_ms());
+        self.is_announced.store(true, Ordering::SeqCst);
+        spawn_until(tasks, stop, Arc::clone(self).run_gossip());
+        spawn_until(tasks, stop, Arc::clone(self).run_receive());
+    }
+
     pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -2,13 +2,14 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{MutexGuard, PoisonError};
 
 use tracing::{debug, info};
 
 use super::{Control, LeafView, State};
 use crate::clock::{boot_ms, unix_ms};
-use crate::fact::{Fact, LeafState};
+use crate::fact::{Fact, FactKey, LeafState};
 use crate::fleet::Fleet;
 use crate::ids::Snapshot;
 use crate::quarantine::{Loss, Quarantine};
@@ -96,13 +97,14 @@
         self.absorb(&mut state, &news);
     }
 
-    /// Returns all facts, for a peer that joins.
+    /// Returns all facts, for a peer that joins; the state of this VM only once it is announced.
     pub fn all_facts(&self) -> Vec<Fact> {
+        let own = FactKey::Vm(self.settings.internal_address);
+        let announced = self.is_announced.load(Ordering::SeqCst);
         let state = self.state();
-        state
-            .gossip
-            .facts()
-            .map(|entry| entry.fact.clone())
+        let facts = state.gossip.facts().map(|entry| entry.fact.clone());
+        facts
+            .filter(|fact| announced || fact.key() != own)
             .collect()
     }
 
