Bound what bad input can hold, and admit peers by their own address

Cause: any process could claim an admitted internal address; a bincode length prefix in a small frame could claim 4 MiB, while a valid frame of many small numbers over that limit was refused; an HTTP/2 preface sent in part, a caller that does not read, and a peer that never shakes hands held a connection for ever; internal streams, connections and headers had no limit; a leaf's answer over the limit counted as a lost connection. Change: the claimed address must have the IP address of the TCP peer, and outgoing links are bound to the process's own. Claimed memory is limited to 16 times the frame. Limits of 5 s for preface, handshake, first frame and writes without progress (library tokio-io-timeout); limits for streams, connections and headers. An oversized answer is a failure of that call alone. Ruled out: a read timeout on callers' connections; it would have to exceed the longest deadline (10 minutes) to spare requests in flight. Conclusion: each kind of bad input tested ends in a typed refusal or a closed connection, and requests beside it complete.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -16,12 +16,31 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
+use tokio_io_timeout::TimeoutStream;
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
 
 /// Time allowed for a client to send its headers, and for it to send its body.
 const READ_TIMEOUT_MS: u64 = 5_000;
 
+/// Time without progress after which a client that does not read its answer is cut off.
+const WRITE_TIMEOUT_MS: u64 = 5_000;
+
+/// Time between two pings of an HTTP/2 client, and time allowed for its answer.
+const PING_INTERVAL_MS: u64 = 10_000;
+
+/// Requests that one HTTP/2 connection may have in flight.
+const MAX_STREAMS: u32 = 256;
+
+/// Answer bytes buffered for one HTTP/2 stream.
+const MAX_SEND_BUFFER_BYTES: usize = 262_144;
+
+/// First bytes of an HTTP/2 connection.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+/// Time between two looks at a preface that is not yet complete.
+const PREFACE_PAUSE_MS: u64 = 20;
+
 /// Connections that one listener holds at a time.
 const MAX_CONNECTIONS: usize = 4_096;
 
@@ -50,12 +69,17 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let connection = graceful.watch(connection(stream, Arc::clone(&handler)));
+        let watcher = graceful.watcher();
+        let handler = Arc::clone(&handler);
+        let stop = stop.clone();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            let _permit = permit;
+            if stop.run_until_cancelled(has_begun(&stream)).await != Some(true) {
+                return;
+            }
+            if let Err(error) = watcher.watch(connection(stream, handler)).await {
                 debug!(event = "connection_ended", %from, %error);
             }
-            drop(permit);
         });
     }
     drop(listener);
@@ -69,6 +93,8 @@
     Error = Box<dyn std::error::Error + Send + Sync>,
 > + Send
 + 'static {
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(Duration::from_millis(WRITE_TIMEOUT_MS)));
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -77,16 +103,41 @@
     builder
         .http2()
         .timer(TokioTimer::new())
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_send_buf_size(MAX_SEND_BUFFER_BYTES)
+        .keep_alive_interval(Duration::from_millis(PING_INTERVAL_MS))
+        .keep_alive_timeout(Duration::from_millis(PING_INTERVAL_MS))
         .max_header_list_size(16_384);
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     builder
-        .serve_connection(TokioIo::new(stream), service)
+        .serve_connection(TokioIo::new(Box::pin(stream)), service)
         .into_owned()
 }
 
+/// Waits until a client has said which protocol it speaks; returns whether it did in time.
+///
+/// The protocol detection of the library waits for a whole HTTP/2 preface without a limit.
+async fn has_begun(stream: &TcpStream) -> bool {
+    let begun = async {
+        let mut start = [0; HTTP2_PREFACE.len()];
+        loop {
+            let length = stream.peek(&mut start).await.unwrap_or(0);
+            if length == 0 {
+                return false;
+            }
+            if length == start.len() || !HTTP2_PREFACE.starts_with(&start[..length]) {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(PREFACE_PAUSE_MS)).await;
+        }
+    };
+    let limit = Duration::from_millis(READ_TIMEOUT_MS);
+    timeout(limit, begun).await.unwrap_or(false)
+}
+
 /// A body could not be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http2::{SendRequest, handshake};
@@ -307,8 +307,10 @@
         && header(headers, SHARD_HEADER) == request.shard.to_string()
         && snapshot == Some(request.snapshot);
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-    let Ok(body) = body.collect().await else {
-        return LeafResult::Lost;
+    let body = match body.collect().await {
+        Ok(body) => body,
+        Err(error) if error.is::<LengthLimitError>() => return LeafResult::Failed,
+        Err(_) => return LeafResult::Lost,
     };
     if !matches {
         return LeafResult::Mismatch;
--- a/src/link.rs
+++ b/src/link.rs
@@ -1,7 +1,7 @@
 //! Internal transport: h2 streams of bincode frames between the VMs.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 use h2::{RecvStream, SendStream};
 use http::{Request, Response, StatusCode};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, mpsc};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Mutex, Semaphore, mpsc};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -40,6 +40,18 @@
 /// Flow-control window of a connection and of a stream, in bytes.
 const WINDOW_BYTES: u32 = 4 * 1_048_576;
 
+/// Time allowed for a peer to set up HTTP/2, and for it to send its first message.
+const READ_TIMEOUT_MS: u64 = 5_000;
+
+/// Connections of peers held at a time; planned are 760 VMs.
+const MAX_CONNECTIONS: usize = 2_048;
+
+/// Streams of one connection handled at a time; a VM runs at most 2,000 requests.
+const MAX_STREAMS: u32 = 4_096;
+
+/// Largest header list of a stream, in bytes; the three headers take about 200.
+const MAX_HEADER_BYTES: u32 = 4_096;
+
 const VERSION_HEADER: &str = "x-protocol-version";
 const INCARNATION_HEADER: &str = "x-incarnation";
 const ADDRESS_HEADER: &str = "x-internal-address";
@@ -99,7 +111,8 @@
             self.connections.lock().await.remove(&peer);
         }
         let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let fresh = timeout(limit, connect(peer)).await.ok().flatten();
+        let own = self.internal_address.ip();
+        let fresh = timeout(limit, connect(own, peer)).await.ok().flatten();
         let fresh = fresh.ok_or(LinkError::Connect { peer })?;
         self.connections.lock().await.insert(peer, fresh.clone());
         Ok(fresh)
@@ -202,8 +215,15 @@
     }
 }
 
-async fn connect(peer: SocketAddr) -> Option<SendRequest<Bytes>> {
-    let stream = TcpStream::connect(peer).await.ok()?;
+async fn connect(own: IpAddr, peer: SocketAddr) -> Option<SendRequest<Bytes>> {
+    // Peers admit the address that a stream claims only from its own IP address.
+    let socket = match own {
+        IpAddr::V4(_) => TcpSocket::new_v4(),
+        IpAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let socket = socket.ok()?;
+    socket.bind(SocketAddr::new(own, 0)).ok()?;
+    let stream = socket.connect(peer).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let (sender, connection) = h2::client::Builder::new()
         .initial_window_size(WINDOW_BYTES)
@@ -233,6 +253,12 @@
         }
     }
 
+    /// Takes the first message, which must arrive within [`READ_TIMEOUT_MS`].
+    async fn first<T: Decode<()>>(&mut self) -> Result<Option<T>, WireError> {
+        let limit = Duration::from_millis(READ_TIMEOUT_MS);
+        timeout(limit, self.next()).await.unwrap_or(Ok(None))
+    }
+
     async fn next<T: Decode<()>>(&mut self) -> Result<Option<T>, WireError> {
         loop {
             if let Some(message) = self.reader.take()? {
@@ -276,6 +302,7 @@
     }
 
     async fn accept(self, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -284,22 +311,33 @@
             let Ok((stream, from)) = accepted else {
                 continue;
             };
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                warn!(event = "internal_connection_refused", %from);
+                continue;
+            };
             let _ = stream.set_nodelay(true);
             let server = self.clone();
             self.tasks.spawn(async move {
-                if let Err(error) = server.serve(stream).await {
+                let _permit = permit;
+                if let Err(error) = server.serve(stream, from.ip()).await {
                     debug!(event = "internal_connection_ended", %from, %error);
                 }
             });
         }
     }
 
-    async fn serve(&self, stream: TcpStream) -> Result<(), h2::Error> {
-        let mut connection = h2::server::Builder::new()
+    async fn serve(&self, stream: TcpStream, from: IpAddr) -> Result<(), h2::Error> {
+        let shaking_hands = h2::server::Builder::new()
             .initial_window_size(WINDOW_BYTES)
             .initial_connection_window_size(WINDOW_BYTES)
-            .handshake(stream)
-            .await?;
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_header_list_size(MAX_HEADER_BYTES)
+            .handshake(stream);
+        let limit = Duration::from_millis(READ_TIMEOUT_MS);
+        let Ok(shaken) = timeout(limit, shaking_hands).await else {
+            return Ok(());
+        };
+        let mut connection = shaken?;
         let mut stopping = false;
         loop {
             tokio::select! {
@@ -309,7 +347,8 @@
                     };
                     let (request, respond) = accepted?;
                     let server = self.clone();
-                    self.tasks.spawn(async move { server.handle(request, respond).await });
+                    self.tasks
+                        .spawn(async move { server.handle(from, request, respond).await });
                 }
                 () = self.stop.cancelled(), if !stopping => {
                     stopping = true;
@@ -319,9 +358,14 @@
         }
     }
 
-    async fn handle(&self, request: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+    async fn handle(
+        &self,
+        from: IpAddr,
+        request: Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) {
         let path = request.uri().path().to_owned();
-        if let Err(status) = self.admit(&request) {
+        if let Err(status) = self.admit(from, &request) {
             warn!(
                 event = "internal_stream_refused",
                 path,
@@ -348,7 +392,7 @@
     }
 
     /// Checks protocol version and sender of a stream.
-    fn admit(&self, request: &Request<RecvStream>) -> Result<(), StatusCode> {
+    fn admit(&self, from: IpAddr, request: &Request<RecvStream>) -> Result<(), StatusCode> {
         let header = |name| request.headers().get(name)?.to_str().ok();
         let version: Option<u16> = header(VERSION_HEADER).and_then(|text| text.parse().ok());
         if version != Some(PROTOCOL_VERSION) {
@@ -356,7 +400,7 @@
         }
         let address: Option<SocketAddr> = header(ADDRESS_HEADER).and_then(|text| text.parse().ok());
         let address = address.ok_or(StatusCode::BAD_REQUEST)?;
-        if is_cut(address) {
+        if address.ip() != from || is_cut(address) {
             return Err(StatusCode::FORBIDDEN);
         }
         let control: Arc<Control> = self
@@ -376,7 +420,7 @@
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), LinkStreamError> {
         let owner: Arc<Owner> = self.kernel.find(OWNER)?;
-        let Some(BatchCommand::Start(batch)) = frames.next().await? else {
+        let Some(BatchCommand::Start(batch)) = frames.first().await? else {
             return Err(LinkStreamError::Unexpected);
         };
         let mut stream = respond.send_response(Response::new(()), false)?;
@@ -410,7 +454,7 @@
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), LinkStreamError> {
         let control: Arc<Control> = self.kernel.find(CONTROL)?;
-        let request: DocumentRequest = frames.next().await?.ok_or(LinkStreamError::Unexpected)?;
+        let request: DocumentRequest = frames.first().await?.ok_or(LinkStreamError::Unexpected)?;
         reply(respond, &control.document_bodies(&request))
     }
 
@@ -425,7 +469,7 @@
         respond: &mut SendResponse<Bytes>,
     ) -> Result<(), LinkStreamError> {
         let root: Arc<Root> = self.kernel.find(ROOT)?;
-        let forwarded: Forwarded = frames.next().await?.ok_or(LinkStreamError::Unexpected)?;
+        let forwarded: Forwarded = frames.first().await?.ok_or(LinkStreamError::Unexpected)?;
         let answer: Answer = root.run_forwarded(forwarded).await;
         reply(respond, &answer)
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -192,15 +192,39 @@
 /// assert_eq!(decode::<u32>(&bytes), Ok(7));
 /// ```
 pub fn decode<T: Decode<()>>(bytes: &[u8]) -> Result<T, WireError> {
-    let config = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
-    let (message, used) =
-        bincode::decode_from_slice(bytes, config).map_err(|_| WireError::Malformed)?;
+    let (message, used) = decode_limited(bytes).map_err(|_| WireError::Malformed)?;
     if used != bytes.len() {
         return Err(WireError::Malformed);
     }
     Ok(message)
 }
 
+/// Memory that a message may claim, as a multiple of its encoded size.
+///
+/// A collection claims the memory of all its elements before they are read. The largest element,
+/// a [`LeafCall`] of 64 bytes, takes at least 9 bytes on the wire.
+const MEMORY_FACTOR: usize = 16;
+
+/// Decodes with a limit that grows with the frame, so that a length prefix in a small frame can't
+/// claim the memory of a large one; the limit of bincode is a constant, hence the table.
+fn decode_limited<T: Decode<()>>(bytes: &[u8]) -> Result<(T, usize), bincode::error::DecodeError> {
+    macro_rules! by_size {
+        ($($limit_bytes:literal),*) => {
+            match bytes.len() {
+                $(0..=$limit_bytes => {
+                    const LIMIT: usize = MEMORY_FACTOR * $limit_bytes;
+                    let config = bincode::config::standard().with_limit::<LIMIT>();
+                    bincode::decode_from_slice(bytes, config)
+                })*
+                _ => Err(bincode::error::DecodeError::LimitExceeded),
+            }
+        };
+    }
+    by_size!(
+        64, 256, 1_024, 4_096, 16_384, 65_536, 262_144, 1_048_576, 4_194_304
+    )
+}
+
 /// Encodes a message as one length-prefixed frame.
 ///
 /// # Errors
--- /dev/null
+++ b/tests/bad_input.rs
@@ -0,0 +1,262 @@
+//! Bad input of callers and targets: a typed refusal, bounded, and without harm to other requests.
+
+#![expect(clippy::unwrap_used, reason = "a broken exchange fails the test")]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cloverrack::answer::{Answer, CallerRequest};
+use cloverrack::{Outcome, Reason};
+use http::StatusCode;
+use serde_json::{Value, json};
+use support::{Cluster, Shape, eventually, exchange, request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Longest wait for the end of a connection that a limit of 5 s cuts off.
+const CUT_OFF: Duration = Duration::from_secs(20);
+
+async fn assert_serves(cluster: &Cluster, id: &str) {
+    let answer = cluster.query(0, &request(id)).await.unwrap();
+    assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+}
+
+/// Starts a cluster whose service takes the largest payloads.
+async fn with_large_payloads() -> Cluster {
+    let mut cluster = Cluster::prepare(Shape::default()).await;
+    let config = cluster.config("max_payload_bytes = 1048576");
+    cluster.platform.put("cloverrack/config/test", config);
+    for vm in 0..cluster.shape.vms {
+        cluster.spawn(vm);
+    }
+    cluster.wait_until_covered().await;
+    cluster
+}
+
+fn changed(key: &str, value: Value) -> Vec<u8> {
+    let mut content = serde_json::to_value(request("bad")).unwrap();
+    content[key] = value;
+    serde_json::to_vec(&content).unwrap()
+}
+
+fn without(key: &str) -> Vec<u8> {
+    let mut content = serde_json::to_value(request("bad")).unwrap();
+    content.as_object_mut().unwrap().remove(key);
+    serde_json::to_vec(&content).unwrap()
+}
+
+/// Guards against bad requests that run, or whose refusal does not say why.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_typed_refusals() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let bad = StatusCode::BAD_REQUEST;
+    let large = StatusCode::PAYLOAD_TOO_LARGE;
+    let cases = [
+        (b"{\"service\":".to_vec(), bad, Reason::BadRequest),
+        (b"\xff\xfe\x00".to_vec(), bad, Reason::BadRequest),
+        (vec![b'['; 1_000_000], bad, Reason::BadRequest),
+        (changed("unknown", json!(1)), bad, Reason::BadRequest),
+        (changed("member", json!("")), bad, Reason::BadRequest),
+        (
+            changed("request_id", json!("a\r\nb")),
+            bad,
+            Reason::BadRequest,
+        ),
+        (
+            changed("request_id", json!("x".repeat(200))),
+            bad,
+            Reason::BadRequest,
+        ),
+        (without("deadline_ms"), bad, Reason::BadRequest),
+        (changed("deadline_ms", json!(-1)), bad, Reason::BadRequest),
+        (changed("deadline_ms", json!(0)), bad, Reason::BadDeadline),
+        (
+            changed("deadline_ms", json!(u64::MAX)),
+            bad,
+            Reason::BadDeadline,
+        ),
+        (
+            changed("service", json!("no/such")),
+            StatusCode::NOT_FOUND,
+            Reason::UnknownService,
+        ),
+        (
+            changed("payload", json!("x".repeat(1_500_000))),
+            large,
+            Reason::TooLarge,
+        ),
+        (vec![b' '; 3_000_000], large, Reason::TooLarge),
+    ];
+    for (body, status, reason) in cases {
+        let start = String::from_utf8_lossy(&body[..body.len().min(60)]).into_owned();
+        let (got, body) = exchange(cluster.daemons[0].caller, "POST", "/v1/query", body)
+            .await
+            .unwrap();
+        let answer: Answer = serde_json::from_slice(&body).unwrap();
+        let expected = (status, Outcome::NotRun, Some(reason));
+        assert_eq!((got, answer.outcome, answer.reason), expected, "{start}");
+    }
+    assert_eq!(cluster.executions_of("bad"), 0);
+    assert_serves(&cluster, "after-bad-requests").await;
+}
+
+/// Guards against a second run under an id that is in flight, and against harm to the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_duplicate_id_in_flight_is_refused() {
+    let mut shape = Shape::default();
+    shape.leaf.service_us = 300_000;
+    let cluster = Cluster::start(shape).await;
+    let first = request("duplicate");
+    let (first, second) = tokio::join!(cluster.query(0, &first), async {
+        eventually("the first runs", async || {
+            cluster.executions_of("duplicate") > 0
+        })
+        .await;
+        cluster.query(0, &request("duplicate")).await
+    });
+    assert_eq!(first.unwrap().outcome, Outcome::Complete);
+    let second = second.unwrap();
+    let expected = (Outcome::NotRun, Some(Reason::DuplicateRequestId));
+    assert_eq!((second.outcome, second.reason), expected);
+}
+
+/// Sends raw bytes and returns what came back until the connection ended.
+async fn raw(to: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let ended = tokio::time::timeout(CUT_OFF, reading).await;
+    assert!(ended.is_ok(), "the connection stays open");
+    answer
+}
+
+/// Guards against malformed HTTP and oversized headers that are served, or kept in memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_http_ends_the_connection() {
+    let cluster = Cluster::start(Shape::default()).await;
+    for to in [cluster.daemons[0].caller, cluster.daemons[0].operator] {
+        let answer = raw(to, b"\x00\x01\x02 garbage\r\n\r\n").await;
+        assert!(answer.is_empty() || answer.starts_with(b"HTTP/1.1 400"));
+        let mut headers = b"GET /v1/entries HTTP/1.1\r\nhost: a\r\n".to_vec();
+        for number in 0..5_000 {
+            headers.extend(format!("x-{number}: {}\r\n", "y".repeat(200)).bytes());
+        }
+        headers.extend(b"\r\n");
+        let answer = raw(to, &headers).await;
+        assert!(answer.is_empty() || answer.starts_with(b"HTTP/1.1 431"));
+        let mut frames = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec();
+        frames.extend([0xff; 64]);
+        raw(to, &frames).await;
+    }
+    assert_serves(&cluster, "after-malformed-http").await;
+}
+
+/// Sends a byte each 500 ms until the connection ends; returns how long that took.
+async fn drip(to: SocketAddr, start: &[u8], byte: u8) -> Duration {
+    let begin = std::time::Instant::now();
+    let stream = TcpStream::connect(to).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    writer.write_all(start).await.unwrap();
+    let dripping = tokio::spawn(async move {
+        while writer.write_all(&[byte]).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    });
+    let mut answer = Vec::new();
+    let reading = reader.read_to_end(&mut answer);
+    let ended = tokio::time::timeout(CUT_OFF, reading).await;
+    dripping.abort();
+    assert!(
+        ended.is_ok(),
+        "{:?} stays open",
+        String::from_utf8_lossy(start)
+    );
+    begin.elapsed()
+}
+
+/// Guards against callers that hold a connection by sending one byte at a time, or none.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_senders_are_cut_off() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let to = cluster.daemons[0].caller;
+    let body = b"POST /v1/query HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\
+        content-length: 1000\r\n\r\n";
+    let silent = async {
+        let mut stream = TcpStream::connect(to).await.unwrap();
+        stream.write_all(b"PRI * HT").await.unwrap();
+        let mut rest = Vec::new();
+        tokio::time::timeout(CUT_OFF, stream.read_to_end(&mut rest)).await
+    };
+    let (_, _, silent) = tokio::join!(
+        drip(to, b"GET /v1/entries HTTP/1.1\r\nx-slow: ", b'a'),
+        drip(to, body, b' '),
+        silent,
+    );
+    assert!(silent.is_ok(), "a half-sent preface stays open");
+    assert_serves(&cluster, "after-slow-senders").await;
+}
+
+/// Guards against callers that hold answers in memory by not reading them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_read_is_cut_off() {
+    let cluster = with_large_payloads().await;
+    let to = cluster.daemons[0].caller;
+    let mut large = request("large");
+    large.payload = "x".repeat(900_000).into();
+    let answer = cluster.query(0, &large).await.unwrap();
+    let answer_bytes: usize = answer.results.iter().map(|result| result.body.len()).sum();
+    assert!(answer_bytes > 2_700_000, "{answer_bytes} bytes");
+    let body = serde_json::to_vec(&large).unwrap();
+    let head = format!(
+        "POST /v1/query HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let stream = socket.connect(to).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    // Each answer has 2.7 MB, and the kernel buffers a few MB.
+    let requests = 8;
+    let sending = tokio::spawn(async move {
+        for _ in 0..requests {
+            if writer.write_all(head.as_bytes()).await.is_err() {
+                return;
+            }
+            if writer.write_all(&body).await.is_err() {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    });
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    let mut received = Vec::new();
+    let reading = reader.read_to_end(&mut received);
+    let ended = tokio::time::timeout(CUT_OFF, reading).await;
+    sending.abort();
+    assert!(ended.is_ok(), "the connection stays open");
+    let received = received.len();
+    assert!(received < requests * 2_700_000, "{received} bytes");
+    assert_serves(&cluster, "after-slow-reader").await;
+}
+
+/// Guards against an answer of a leaf that is larger than any buffer for it may become.
+#[tokio::test(flavor = "multi_thread")]
+async fn too_large_answers_of_leaves_fail_alone() {
+    let cluster = with_large_payloads().await;
+    // The leaf adds its shard and snapshot to the content, so its answer is over 1 MiB.
+    let payload = "x".repeat(1_048_576);
+    let sent = CallerRequest {
+        payload: payload.into(),
+        ..request("too-large")
+    };
+    let beside = request("beside");
+    let (answer, beside) = tokio::join!(cluster.query(0, &sent), cluster.query(0, &beside));
+    let answer = answer.unwrap();
+    assert_eq!(answer.outcome, Outcome::Unknown, "{:?}", answer.reason);
+    assert_eq!(answer.reason, Some(Reason::Failed));
+    assert_eq!(beside.unwrap().outcome, Outcome::Complete);
+    assert_serves(&cluster, "after-too-large").await;
+}
