--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -13,6 +13,7 @@
 use crate::fleet::Fleet;
 use crate::ids::Snapshot;
 use crate::quarantine::{Loss, Quarantine};
+use crate::sync::encoded_bytes;
 
 impl Control {
     /// Returns what is known of a leaf.
@@ -101,11 +102,15 @@
     pub fn all_facts(&self) -> Vec<Fact> {
         let own = FactKey::Vm(self.settings.internal_address);
         let announced = self.is_announced.load(Ordering::SeqCst);
-        let state = self.state();
-        let facts = state.gossip.facts().map(|entry| entry.fact.clone());
+        let mut facts = Vec::new();
+        for entry in self.state().gossip.facts() {
+            if announced || entry.fact.key() != own {
+                facts.push(entry.fact.clone());
+            }
+        }
+        self.telemetry
+            .count_control_bytes("link", "sent", encoded_bytes(&facts));
         facts
-            .filter(|fact| announced || fact.key() != own)
-            .collect()
     }
 
     /// Updates the views with facts that are news. The caller holds the state, so that an older fact
@@ -177,9 +182,18 @@
         }
     }
 
-    /// Forgets views of leaves that no file lists any more, and publishes this node's observations
-    /// again where another VM reported otherwise.
-    pub(super) fn tidy_views(&self) {
+    /// Forgets views of leaves that no file lists any more.
+    pub(super) fn forget_unlisted(&self, state: &mut State) {
+        let mut leaves = self.leaves.write().unwrap_or_else(PoisonError::into_inner);
+        leaves.retain(|address, _| state.gossip.lists_leaf(*address));
+        state
+            .observed
+            .retain(|address, _| state.gossip.lists_leaf(*address));
+    }
+
+    /// Ends quarantines, and publishes this node's observations again where another VM reported
+    /// otherwise.
+    pub(super) fn tidy(&self) {
         let mut state = self.state();
         let state = &mut *state;
         state.gossip.set_wall_clock(unix_ms());
@@ -194,11 +208,6 @@
             }
         }
         self.absorb(state, &facts);
-        let mut leaves = self.leaves.write().unwrap_or_else(PoisonError::into_inner);
-        leaves.retain(|address, _| state.gossip.lists_leaf(*address));
-        state
-            .observed
-            .retain(|address, _| state.gossip.lists_leaf(*address));
     }
 }
 
