Store a compiled fleet under the lock that it was compiled with

Cause: join and watch both read the platform at the start. Each compiled a fleet under the lock and stored it without, so the one with the older documents could be stored last and stay in force: the VM then had no VM list, owned no leaf and refused every query until the next change.

Ruled out: a colliding address (the daemon runs and joins) and a dead owner task (it settles; the fleet it reads is empty of VMs).

Change: the store is inside the lock (src/control.rs).

No test of its own: the race can't be forced without a hook between compile and store.

--- a/src/control.rs
+++ b/src/control.rs
@@ -349,12 +349,14 @@
 
     /// Compiles the view anew and makes it the one in force.
     fn recompile(&self) {
-        let fleet = {
+        {
             let state = self.state();
             let region = &self.settings.region;
-            Fleet::compile(&state.store, region, |vm| state.gossip.is_live(vm))
-        };
-        self.fleet.store(Arc::new(fleet));
+            let fleet = Fleet::compile(&state.store, region, |vm| state.gossip.is_live(vm));
+            // Stored under the lock: of two tasks that compile, the one with the older documents
+            // would otherwise be able to store last.
+            self.fleet.store(Arc::new(fleet));
+        }
         self.changed.send_modify(|count| *count += 1);
     }
 
