--- a/src/query.rs
+++ b/src/query.rs
@@ -295,6 +295,10 @@
         let shard = &mut self.shards[call.shard as usize];
         shard.open -= 1;
         match reply.result {
+            LeafResult::Done { snapshot, .. } if snapshot != self.snapshot => {
+                self.root.count_unexpected_reply();
+                self.failed(call.shard, Reason::Failed);
+            }
             LeafResult::Done { body, .. } if shard.body.is_none() => {
                 shard.body = Some(String::from_utf8_lossy(&body).into());
                 self.cancel_shard(call.shard);
--- /dev/null
+++ b/tests/wrong_replies.rs
@@ -0,0 +1,106 @@
+//! Replies of owners that are late, doubled or misaddressed reach no caller but the right one.
+
+#![expect(clippy::unwrap_used, reason = "a broken exchange fails the test")]
+
+#[path = "support/history.rs"]
+mod history;
+#[path = "support/peer.rs"]
+mod peer;
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cloverrack::{Outcome, Reason};
+use history::judge_answer;
+use peer::{FakePeer, Manner};
+use serde_json::Value;
+use support::{Cluster, Shape, eventually, request};
+
+/// Starts two VMs and a third that the test plays; only the third's leaves take work.
+async fn with_fake_peer() -> (Cluster, FakePeer) {
+    let mut cluster = Cluster::prepare(Shape::default()).await;
+    let list: Value = serde_json::from_str(&cluster.vm_list(&[])).unwrap();
+    let address: SocketAddr = list["vms"][2]["internal_address"]
+        .as_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    let mut leaves = Vec::new();
+    for replicas in &cluster.leaves {
+        replicas[0].set(|options| options.draining = true);
+        replicas[1].set(|options| options.draining = true);
+        leaves.push(replicas[2].address());
+    }
+    cluster.spawn(0);
+    cluster.spawn(1);
+    let others = cluster.daemons.iter().map(|d| d.internal).collect();
+    let peer = FakePeer::start(address, leaves.clone(), others).await;
+    cluster.wait_until_covered().await;
+    for vm in 0..2 {
+        eventually("all work goes to the third VM", async || {
+            let status = cluster.status(vm).await.unwrap();
+            let mut lines = status["leaves"].as_array().unwrap().iter();
+            lines.all(|line| {
+                let address = line["address"].as_str().unwrap().parse().unwrap();
+                if leaves.contains(&address) {
+                    line["owner"] == "vm-2" && line["state"] == "up"
+                } else {
+                    line["state"] == "draining"
+                }
+            })
+        })
+        .await;
+    }
+    (cluster, peer)
+}
+
+/// Guards against replies that are merged into another request, or twice, or of another snapshot.
+#[tokio::test(flavor = "multi_thread")]
+async fn wrong_replies_are_not_merged() {
+    let (cluster, peer) = with_fake_peer().await;
+    for manner in [Manner::Honest, Manner::Doubled, Manner::Misaddressed] {
+        peer.set(manner);
+        let sent: Vec<_> = (0..30)
+            .map(|number| request(&format!("{manner:?}-{number}")))
+            .collect();
+        let queries = sent.iter().enumerate();
+        let queries = queries.map(|(number, one)| cluster.query(number % 2, one));
+        let answers = futures_util::future::join_all(queries).await;
+        for (sent, answer) in sent.iter().zip(answers) {
+            let answer = answer.unwrap();
+            assert_eq!(answer.outcome, Outcome::Complete, "{manner:?} {answer:?}");
+            judge_answer(&cluster, sent, &answer);
+        }
+    }
+    peer.set(Manner::WrongSnapshot);
+    let answer = cluster.query(0, &request("wrong-snapshot")).await.unwrap();
+    assert_eq!(answer.outcome, Outcome::Unknown, "{answer:?}");
+    assert_eq!(answer.reason, Some(Reason::Failed));
+}
+
+/// Guards against a reply after the deadline that reaches the caller's next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_replies_are_dropped() {
+    let (cluster, peer) = with_fake_peer().await;
+    peer.set(Manner::Late(300));
+    for number in 0..5 {
+        let mut sent = request(&format!("late-{number}"));
+        sent.deadline_ms = 100;
+        let answer = cluster.query(0, &sent).await.unwrap();
+        let expected = (Outcome::Unknown, Some(Reason::Timeout));
+        assert_eq!((answer.outcome, answer.reason), expected);
+    }
+    peer.set(Manner::Honest);
+    for number in 0..20 {
+        let sent = request(&format!("after-late-{number}"));
+        let answer = cluster.query(0, &sent).await.unwrap();
+        assert_eq!(answer.outcome, Outcome::Complete, "{answer:?}");
+        judge_answer(&cluster, &sent, &answer);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    eventually("nothing stays in flight", async || {
+        cluster.status(0).await.unwrap()["in_flight"] == 0
+    })
+    .await;
+}
