--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod latency;
 pub mod leaf;
 pub mod link;
+pub mod link_server;
 pub mod node;
 mod once;
 pub mod operator;
--- /dev/null
+++ b/src/link_server.rs
@@ -0,0 +1,267 @@
+//! Server side of the internal transport: admission of peers, and streams to the services.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bincode::Encode;
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Request, Response, StatusCode};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tracing::{debug, info, warn};
+
+use crate::answer::Answer;
+use crate::control::Control;
+use crate::faults::is_cut;
+use crate::kernel::{CONTROL, Kernel, OWNER, ROOT};
+use crate::link::{ADDRESS_HEADER, Frames, READ_TIMEOUT_MS, VERSION_HEADER, WINDOW_BYTES};
+use crate::owner::Owner;
+use crate::root::Root;
+use crate::wire::{BatchCommand, DocumentRequest, Forwarded, PROTOCOL_VERSION, WireError, frame};
+
+/// Replies buffered between an owner and the stream to a root.
+const REPLY_BUFFER: usize = 256;
+
+/// Connections of peers held at a time; planned are 760 VMs.
+const MAX_CONNECTIONS: usize = 2_048;
+
+/// Streams of one connection handled at a time; a VM runs at most 2,000 requests.
+const MAX_STREAMS: u32 = 4_096;
+
+/// Largest header list of a stream, in bytes; the three headers take about 200.
+const MAX_HEADER_BYTES: u32 = 4_096;
+
+/// Server side: accepts connections of peers and hands their streams to the services.
+#[derive(Clone)]
+pub struct LinkServer {
+    kernel: Arc<Kernel>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl LinkServer {
+    /// Serves a bound listener until `stop`; streams in flight are finished first.
+    pub fn spawn(
+        kernel: Arc<Kernel>,
+        listener: TcpListener,
+        stop: CancellationToken,
+        tasks: TaskTracker,
+    ) -> Self {
+        let server = Self {
+            kernel,
+            stop,
+            tasks,
+        };
+        let accepting = server.clone();
+        server
+            .tasks
+            .spawn(async move { accepting.accept(listener).await });
+        server
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.stop.cancelled() => return,
+            };
+            let Ok((stream, from)) = accepted else {
+                continue;
+            };
+            let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                warn!(event = "internal_connection_refused", %from);
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let server = self.clone();
+            self.tasks.spawn(async move {
+                let _permit = permit;
+                if let Err(error) = server.serve(stream, from.ip()).await {
+                    debug!(event = "internal_connection_ended", %from, %error);
+                }
+            });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream, from: IpAddr) -> Result<(), h2::Error> {
+        let shaking_hands = h2::server::Builder::new()
+            .initial_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES)
+            .max_concurrent_streams(MAX_STREAMS)
+            .max_header_list_size(MAX_HEADER_BYTES)
+            .handshake(stream);
+        let limit = Duration::from_millis(READ_TIMEOUT_MS);
+        let Ok(shaken) = timeout(limit, shaking_hands).await else {
+            return Ok(());
+        };
+        let mut connection = shaken?;
+        let mut stopping = false;
+        loop {
+            tokio::select! {
+                accepted = connection.accept() => {
+                    let Some(accepted) = accepted else {
+                        return Ok(());
+                    };
+                    let (request, respond) = accepted?;
+                    let server = self.clone();
+                    self.tasks
+                        .spawn(async move { server.handle(from, request, respond).await });
+                }
+                () = self.stop.cancelled(), if !stopping => {
+                    stopping = true;
+                    connection.graceful_shutdown();
+                }
+            }
+        }
+    }
+
+    async fn handle(
+        &self,
+        from: IpAddr,
+        request: Request<RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) {
+        let path = request.uri().path().to_owned();
+        if let Err(status) = self.admit(from, &request) {
+            warn!(
+                event = "internal_stream_refused",
+                path,
+                status = status.as_u16()
+            );
+            refuse(&mut respond, status);
+            return;
+        }
+        let frames = Frames::new(request.into_body());
+        let result = match &*path {
+            "/batch" => self.batch(frames, &mut respond).await,
+            "/documents" => self.documents(frames, &mut respond).await,
+            "/facts" => self.facts(&mut respond).await,
+            "/forward" => self.forward(frames, &mut respond).await,
+            _ => {
+                refuse(&mut respond, StatusCode::NOT_FOUND);
+                return;
+            }
+        };
+        if let Err(error) = result {
+            info!(event = "internal_stream_failed", path, %error);
+            respond.send_reset(h2::Reason::PROTOCOL_ERROR);
+        }
+    }
+
+    /// Checks protocol version and sender of a stream.
+    fn admit(&self, from: IpAddr, request: &Request<RecvStream>) -> Result<(), StatusCode> {
+        let header = |name| request.headers().get(name)?.to_str().ok();
+        let version: Option<u16> = header(VERSION_HEADER).and_then(|text| text.parse().ok());
+        if version != Some(PROTOCOL_VERSION) {
+            return Err(StatusCode::UPGRADE_REQUIRED);
+        }
+        let address: Option<SocketAddr> = header(ADDRESS_HEADER).and_then(|text| text.parse().ok());
+        let address = address.ok_or(StatusCode::BAD_REQUEST)?;
+        if address.ip() != from || is_cut(address) {
+            return Err(StatusCode::FORBIDDEN);
+        }
+        let control: Arc<Control> = self
+            .kernel
+            .find(CONTROL)
+            .map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+        if control.admits(address) {
+            Ok(())
+        } else {
+            Err(StatusCode::FORBIDDEN)
+        }
+    }
+
+    async fn batch(
+        &self,
+        mut frames: Frames,
+        respond: &mut SendResponse<Bytes>,
+    ) -> Result<(), LinkStreamError> {
+        let owner: Arc<Owner> = self.kernel.find(OWNER)?;
+        let Some(BatchCommand::Start(batch)) = frames.first().await? else {
+            return Err(LinkStreamError::Unexpected);
+        };
+        let mut stream = respond.send_response(Response::new(()), false)?;
+        let (sender, mut replies) = mpsc::channel(REPLY_BUFFER);
+        let running = owner.submit(batch, sender);
+        let mut open = true;
+        loop {
+            tokio::select! {
+                reply = replies.recv() => match reply {
+                    Some(reply) => stream.send_data(frame(&reply)?, false)?,
+                    None => break,
+                },
+                command = frames.next::<BatchCommand>(), if open => match command? {
+                    Some(BatchCommand::Cancel(call)) => running.cancel(call),
+                    Some(BatchCommand::Start(_)) => return Err(LinkStreamError::Unexpected),
+                    None => open = false,
+                },
+                reset = std::future::poll_fn(|context| stream.poll_reset(context)) => {
+                    let _ = reset;
+                    return Ok(());
+                }
+            }
+        }
+        stream.send_data(Bytes::new(), true)?;
+        Ok(())
+    }
+
+    async fn documents(
+        &self,
+        mut frames: Frames,
+        respond: &mut SendResponse<Bytes>,
+    ) -> Result<(), LinkStreamError> {
+        let control: Arc<Control> = self.kernel.find(CONTROL)?;
+        let request: DocumentRequest = frames.first().await?.ok_or(LinkStreamError::Unexpected)?;
+        reply(respond, &control.document_bodies(&request))
+    }
+
+    async fn facts(&self, respond: &mut SendResponse<Bytes>) -> Result<(), LinkStreamError> {
+        let control: Arc<Control> = self.kernel.find(CONTROL)?;
+        reply(respond, &control.all_facts())
+    }
+
+    async fn forward(
+        &self,
+        mut frames: Frames,
+        respond: &mut SendResponse<Bytes>,
+    ) -> Result<(), LinkStreamError> {
+        let root: Arc<Root> = self.kernel.find(ROOT)?;
+        let forwarded: Forwarded = frames.first().await?.ok_or(LinkStreamError::Unexpected)?;
+        let answer: Answer = root.run_forwarded(forwarded).await;
+        reply(respond, &answer)
+    }
+}
+
+/// A stream of a peer could not be served.
+#[derive(Debug, Error)]
+enum LinkStreamError {
+    #[error(transparent)]
+    Kernel(#[from] crate::kernel::KernelError),
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    #[error(transparent)]
+    Stream(#[from] h2::Error),
+    #[error("unexpected message")]
+    Unexpected,
+}
+
+fn reply<T: Encode>(respond: &mut SendResponse<Bytes>, message: &T) -> Result<(), LinkStreamError> {
+    let content = frame(message)?;
+    let mut stream = respond.send_response(Response::new(()), false)?;
+    stream.send_data(content, true)?;
+    Ok(())
+}
+
+fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    let _ = respond.send_response(response, true);
+}
