--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod latency;
 pub mod leaf;
 pub mod link;
+pub mod link_server;
 mod measurements;
 pub mod node;
 mod once;
