Count every loss to a hedge and shorten the latency window

A call given up after a hedge was counted only if it took longer than the leaf's average; that average settles near the time at which hedges win, so later losses were not counted and the slow leaf went on being chosen. Hedges cancelled early entered the distribution as if they had been fast, and the window of 4000 samples kept the slow calls of the start for more than 10 s.

Change: a call that lasted for the hedge delay and lost counts as overtaken, always; other cancelled calls are not measured. The window is 1000 samples. The benchmark's argument "current" leaves out the baselines.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,7 +1,8 @@
 //! Benchmark of the query policy over real sockets: daemons are child processes, leaves are
 //! stand-ins in this process, arrivals are open-loop.
 //!
-//! `cargo bench --bench policy -- FILTER` runs the cases whose name contains FILTER. With
+//! `cargo bench --bench policy -- FILTER` runs the cases whose name contains FILTER; the argument
+//! `current` leaves out the baselines. With
 //! `BASELINE_CLOVERRACKD=PATH` each case also runs an earlier build of the daemon.
 
 #[path = "policy/direct.rs"]
@@ -133,9 +134,11 @@
     println!("case={} policy={policy} {line}", fault.name());
 }
 
-async fn run_case(fault: Fault) {
-    run_direct("one_random", fault, None).await;
-    run_direct("fixed_hedge_10ms", fault, Some(Duration::from_millis(10))).await;
+async fn run_case(fault: Fault, baselines: bool) {
+    if baselines {
+        run_direct("one_random", fault, None).await;
+        run_direct("fixed_hedge_10ms", fault, Some(Duration::from_millis(10))).await;
+    }
     if let Ok(path) = std::env::var("BASELINE_CLOVERRACKD") {
         report::with_daemon(&path, run_daemons("earlier", fault, 30_000)).await;
     }
@@ -149,10 +152,12 @@
 
 #[tokio::main]
 async fn main() {
-    let filters: Vec<String> = std::env::args()
+    let mut filters: Vec<String> = std::env::args()
         .skip(1)
         .filter(|argument| !argument.starts_with("--"))
         .collect();
+    let baselines = !filters.iter().any(|filter| filter == "current");
+    filters.retain(|filter| filter != "current");
     let wanted =
         |name: &str| filters.is_empty() || filters.iter().any(|filter| name.contains(filter));
     println!(
@@ -161,7 +166,7 @@
     );
     for fault in FAULTS {
         if wanted(&fault.name()) {
-            run_case(*fault).await;
+            run_case(*fault, baselines).await;
         }
     }
     if wanted("overload") {
--- a/src/latency.rs
+++ b/src/latency.rs
@@ -6,7 +6,7 @@
 const MAX_LATENCY_US: u64 = 600_000_000;
 
 /// Samples after which the older half of the distribution is given up.
-const WINDOW_SAMPLES: u64 = 4_000;
+const WINDOW_SAMPLES: u64 = 1_000;
 
 /// Weight of a new sample in a leaf's average is 1 / 2^`AVERAGE_SHIFT`.
 const AVERAGE_SHIFT: u32 = 3;
--- a/src/measurements.rs
+++ b/src/measurements.rs
@@ -37,8 +37,8 @@
 pub(crate) enum Ended {
     /// The leaf answered.
     Done,
-    /// The root gave the call up; it would have taken at least this long.
-    Cancelled,
+    /// A hedge answered first; the call would have taken at least this long.
+    Overtaken,
     /// The leaf shed the call.
     Shed,
     /// Any other end, which says nothing about latency.
@@ -138,11 +138,11 @@
         load.in_flight = load.in_flight.saturating_sub(1);
         match end {
             Ended::Done => load.record(latency_us, boot_ms()),
-            Ended::Cancelled => load.record_at_least(latency_us, boot_ms()),
+            Ended::Overtaken => load.record_overtaken(latency_us, boot_ms()),
             Ended::Shed => state.service(service).budget.shrink(),
             Ended::Other => {}
         }
-        if matches!(end, Ended::Done | Ended::Cancelled) {
+        if matches!(end, Ended::Done | Ended::Overtaken) {
             state.service(service).record(latency_us);
         }
     }
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -44,17 +44,17 @@
         self.losses = 0;
     }
 
-    /// Records that a call was given up after a time; without this, a leaf whose calls always lose
-    /// to a hedge would keep a good average.
+    /// Records that a call was given up because a hedge answered first; without this, a leaf whose
+    /// calls always lose to a hedge would keep a good average.
     ///
     /// The time until the hedge won says little about how slow the leaf is, so each loss in a row
     /// doubles the expected latency.
-    pub fn record_at_least(&mut self, latency_us: u64, now_ms: u64) {
+    pub fn record_overtaken(&mut self, latency_us: u64, now_ms: u64) {
         if latency_us > self.latency.value_us() {
             self.latency.record(latency_us);
-            self.measured_ms = now_ms;
-            self.losses = (self.losses + 1).min(MAX_LOSSES);
         }
+        self.measured_ms = now_ms;
+        self.losses = (self.losses + 1).min(MAX_LOSSES);
     }
 
     fn expected_us(&self, now_ms: u64) -> u64 {
--- a/src/query.rs
+++ b/src/query.rs
@@ -411,7 +411,10 @@
             return;
         };
         self.batches[call.batch].cancel(id);
-        self.measure(&call, Ended::Cancelled);
+        // A hedge that is cancelled soon after it was sent says nothing about its leaf.
+        let late = boot_us().saturating_sub(call.sent_us) >= self.hedge_delay_us;
+        let end = if late { Ended::Overtaken } else { Ended::Other };
+        self.measure(&call, end);
         self.shards[call.shard as usize].open -= 1;
     }
 
