--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -14,8 +14,11 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
+use support::load::unix_ms;
 use support::matrix::{COLUMNS, Cell, Fault, ROWS, run};
 use support::{Cluster, PATIENCE, Shape, eventually, eventually_within, request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::{JoinSet, LocalSet};
 
 /// Clusters that run at one time.
@@ -196,6 +199,69 @@
     }
 }
 
+/// Connections opened in the last moments in which an address may be kept.
+const LAST_CALLS: usize = 60;
+
+/// Sends a request on a connection of its own; returns when all of it was sent, and whether an
+/// answer came back.
+async fn call_and_stamp(address: std::net::SocketAddr, id: String) -> std::io::Result<(u64, bool)> {
+    let body = serde_json::to_string(&request(&id)).unwrap_or_default();
+    let mut stream = TcpStream::connect(address).await?;
+    let head = "POST /v1/query HTTP/1.1\r\nhost: entry\r\nconnection: close\r\ncontent-length:";
+    let text = format!("{head} {}\r\n\r\n{body}", body.len());
+    stream.write_all(text.as_bytes()).await?;
+    let sent_ms = unix_ms();
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer).await;
+    Ok((sent_ms, read.is_ok() && answer.contains("complete")))
+}
+
+/// Guards against a planned stop that closes the listener while a caller who may still have the
+/// address is connected and has sent its whole request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_kept_address_is_served_to_the_last_moment() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let keep_ms = cluster.shape.keep_ms;
+    let address = cluster.daemons[0].caller;
+    let signalled_ms = unix_ms();
+    cluster.daemons[0].signal("-TERM");
+    let first_ms = signalled_ms + keep_ms - LAST_CALLS as u64;
+    tokio::time::sleep(Duration::from_millis(first_ms.saturating_sub(unix_ms()))).await;
+    let mut calls = JoinSet::new();
+    for number in 0..LAST_CALLS {
+        calls.spawn(call_and_stamp(address, format!("last-{number}")));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let mut in_time = 0;
+    let mut broken = 0;
+    for (sent_ms, answered) in calls.join_all().await.into_iter().flatten() {
+        if sent_ms < signalled_ms + keep_ms {
+            in_time += 1;
+            broken += usize::from(!answered);
+        }
+    }
+    assert_eq!(broken, 0, "of {in_time} requests sent in time");
+}
+
+/// Guards against a planned stop that never ends because a peer with a connection to it is frozen.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_ends_although_a_peer_is_frozen() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    cluster.daemons[0].signal("-STOP");
+    cluster.daemons[1].signal("-TERM");
+    let daemon = &mut cluster.daemons[1];
+    let ended = eventually_within(PATIENCE, async || daemon.has_ended().is_some()).await;
+    assert!(ended, "vm-1 runs on {PATIENCE:?} after SIGTERM");
+}
+
+/// Guards against a step that the matrix leaves out.
+#[test]
+fn every_step_is_a_column() {
+    for step in cloverrack::faults::STEPS {
+        assert!(COLUMNS.contains(step), "{step}");
+    }
+}
+
 fn variable(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -242,7 +242,8 @@
         command
     }
 
-    /// Waits until every daemon answers a query with all shards covered.
+    /// Waits until every daemon answers a query with all shards covered, and knows all replicas:
+    /// the first answers need one replica of each shard only.
     pub async fn wait_until_covered(&self) {
         for vm in 0..self.daemons.len() {
             let mut number = 0;
@@ -256,9 +257,23 @@
                 })
             })
             .await;
+            eventually("all leaves are known", async || {
+                self.knows_all_leaves(vm).await
+            })
+            .await;
         }
     }
 
+    /// Returns whether a daemon knows the state of all leaves.
+    async fn knows_all_leaves(&self, vm: usize) -> bool {
+        let status = self.status(vm).await.unwrap_or_default();
+        let leaves = status["leaves"].as_array();
+        leaves.is_some_and(|leaves| {
+            leaves.len() == self.shape.shards * self.shape.replicas
+                && leaves.iter().all(|leaf| !leaf["state"].is_null())
+        })
+    }
+
     /// Sends a request to one daemon; `None` if no answer came back.
     pub async fn query(&self, vm: usize, request: &CallerRequest) -> Option<Answer> {
         let body = serde_json::to_vec(request).unwrap();
