--- a/tests/support/peer.rs
+++ b/tests/support/peer.rs
@@ -154,6 +154,7 @@
 fn facts(address: SocketAddr, incarnation: Incarnation, leaves: &[SocketAddr]) -> Vec<Fact> {
     let mut facts = vec![Fact::Vm {
         address,
+        generation: 0,
         incarnation,
         refutation: 0,
         state: VmState::Alive,
@@ -161,7 +162,8 @@
     for leaf in leaves {
         facts.push(Fact::Leaf {
             address: *leaf,
-            observed_unix_ms: unix_ms(),
+            sequence: unix_ms(),
+            observer: incarnation,
             state: LeafState::Up,
             snapshots: vec![Snapshot {
                 version: 1,
--- a/tests/wrong_replies.rs
+++ b/tests/wrong_replies.rs
@@ -2,8 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a broken exchange fails the test")]
 
-#[path = "support/history.rs"]
-mod history;
+#[path = "support/outcomes.rs"]
+mod outcomes;
 #[path = "support/peer.rs"]
 mod peer;
 mod support;
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use cloverrack::{Outcome, Reason};
-use history::judge_answer;
+use outcomes::judge_answer;
 use peer::{FakePeer, Manner};
 use serde_json::Value;
 use support::{Cluster, Shape, eventually, request};
