Serve only what is compiled, and read the platform compressed

Cause 1: a_new_vm_learns_from_peers... and an_outage... failed in 2 of 9 runs on a busy machine. The log shows the newest file accepted, the node ready, and a query pinned 2 ms later on the older view: one exchange accepted the file, another one saw it accepted and ended the join before the first had compiled it. A refresh after a pause and the versions in status had the same gap; a node that had not compiled the VM list took itself for a watcher. Change 1: join, refresh and status wait until all accepted documents are compiled. Ruled out: timeouts of the exchanges with peers (the log shows the exchange done and the file taken).

Change 2: answers are requested with gzip, which the published API offers; the stand-in does the same.

Test change: the bound of 5 on nodes that call the platform failed once at that load (6 nodes, after VMs had been thought dead). It is replaced by an exact check: while the watchers stay the same, those 3 and no others call. Red with every node watching (8 instead of 3).

--- a/benches/control/gossip.rs
+++ b/benches/control/gossip.rs
@@ -2,15 +2,20 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use cloverrack::document::{CONFIG_PREFIX, VM_LIST, Version};
 use cloverrack::fact::{Fact, FactKey, LeafState, VmState};
 use cloverrack::gossip::{Datagram, Gossip, Outgoing, Timing};
 use cloverrack::watcher::{watch_wait_ms, watchers};
 use cloverrack::wire::{decode, encode};
 use cloverrack::{DocumentStore, Fleet, Incarnation, Snapshot};
+use flate2::Compression;
+use flate2::write::GzEncoder;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -302,6 +307,21 @@
     (store, bytes)
 }
 
+/// Returns the size of the platform's answer that holds all documents, compressed.
+fn answer_bytes(store: &DocumentStore) -> u64 {
+    let mut entries = Vec::new();
+    for (name, document) in store.iter() {
+        entries.push(serde_json::json!({
+            "Key": format!("cloverrack/{name}"), "ModifyIndex": 1,
+            "Value": STANDARD.encode(&document.body),
+        }));
+    }
+    let text = serde_json::to_vec(&entries).unwrap();
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(&text).unwrap();
+    encoder.finish().unwrap().len() as u64
+}
+
 /// Figures of one fleet size.
 struct Figures {
     size: usize,
@@ -359,8 +379,8 @@
         .map(|vm| (&*vm.entry.name, &*vm.entry.failure_domain))
         .collect();
     let watching = watchers(&names).len();
-    // A watcher reads all values, in base64, when one changes and when a watch ends without a change.
-    let answer_bytes = document_bytes * 4 / 3;
+    // A watcher reads all values when one changes and when a watch ends without a change.
+    let answer_bytes = answer_bytes(&store);
     let wait_ms = watch_wait_ms(answer_bytes, &mut net.rng);
     let reads_per_s = 1_000.0 / wait_ms as f64 + 1.0 / CHANGE_INTERVAL_S;
     let platform_calls_per_s = reads_per_s * watching as f64;
--- a/src/control.rs
+++ b/src/control.rs
@@ -65,6 +65,8 @@
     pub(crate) rng: StdRng,
     /// VMs that take work in the view in force.
     compiled_live: BTreeSet<SocketAddr>,
+    /// Whether a document was accepted after the view in force was compiled.
+    uncompiled: bool,
     /// Changes of VMs that `compiled_live` was compared with.
     compared_changes: u64,
     /// Time before which changes of VMs alone start no compilation.
@@ -158,6 +160,7 @@
                 gossip,
                 rng: StdRng::from_rng(&mut rand::rng()),
                 compiled_live: BTreeSet::new(),
+                uncompiled: false,
                 compared_changes: 0,
                 next_compile_ms: 0,
                 observed: BTreeMap::new(),
@@ -244,6 +247,7 @@
 
     /// Returns the versions in force, by document name.
     pub fn versions(&self) -> Vec<(Box<str>, Version)> {
+        self.ensure_compiled();
         let state = self.state();
         state
             .store
@@ -323,6 +327,7 @@
         if name == VM_LIST {
             self.list_peers(&mut state);
         }
+        state.uncompiled = true;
         let news = state.list_leaves(now_ms);
         self.absorb(&mut state, &news);
         self.forget_unlisted(&mut state);
@@ -337,6 +342,21 @@
         state.gossip.set_peers(peers);
     }
 
+    /// Returns once all accepted documents are part of the view in force: another task may have
+    /// accepted one and not have compiled it yet.
+    pub(crate) fn ensure_compiled(&self) {
+        let uncompiled = {
+            let _compiling = self
+                .compiling
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            self.state().uncompiled
+        };
+        if uncompiled {
+            self.recompile();
+        }
+    }
+
     /// Compiles the view anew and makes it the one in force.
     ///
     /// Compilations run one at a time, so that an older view never replaces a newer one.
@@ -350,6 +370,7 @@
             let mut state = self.state();
             let live = state.gossip.live_vms();
             state.compiled_live.clone_from(&live);
+            state.uncompiled = false;
             (state.store.clone(), live)
         };
         let fleet = Fleet::compile(&store, &self.settings.region, |vm| live.contains(&vm));
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,12 +1,14 @@
 //! Client of the platform's configuration service: Consul's published KV HTTP API, reads and
 //! blocking watches only.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use flate2::read::GzDecoder;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -71,7 +73,7 @@
     pub index: u64,
     /// All values.
     pub values: Vec<PlatformValue>,
-    /// Size of the answer.
+    /// Size of the answer as it was sent, which may be compressed.
     pub answer_bytes: u64,
 }
 
@@ -129,6 +131,7 @@
         let path = format!("/v1/kv/{KEY_PREFIX}?recurse=true&index={index}&wait={wait_ms}ms");
         let request = http::Request::get(path)
             .header(http::header::HOST, address.to_string())
+            .header(http::header::ACCEPT_ENCODING, "gzip")
             .body(Empty::<Bytes>::new())
             .map_err(|_| PlatformError::Malformed)?;
         let response = sender.send_request(request).await.map_err(failed)?;
@@ -140,6 +143,19 @@
     }
 }
 
+/// Restores a compressed answer.
+fn inflate(compressed: &[u8]) -> Result<Vec<u8>, PlatformError> {
+    let mut body = Vec::new();
+    let mut reader = GzDecoder::new(compressed).take(MAX_ANSWER_BYTES as u64 + 1);
+    reader
+        .read_to_end(&mut body)
+        .map_err(|_| PlatformError::Malformed)?;
+    if body.len() > MAX_ANSWER_BYTES {
+        return Err(PlatformError::Malformed);
+    }
+    Ok(body)
+}
+
 async fn parse(
     response: http::Response<hyper::body::Incoming>,
 ) -> Result<PlatformRead, PlatformError> {
@@ -159,12 +175,19 @@
             answer_bytes: 0,
         });
     }
+    let encoding = response.headers().get(http::header::CONTENT_ENCODING);
+    let compressed = encoding.is_some_and(|encoding| encoding.as_bytes() == b"gzip");
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
         .collect()
         .await
         .map_err(|_| PlatformError::Malformed)?
         .to_bytes();
     let body_bytes = body.len() as u64;
+    let body = if compressed {
+        inflate(&body)?
+    } else {
+        body.into()
+    };
     let entries: Vec<KvEntry> =
         serde_json::from_slice(&body).map_err(|_| PlatformError::Malformed)?;
     let mut values = Vec::with_capacity(entries.len());
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -81,7 +81,10 @@
             }
             if boot_ms() >= next_read_ms {
                 match self.read_platform(WatchPosition::default()).await {
-                    Ok(_) if self.ask_peers(JOIN_TIMEOUT_MS).await => break PeerCheck::Done,
+                    Ok(_) if self.ask_peers(JOIN_TIMEOUT_MS).await => {
+                        self.wait_for_announced(JOIN_TIMEOUT_MS).await;
+                        break PeerCheck::Done;
+                    }
                     Ok(_) => break PeerCheck::None,
                     Err(error) => {
                         let delay_ms = backoff.next_delay_ms(&mut rand::rng());
@@ -93,6 +96,7 @@
             let delay_ms = rand::random_range(JOIN_PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         };
+        self.ensure_compiled();
         self.peer_check.store(check as u64, Ordering::Relaxed);
         self.joined.cancel();
         info!(event = "joined", peer_check = ?check);
@@ -254,6 +258,7 @@
             let asked = timeout(limit, refresh).await;
             // A document that is still missing counts as no answer.
             let answered = asked.unwrap_or(false);
+            self.ensure_compiled();
             info!(event = "refreshed_after_pause", answered);
             let check = if answered {
                 PeerCheck::Done
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,7 +10,10 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use flate2::Compression;
+use flate2::write::GzEncoder;
 use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -20,6 +24,19 @@
 
 use crate::server::{Body, read, status};
 
+/// Compresses an answer, as the service does for readers that accept it.
+async fn gzip(response: Response<Body>) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes());
+    let body = body.unwrap_or_default();
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    let _ = encoder.write_all(&body);
+    let body = encoder.finish().unwrap_or_default();
+    let gzip = http::HeaderValue::from_static("gzip");
+    parts.headers.insert(http::header::CONTENT_ENCODING, gzip);
+    Response::from_parts(parts, Full::new(body.into()))
+}
+
 /// Prefix of the control paths of a stand-in that runs as a process.
 const CONTROL_PREFIX: &str = "/control/";
 
@@ -167,7 +184,13 @@
         self.state().calls += 1;
         let prefix = path.trim_start_matches("/v1/kv/").to_owned();
         let query = request.uri().query().unwrap_or("").to_owned();
-        Ok(self.read(&prefix, &query).await)
+        let accepted = request.headers().get(http::header::ACCEPT_ENCODING);
+        let compress = accepted.is_some_and(|accepted| accepted.as_bytes() == b"gzip");
+        let response = self.read(&prefix, &query).await;
+        if compress {
+            return Ok(gzip(response).await);
+        }
+        Ok(response)
     }
 
     async fn control(&self, action: &str, request: Request<Incoming>) -> Response<Body> {
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -100,15 +100,51 @@
         .await;
         assert_eq!(revision(&cluster, vm).await, Some((0, last)));
     }
-    let mut callers = 0;
     for vm in 0..VMS {
-        let calls = counter(&cluster, vm, "cloverrack_platform_calls", "").await;
-        // Each node reads once when it starts without peers in its settings.
-        callers += usize::from(calls > 1.0);
         assert!(counter(&cluster, vm, "cloverrack_control_bytes", "sent").await > 0.0);
         assert!(counter(&cluster, vm, "cloverrack_control_cpu_us", "").await > 0.0);
     }
-    assert!(callers <= 5, "{callers} nodes called the platform again");
+    // On a busy machine a VM may be thought dead for a moment, and another one watches instead; the
+    // calls of such a time are not compared.
+    eventually(
+        "watchers stay the same while calls are counted",
+        async || {
+            let chosen = watching(&cluster).await;
+            // The longest watch of the files in this test ends within this time.
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            let before = platform_calls(&cluster).await;
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            let after = platform_calls(&cluster).await;
+            if watching(&cluster).await != chosen {
+                return false;
+            }
+            assert_eq!(chosen.iter().filter(|watches| **watches).count(), 3);
+            for vm in 0..VMS {
+                let calls = after[vm] - before[vm];
+                assert_eq!(calls > 0.0, chosen[vm], "vm {vm}: {calls} calls");
+            }
+            true
+        },
+    )
+    .await;
+}
+
+/// Returns for each VM whether it watches the platform.
+async fn watching(cluster: &Cluster) -> Vec<bool> {
+    let mut chosen = Vec::new();
+    for vm in 0..VMS {
+        let status = cluster.status(vm).await.unwrap();
+        chosen.push(status["is_watcher"] == true);
+    }
+    chosen
+}
+
+async fn platform_calls(cluster: &Cluster) -> Vec<f64> {
+    let mut calls = Vec::new();
+    for vm in 0..VMS {
+        calls.push(counter(cluster, vm, "cloverrack_platform_calls", "").await);
+    }
+    calls
 }
 
 /// Guards against losing the loser of two concurrent writes: an operator must find it listed on
