--- a/tests/policy_pure.rs
+++ b/tests/policy_pure.rs
@@ -5,6 +5,7 @@
 use cloverrack::admission::{Admission, Arrival, Departure, Supply};
 use cloverrack::control::LeafView;
 use cloverrack::fact::LeafState;
+use cloverrack::plan::{Choice, LeafLoad};
 use cloverrack::snapshot::{choose, serves};
 use cloverrack::{Budget, DocumentStore, Fleet, Snapshot, Verdict};
 use proptest::prelude::*;
@@ -53,12 +54,19 @@
     views
 }
 
+/// Mostly live leaves that hold most versions, so that some versions have enough copies.
+fn leaf() -> impl Strategy<Value = (bool, u8)> {
+    let held = prop::collection::vec(prop::bool::weighted(0.7), 4)
+        .prop_map(|held| (0..4).fold(0, |bits, bit| bits | u8::from(held[bit]) << bit));
+    (prop::bool::weighted(0.95), held)
+}
+
 proptest! {
     /// Guards against a pinned snapshot with too few copies while a better one exists, and against
     /// an older one among equals.
     #[test]
     fn the_newest_snapshot_with_enough_copies_is_chosen(
-        leaves in prop::collection::vec((any::<bool>(), 0_u8..16), SHARDS * REPLICAS),
+        leaves in prop::collection::vec(leaf(), SHARDS * REPLICAS),
         excluded in 0_u64..5,
     ) {
         let fleet = fleet();
@@ -166,3 +174,40 @@
     }
     assert!(held[1] * 2 >= held[0], "places held: {held:?}");
 }
+
+/// Guards against a slow leaf that keeps a good average, because each of its calls is given up when
+/// a hedge answers first, and so goes on being chosen.
+#[test]
+fn a_leaf_that_loses_to_hedges_is_avoided() {
+    let fleet = fleet();
+    let views = views(&fleet, &[(true, 2); SHARDS * REPLICAS]);
+    let replicas = &fleet.services[0].layouts[0].shards[0][..2];
+    let mut loads = HashMap::new();
+    for leaf in replicas {
+        let mut load = LeafLoad::default();
+        load.record(10_000, 0);
+        load.in_flight = 3;
+        loads.insert(fleet.leaf(*leaf).address, load);
+    }
+    let slow = fleet.leaf(replicas[0]).address;
+    if let Some(load) = loads.get_mut(&slow) {
+        load.in_flight = 0;
+        for _ in 0..5 {
+            load.record_overtaken(9_000, 0);
+        }
+    }
+    let choice = Choice {
+        fleet: &fleet,
+        views: &views,
+        loads: &loads,
+        snapshot: Snapshot {
+            version: 1,
+            layout: 1,
+        },
+        now_ms: 0,
+    };
+    for _ in 0..20 {
+        let picked = choice.pick(replicas, &[], &mut rand::rng());
+        assert_eq!(picked, Some(replicas[1]));
+    }
+}
