Test that a crashing request does not cost all leaves

Cause: in a pair of the matrix one crashing request left no leaf alive. Ruled out: resent requests as the cause; one request alone does it, and its resends are refused. Conclusion: the quarantine has to be asked before each retry too; the fix is left to the owner of src/query.rs.

--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -254,6 +254,26 @@
     assert!(ended, "vm-1 runs on {PATIENCE:?} after SIGTERM");
 }
 
+/// Leaves that one crashing request may cost: one for each shard before any loss is known, and those
+/// of two retries until two losses are known, after which the content is refused everywhere.
+const CRASHED_LEAVES: usize = 5;
+
+/// Guards against retries that carry crashing content to one replica after another.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_is_not_retried_until_no_leaf_is_left() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let crashing = cloverrack::CallerRequest {
+        payload: cloverrack_standins::leaf::CRASH_WORD.into(),
+        ..request("crashing")
+    };
+    let answer = cluster.query(0, &crashing).await;
+    let mut lost = 0;
+    for leaf in cluster.leaves.iter().flatten() {
+        lost += usize::from(TcpStream::connect(leaf.address()).await.is_err());
+    }
+    assert!(lost <= CRASHED_LEAVES, "{lost} leaves lost: {answer:?}");
+}
+
 /// Guards against a step that the matrix leaves out.
 #[test]
 fn every_step_is_a_column() {
