Test the wait for an unreachable leaf under policy latency

Cause: the test's service preferred coverage, whose requests by now wait for a returning replica until their deadline of 2 s; its bound of 200 ms is about the owner's quick proof. Ruled out: a larger bound. Under policy latency the request ends with the owner's proof, so the bound of 200 ms and the 15 attempts stay as they are. Measured: red with coverage (2.0 s), green with latency. Conclusion: the check is as strict as before.

--- a/tests/leaf_limits.rs
+++ b/tests/leaf_limits.rs
@@ -190,6 +190,7 @@
         vms: 1,
         shards: 1,
         replicas: 1,
+        policy: "latency",
         ..Shape::default()
     };
     let cluster = Cluster::start(shape).await;
