End a stop although a peer is frozen

Cause: the internal server waited for a peer's connection to close after its GOAWAY; a frozen peer never closes, so the process ended only by the bound of longest deadline plus 10 s. Ruled out: a shorter bound for the whole stop, which would cut requests with long deadlines. Conclusion: a connection of a stopping node ends half a second after its last stream.

--- a/src/link_server.rs
+++ b/src/link_server.rs
@@ -26,6 +26,10 @@
 use crate::root::Root;
 use crate::wire::{BatchCommand, DocumentRequest, Forwarded, PROTOCOL_VERSION, WireError, frame};
 
+/// Time for which a stopping node keeps a connection after its last stream: answers reach the peer,
+/// and streams that it opened before it saw the end arrive.
+const LINGER_MS: u64 = 500;
+
 /// Replies buffered between an owner and the stream to a root.
 const REPLY_BUFFER: usize = 256;
 
@@ -103,6 +107,9 @@
             return Ok(());
         };
         let mut connection = shaken?;
+        let streams = TaskTracker::new();
+        let ended = self.streams_ended(&streams);
+        tokio::pin!(ended);
         let mut stopping = false;
         loop {
             tokio::select! {
@@ -112,13 +119,29 @@
                     };
                     let (request, respond) = accepted?;
                     let server = self.clone();
-                    self.tasks
-                        .spawn(async move { server.handle(from, request, respond).await });
+                    let handling = async move { server.handle(from, request, respond).await };
+                    self.tasks.spawn(streams.track_future(handling));
                 }
                 () = self.stop.cancelled(), if !stopping => {
                     stopping = true;
                     connection.graceful_shutdown();
                 }
+                () = &mut ended => return Ok(()),
+            }
+        }
+    }
+
+    /// Ends some time after the last stream of a connection to a stopping node.
+    ///
+    /// A peer that is frozen never closes its side, and would hold the stop up.
+    async fn streams_ended(&self, streams: &TaskTracker) {
+        self.stop.cancelled().await;
+        loop {
+            streams.close();
+            streams.wait().await;
+            tokio::time::sleep(Duration::from_millis(LINGER_MS)).await;
+            if streams.is_empty() {
+                return;
             }
         }
     }
