Do not take a shed answer after a cancelled call for overload; keep derives apart

The owner frees the slot of a cancelled hedge at once, the leaf learns of it later and sheds the next call, and the owner then halved its limit for that leaf. Ruled out: the hold on hedges of suspect content (no crash in these cases), and the machine (the no-fault case is unchanged). The new test fails with a grace of 0. Conclusion: a shed answer within 50 ms of a cancelled call lowers nothing.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -7,7 +7,9 @@
 use crate::ids::Snapshot;
 
 /// A request as the caller sends it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 #[serde(deny_unknown_fields)]
 pub struct CallerRequest {
     /// Full name of the service, `FILE/SERVICE`.
@@ -33,7 +35,9 @@
 }
 
 /// A caller's wish for latency or coverage.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 #[serde(rename_all = "lowercase")]
 pub enum Preference {
     /// An early answer with known coverage.
@@ -52,9 +56,9 @@
 }
 
 /// How a request ended.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// All shards of the snapshot are covered.
@@ -70,9 +74,9 @@
 }
 
 /// Why a request ended otherwise than complete, or why a shard is lacking.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Encode, Decode,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
     /// The request is malformed.
@@ -116,7 +120,9 @@
 }
 
 /// A shard that the answer lacks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 pub struct Lack {
     /// Shard number in the layout.
     pub shard: u32,
@@ -125,7 +131,9 @@
 }
 
 /// Content of one covered shard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 pub struct ShardResult {
     /// Shard number in the layout.
     pub shard: u32,
@@ -134,7 +142,9 @@
 }
 
 /// The final answer to a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 pub struct Answer {
     /// The caller's id of the request.
     pub request_id: Box<str>,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -43,7 +43,8 @@
 ";
 
 /// A command failed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum CliError {
     #[error("{0}; try --help")]
     Usage(#[from] pico_args::Error),
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,7 +10,8 @@
 pub const MAX_FILE_BYTES: usize = 1_048_576;
 
 /// One configuration file: a namespace of services.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigFile {
     /// Orders files after the platform was restored from a backup; higher wins over any revision.
@@ -24,7 +25,8 @@
 }
 
 /// What a service trades when shards are slow or lost.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Policy {
     /// Answers early with known coverage.
@@ -35,7 +37,8 @@
 }
 
 /// One service of a file.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceConfig {
     /// Trade between latency and coverage.
@@ -72,7 +75,8 @@
 }
 
 /// One leaf of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LeafConfig {
     /// Address that the leaf listens on.
@@ -87,7 +91,8 @@
 }
 
 /// One shard layout of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LayoutConfig {
     /// Layout id, named by snapshots.
@@ -121,7 +126,8 @@
 }
 
 /// Why a configuration file was rejected.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum ConfigError {
     /// The file is larger than [`MAX_FILE_BYTES`].
     #[error("file has {actual_bytes} bytes; expected at most {MAX_FILE_BYTES}")]
--- a/src/document.rs
+++ b/src/document.rs
@@ -20,21 +20,9 @@
 const HISTORY_LENGTH: usize = 64;
 
 /// Order of one document: the epoch first, then the platform's revision.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Encode,
-    Decode,
-    Serialize,
-    Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 pub struct Version {
     /// Epoch named in the file; 0 if it names none.
     pub epoch: u64,
@@ -43,7 +31,8 @@
 }
 
 /// One VM of the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmEntry {
     /// Name of the VM.
@@ -62,7 +51,8 @@
 }
 
 /// The platform's list of VMs.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VmList {
     /// VMs of all regions.
@@ -82,7 +72,8 @@
 }
 
 /// Why a document was rejected.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum DocumentError {
     /// The name is neither the VM list nor a configuration file.
     #[error("document name is not known")]
@@ -125,7 +116,8 @@
 }
 
 /// One line of the history that operators see.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct HistoryEntry {
     /// Name of the document.
     pub name: Box<str>,
--- a/src/entries.rs
+++ b/src/entries.rs
@@ -11,7 +11,8 @@
 const MAX_ENTRIES: usize = 4;
 
 /// Answer to a caller that asks which addresses to use.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entries {
     /// Addresses in order of preference.
     pub addresses: Vec<SocketAddr>,
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -10,7 +10,9 @@
 use crate::quarantine::Loss;
 
 /// State of a VM as its peers see it, in order of precedence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize)]
+#[derive(Encode, Decode)]
 #[serde(rename_all = "lowercase")]
 pub enum VmState {
     /// Answers probes and takes work.
@@ -24,7 +26,9 @@
 }
 
 /// State of a leaf as its owner sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize)]
+#[derive(Encode, Decode)]
 #[serde(rename_all = "lowercase")]
 pub enum LeafState {
     /// Serves.
@@ -55,7 +59,8 @@
 }
 
 /// Something one VM knows and tells the others.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub enum Fact {
     /// State of a VM.
     Vm {
@@ -104,7 +109,8 @@
 }
 
 /// A rejected or superseded version of a document.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct DocumentVerdict {
     /// Name of the document.
     pub name: Box<str>,
--- a/src/faults.rs
+++ b/src/faults.rs
@@ -107,7 +107,8 @@
     static RELEASED: Condvar = Condvar::new();
 
     /// What happens at a step.
-    #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    #[derive(Serialize, Deserialize)]
     #[serde(rename_all = "snake_case")]
     pub enum Action {
         /// Ends the process at once, as SIGKILL does.
@@ -129,7 +130,8 @@
     }
 
     /// Sets an action at a step or a check.
-    #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    #[derive(Serialize, Deserialize)]
     #[serde(deny_unknown_fields)]
     pub struct Order {
         /// One of [`STEPS`] or [`CHECKS`].
@@ -145,7 +147,8 @@
     }
 
     /// What became of the actions at steps.
-    #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+    #[derive(Clone, Debug, Default, PartialEq, Eq)]
+    #[derive(Serialize, Deserialize)]
     pub struct Fired {
         /// Steps whose action has begun.
         pub steps: BTreeSet<String>,
@@ -156,7 +159,8 @@
     }
 
     /// An order could not be carried out.
-    #[derive(Clone, Debug, PartialEq, Eq, Error)]
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    #[derive(Error)]
     pub enum FaultError {
         /// The name is neither a step nor a check.
         #[error("no step or check is named {0}")]
--- a/src/front.rs
+++ b/src/front.rs
@@ -38,7 +38,8 @@
 ];
 
 /// Answer to a caller that asks for a ticket block.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 struct BlockAnswer {
     ticket_block: Option<Box<str>>,
     numbers: u32,
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -33,7 +33,8 @@
 }
 
 /// What a datagram asks for.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub enum Purpose {
     /// Asks for an acknowledgement.
     Probe {
@@ -71,7 +72,8 @@
 }
 
 /// One gossip message.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct Datagram {
     /// Version of the internal protocol.
     pub protocol_version: u16,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -257,7 +257,8 @@
 }
 
 /// Error content of an HTTP answer.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct HttpError {
     /// Fixed name of the error.
     pub error: &'static str,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -41,9 +41,9 @@
 
 /// Identity of one process: start time and random bits, so a replaced process on an old address
 /// is told from its predecessor.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 pub struct Incarnation(u64);
 
 /// Random low bits of an incarnation.
@@ -89,7 +89,8 @@
 }
 
 /// Identity of one leaf call, never used twice: an incarnation and a sequence within it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Encode, Decode)]
 pub struct CallId {
     /// Process that issued the call.
     pub incarnation: Incarnation,
@@ -129,9 +130,9 @@
 }
 
 /// Index version together with the shard layout that it was built for.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+#[derive(Encode, Decode)]
 pub struct Snapshot {
     /// Index version, increasing within a service.
     pub version: u64,
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -18,7 +18,8 @@
 pub const TELEMETRY: &str = "telemetry";
 
 /// A service could not be found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum KernelError {
     /// No service has the name.
     #[error("service {0} is not registered")]
--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -92,7 +92,8 @@
 impl Active for Serving {}
 
 /// A leaf could not be reached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum LeafError {
     /// No connection could be set up in time.
     #[error("leaf {0} can't be reached")]
@@ -103,7 +104,8 @@
 }
 
 /// Status that a leaf reports; it may lag.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct LeafStatus {
     /// Whether the leaf takes no new work.
     pub draining: bool,
--- a/src/link.rs
+++ b/src/link.rs
@@ -33,7 +33,8 @@
 pub(crate) const ADDRESS_HEADER: &str = "x-internal-address";
 
 /// An exchange with a peer failed.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum LinkError {
     /// No connection could be set up; nothing was sent.
     #[error("peer {peer} can't be reached")]
--- a/src/link_server.rs
+++ b/src/link_server.rs
@@ -273,7 +273,8 @@
 }
 
 /// A stream of a peer could not be served.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum LinkStreamError {
     #[error(transparent)]
     Kernel(#[from] crate::kernel::KernelError),
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,7 +35,8 @@
 const STOP_MARGIN_MS: u64 = 10_000;
 
 /// A node could not start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum NodeError {
     /// A listener could not be bound.
     #[error("cannot bind the {0} listener")]
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -19,7 +19,8 @@
 use crate::telemetry::Telemetry;
 
 /// Status of one node.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct NodeStatus {
     /// Name of the VM.
     pub vm: Box<str>,
@@ -50,7 +51,8 @@
 }
 
 /// Status of one document.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct DocumentStatus {
     /// Name of the document.
     pub name: Box<str>,
@@ -61,7 +63,8 @@
 }
 
 /// Status of one VM.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct VmStatus {
     /// Internal address.
     pub address: SocketAddr,
@@ -74,7 +77,8 @@
 }
 
 /// Status of one leaf.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct LeafStatusLine {
     /// Address of the leaf.
     pub address: SocketAddr,
--- a/src/owned_leaf.rs
+++ b/src/owned_leaf.rs
@@ -216,13 +216,14 @@
         match result {
             LeafResult::NotStarted(NotStarted::Shed) => {
                 decisions.answered();
-                decisions.slots.shed();
+                decisions.slots.shed_at(boot_ms());
                 info!(event = "leaf_shed", leaf = %self.address, limit = decisions.slots.limit(boot_ms()));
             }
             LeafResult::Done { .. } => {
                 decisions.answered();
                 decisions.slots.succeeded();
             }
+            LeafResult::Timeout => decisions.slots.cancelled(boot_ms()),
             _ => {}
         }
         decisions.refresh(boot_ms());
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -30,7 +30,8 @@
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
 /// A read or watch failed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum PlatformError {
     /// No connection could be set up.
     #[error("cannot connect to the platform at {address}")]
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -21,7 +21,8 @@
 const MAX_CONTENTS: usize = 10_000;
 
 /// Crashes of one leaf while it ran one content, as VMs tell each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct Loss {
     /// Fingerprint of service and payload.
     pub fingerprint: u64,
--- a/src/report.rs
+++ b/src/report.rs
@@ -16,7 +16,8 @@
 const PPM: u64 = 1_000_000;
 
 /// Report on one service.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceReport {
     /// Full name of the service.
     pub service: Box<str>,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -108,7 +108,8 @@
 }
 
 /// A setting is missing or malformed.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum SettingsError {
     /// A required setting is missing.
     #[error("{flag} or {variable} is required")]
--- a/src/slots.rs
+++ b/src/slots.rs
@@ -12,6 +12,10 @@
 /// Time over which the slots of a cold leaf grow from one to all.
 const WARM_UP_MS: u64 = 3_000;
 
+/// Time after a cancelled call within which a shed answer says nothing about other owners: the leaf
+/// learns of the cancellation later than the owner, and still counts the call.
+const CANCEL_GRACE_MS: u64 = 50;
+
 /// Slots that one owner uses of one leaf: additive increase, multiplicative decrease.
 ///
 /// Two owners with different views share the leaf's slots without talking to each other: each
@@ -21,6 +25,7 @@
     configured: u32,
     limit_milli: u64,
     warming_since_ms: Option<u64>,
+    cancelled_ms: Option<u64>,
 }
 
 impl Slots {
@@ -30,6 +35,7 @@
             configured,
             limit_milli: u64::from(configured) * MILLI,
             warming_since_ms: None,
+            cancelled_ms: None,
         }
     }
 
@@ -42,7 +48,22 @@
         self.limit_milli = self.limit_milli.min(u64::from(configured) * MILLI);
     }
 
-    /// Lowers the limit after the leaf shed a call.
+    /// Records that a call which the leaf may still execute was given up.
+    pub fn cancelled(&mut self, now_ms: u64) {
+        self.cancelled_ms = Some(now_ms);
+    }
+
+    /// Lowers the limit after the leaf shed a call, unless a cancelled call explains it.
+    pub fn shed_at(&mut self, now_ms: u64) {
+        let explained = self
+            .cancelled_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= CANCEL_GRACE_MS);
+        if !explained {
+            self.shed();
+        }
+    }
+
+    /// Lowers the limit.
     pub fn shed(&mut self) {
         self.limit_milli = (self.limit_milli / DECREASE_DIVISOR).max(MILLI);
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -18,7 +18,8 @@
 use crate::report::{Reports, ServiceReport};
 
 /// Logs or metrics could not be set up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum TelemetryError {
     /// The log filter is malformed.
     #[error("log filter is malformed")]
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -19,7 +19,8 @@
 const PREFIX_BYTES: usize = 4;
 
 /// One call to one leaf.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct LeafCall {
     /// Identity of the call.
     pub call: CallId,
@@ -30,7 +31,8 @@
 }
 
 /// Calls to leaves behind one owner, which travel together.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct Batch {
     /// Full name of the service.
     pub service: Box<str>,
@@ -55,7 +57,8 @@
 }
 
 /// Message from a root to an owner on a batch stream.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub enum BatchCommand {
     /// Makes calls.
     Start(Batch),
@@ -64,7 +67,8 @@
 }
 
 /// Why a call was not started at its leaf; each is proof that it did not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Encode, Decode)]
 pub enum NotStarted {
     /// No connection to the leaf could be set up.
     Unreachable,
@@ -87,7 +91,8 @@
 }
 
 /// What became of a leaf call.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub enum LeafResult {
     /// The leaf answered.
     Done {
@@ -111,7 +116,8 @@
 }
 
 /// Message from an owner to a root on a batch stream.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct LeafReply {
     /// Call that the reply belongs to.
     pub call: CallId,
@@ -122,7 +128,8 @@
 }
 
 /// Request that is not idempotent, on its way to the VM that issued its ticket.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct Forwarded {
     /// Request as the caller sent it.
     pub request: CallerRequest,
@@ -131,14 +138,16 @@
 }
 
 /// Request for a document that gossip announced.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct DocumentRequest {
     /// Names wanted; empty for all.
     pub names: Vec<Box<str>>,
 }
 
 /// One document of a reply, with a deflated body.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub struct DocumentBody {
     /// Name of the document.
     pub name: Box<str>,
@@ -149,7 +158,8 @@
 }
 
 /// A frame could not be read or written.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum WireError {
     /// The frame is larger than [`MAX_FRAME_BYTES`].
     #[error("frame of {frame_bytes} bytes is over the limit of {MAX_FRAME_BYTES}")]
--- a/standins/src/leaf.rs
+++ b/standins/src/leaf.rs
@@ -20,7 +20,8 @@
 use crate::server::{Body, json, read, status};
 
 /// A way in which a leaf answers wrongly.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Misbehaviour {
     /// Names another call.
@@ -36,7 +37,8 @@
 }
 
 /// Behaviour of a leaf; all of it may change while it runs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LeafOptions {
     /// Calls executed at a time; more are shed.
@@ -94,7 +96,8 @@
 }
 
 /// One execution of a call: the truth that outcomes are judged against.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Execution {
     /// Id of the call.
     pub call: String,
@@ -113,7 +116,8 @@
 }
 
 /// Counts of a leaf.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeafCounts {
     /// Connections open now.
     pub connections: u32,
--- a/tests/leaf_limits.rs
+++ b/tests/leaf_limits.rs
@@ -273,3 +273,15 @@
     assert_eq!(open(), 60);
     assert!(most.unwrap() <= 16, "{most:?} connections in 80 ms");
 }
+
+/// Guards against an owner that takes a shed answer for overload although the leaf only still counts
+/// a call that the owner cancelled: hedging then halves the leaf's slots again and again.
+#[test]
+fn a_shed_answer_after_a_cancelled_call_lowers_nothing() {
+    let mut slots = Slots::new(4);
+    slots.cancelled(1_000);
+    slots.shed_at(1_010);
+    assert_eq!(slots.limit(1_010), 4);
+    slots.shed_at(2_000);
+    assert_eq!(slots.limit(2_000), 2);
+}
