--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -141,6 +141,8 @@
                     self.announced.notify_one();
                 }
                 Fact::Verdict(verdict) => state.store.note(verdict, unix_ms()),
+                // Only the gateway tells its peers where it serves callers.
+                Fact::Profile { .. } => {}
             }
         }
     }
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -56,6 +56,8 @@
     Loss(u64, SocketAddr),
     /// Verdict by document and place among the verdicts kept on it.
     Verdict(Box<str>, u8),
+    /// Profile of a VM by internal address.
+    Profile(SocketAddr),
 }
 
 /// Something one VM knows and tells the others.
@@ -106,6 +108,27 @@
     Loss(Loss),
     /// A version of a document that did not take or keep effect.
     Verdict(DocumentVerdict),
+    /// What callers and peers have to know of a VM.
+    Profile {
+        /// Internal address.
+        address: SocketAddr,
+        /// Process on that address.
+        incarnation: Incarnation,
+        /// What the process says of itself.
+        profile: Profile,
+    },
+}
+
+/// Where a VM serves callers, and how much it can carry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct Profile {
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: Box<str>,
+    /// Processor time that the VM has, in thousandths of a core.
+    pub millicores: u32,
 }
 
 /// A rejected or superseded version of a document.
@@ -151,6 +174,7 @@
             Self::Quarantine { fingerprint, .. } => FactKey::Quarantine(*fingerprint),
             Self::Loss(loss) => FactKey::Loss(loss.fingerprint, loss.leaf),
             Self::Verdict(verdict) => FactKey::Verdict(verdict.name.clone(), verdict.slot()),
+            Self::Profile { address, .. } => FactKey::Profile(*address),
         }
     }
 
@@ -187,6 +211,7 @@
                 let by = verdict.superseded_by.unwrap_or_default();
                 [verdict.version.epoch, verdict.version.revision, by.revision]
             }
+            Self::Profile { incarnation, .. } => [incarnation.bits(), 0, 0],
         }
     }
 
@@ -209,6 +234,7 @@
             Self::Leaf { state, .. } => *state == LeafState::Draining,
             Self::Document { .. } | Self::Quarantine { .. } | Self::Loss(_) => true,
             Self::Verdict(_) => false,
+            Self::Profile { .. } => true,
         }
     }
 }
--- /dev/null
+++ b/src/gateway/engine.rs
@@ -0,0 +1,400 @@
+//! Shared state of the gateway: routes in force, leaves, budgets; and single calls to leaves.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+use tokio::sync::Notify;
+use tracing::info;
+
+use super::catalog::Catalog;
+use super::connection::{CallError, Connection, Reply};
+use super::leaves::{ConnectionLimits, Leaves, NoLeaf};
+use super::meters::Meters;
+use super::policy::CallTimes;
+use super::routes::{RouteTable, ServiceNames};
+use crate::clock::{boot_ms, boot_us};
+use crate::hedge::Budget;
+use crate::ids::{LeafKey, ServiceKey};
+
+/// Age from which a call that is given up counts as a failure of the leaf: silence.
+const SILENCE_US: u64 = 350_000;
+
+/// Share of the extra calls allowed without requests that all VMs together use; the rest covers VMs
+/// that restart and requests that end in the next window.
+const SLACK_USED_PERCENT: u64 = 60;
+
+/// Share of the ratio of extra calls that is used, for the same reason.
+const RATIO_USED_PERCENT: u64 = 90;
+
+/// Names of the headers that callers, leaves and this system exchange.
+#[derive(Clone, Debug)]
+pub struct Headers {
+    /// Identity of a request, which leaves echo.
+    pub request_id: HeaderName,
+    /// Time left, in milliseconds.
+    pub time_left_ms: HeaderName,
+    /// Identity of the only leaf that may run a request.
+    pub expected_leaf: HeaderName,
+    /// Signature of a leaf on its answer.
+    pub signature: HeaderName,
+    /// Says that a leaf did not run a request.
+    pub not_run: HeaderName,
+    /// Signatures of the parts of a merged answer.
+    pub part_signatures: HeaderName,
+    /// Shards that a merged answer lacks.
+    pub missing_parts: HeaderName,
+}
+
+/// Bounds of the extra calls that all VMs together may make to a service.
+#[derive(Clone, Copy, Debug)]
+pub struct ExtraCallBounds {
+    /// Extra calls allowed for each million requests.
+    pub ratio_ppm: u32,
+    /// Extra calls allowed without any request.
+    pub slack_calls: u64,
+}
+
+/// State that changes with configuration, leaves and calls.
+#[derive(Debug)]
+pub struct State {
+    /// Names of services.
+    pub names: ServiceNames,
+    /// Configuration and leaves as the platform has them.
+    pub catalog: Catalog,
+    /// Routes in force.
+    pub table: Option<Arc<RouteTable>>,
+    /// Leaves with their pace and connections.
+    pub leaves: Leaves,
+    /// Connections allowed.
+    pub limits: ConnectionLimits,
+    /// VMs among which connections and budgets are divided.
+    pub vms: u32,
+    budgets: HashMap<ServiceKey, Budget>,
+    call_times: HashMap<Box<str>, CallTimes>,
+}
+
+/// Routes requests to leaves.
+#[derive(Debug)]
+pub struct Engine {
+    /// Names of headers.
+    pub headers: Headers,
+    /// Counters.
+    pub meters: Meters,
+    /// Tells requests that wait for a connection that one may be free.
+    pub freed: Notify,
+    bounds: ExtraCallBounds,
+    state: Mutex<State>,
+}
+
+/// What one request asks of each leaf.
+#[derive(Clone, Debug)]
+pub struct CallSpec {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers of the caller that leaves get.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Identity of the request.
+    pub request_id: HeaderValue,
+    /// End of the request on the boot clock.
+    pub end_us: u64,
+}
+
+impl Engine {
+    /// Makes an engine without routes and leaves.
+    pub fn new(
+        headers: Headers,
+        bounds: ExtraCallBounds,
+        own_domain: Box<str>,
+        meters: Meters,
+    ) -> Self {
+        let state = State {
+            names: ServiceNames::default(),
+            catalog: Catalog::default(),
+            table: None,
+            leaves: Leaves::new(own_domain),
+            limits: ConnectionLimits::default(),
+            vms: 1,
+            budgets: HashMap::new(),
+            call_times: HashMap::new(),
+        };
+        Self {
+            headers,
+            meters,
+            freed: Notify::new(),
+            bounds,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Locks the state; never hold it across a wait.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the routes in force.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.state().table.clone()
+    }
+
+    /// Puts what the catalog holds now into force.
+    pub fn refresh(&self) {
+        let state = &mut *self.state();
+        let newer = state.catalog.document();
+        let newer = newer.filter(|document| {
+            let held = state.table.as_ref();
+            held.is_none_or(|table| table.version < document.version)
+        });
+        if let Some(document) = newer {
+            let table = RouteTable::compile(document.clone(), &mut state.names);
+            info!(event = "configuration_in_force", version = table.version);
+            state.table = Some(Arc::new(table));
+        }
+        let records = state.catalog.leaves();
+        state.leaves.update(records, &mut state.names, boot_ms());
+        state.divide_connections();
+        self.freed.notify_waiters();
+    }
+
+    /// Takes the number of VMs among which connections and budgets are divided.
+    pub fn set_vms(&self, vms: u32) {
+        let state = &mut *self.state();
+        if state.vms == vms {
+            return;
+        }
+        state.vms = vms;
+        let capacity = self.budget_capacity(vms);
+        for budget in state.budgets.values_mut() {
+            budget.set_capacity(capacity);
+        }
+        state.divide_connections();
+    }
+
+    fn budget_capacity(&self, vms: u32) -> u64 {
+        let slack = self.bounds.slack_calls * SLACK_USED_PERCENT / 100;
+        (slack / u64::from(vms.max(1))).max(1)
+    }
+
+    /// Earns extra calls for one request to a service.
+    pub fn earn_extra(&self, service: ServiceKey) {
+        let state = &mut *self.state();
+        let capacity = self.budget_capacity(state.vms);
+        let budget = state.budgets.entry(service);
+        let budget = budget.or_insert_with(|| Budget::with_capacity(capacity));
+        let ratio_ppm = u64::from(self.bounds.ratio_ppm) * RATIO_USED_PERCENT / 100;
+        budget.earn(1, u32::try_from(ratio_ppm).unwrap_or(u32::MAX));
+    }
+
+    /// Takes one extra call, if there is one; an urgent one may use the last.
+    pub fn spend_extra(&self, service: ServiceKey, urgent: bool) -> bool {
+        let state = &mut *self.state();
+        let Some(budget) = state.budgets.get_mut(&service) else {
+            return false;
+        };
+        let granted = (urgent || budget.is_ample()) && budget.try_spend();
+        self.meters.count_extra(granted);
+        granted
+    }
+
+    /// Returns the call times of a route.
+    pub fn call_times(&self, route: &str, target_us: u64) -> CallTimes {
+        let state = self.state();
+        let known = state.call_times.get(route).copied();
+        known.unwrap_or_else(|| CallTimes::new(target_us))
+    }
+
+    /// Records the latency of one of a route's calls.
+    pub fn record_call_time(&self, route: &str, target_us: u64, latency_us: u64) {
+        let state = &mut *self.state();
+        if let Some(times) = state.call_times.get_mut(route) {
+            times.record(latency_us);
+            return;
+        }
+        let mut times = CallTimes::new(target_us);
+        times.record(latency_us);
+        state.call_times.insert(route.into(), times);
+    }
+
+    /// Chooses a leaf and opens a call to it, which counts as under way from now on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leaf can take the call now.
+    pub fn open_call(
+        self: &Arc<Self>,
+        service: ServiceKey,
+        tried: &[LeafKey],
+    ) -> Result<OpenCall, NoLeaf> {
+        let now_us = boot_us();
+        let state = &mut *self.state();
+        let leaf = state.leaves.choose(service, tried, &state.limits, now_us)?;
+        let entry = state.leaves.get_mut(leaf).ok_or(NoLeaf::None)?;
+        let connection = take_idle(entry, now_us / 1_000);
+        if connection.is_none() {
+            entry.connections += 1;
+            self.meters.count_connection();
+        }
+        Ok(OpenCall {
+            engine: Arc::clone(self),
+            leaf,
+            number: entry.pace.begin(now_us),
+            started_us: now_us,
+            connection,
+            closed: false,
+        })
+    }
+}
+
+/// Takes the connection that has waited longest: late bytes of an earlier answer show on it.
+fn take_idle(leaf: &mut super::leaves::Leaf, now_ms: u64) -> Option<Connection> {
+    let before = leaf.idle.len();
+    leaf.idle.retain(|idle| idle.is_usable(now_ms));
+    leaf.connections -= u32::try_from(before - leaf.idle.len()).unwrap_or(0);
+    if leaf.idle.is_empty() {
+        return None;
+    }
+    Some(leaf.idle.remove(0).into_connection())
+}
+
+impl State {
+    fn divide_connections(&mut self) {
+        let Some(table) = &self.table else {
+            return;
+        };
+        let services: Vec<ServiceKey> = self.leaves.iter().map(|(_, leaf)| leaf.service).collect();
+        self.limits = ConnectionLimits::new(table, services.into_iter(), self.vms);
+    }
+}
+
+/// A call under way: it holds a connection of its leaf until it ends.
+#[derive(Debug)]
+pub struct OpenCall {
+    engine: Arc<Engine>,
+    /// Leaf that gets the call.
+    pub leaf: LeafKey,
+    /// Start on the boot clock.
+    pub started_us: u64,
+    number: u64,
+    connection: Option<Connection>,
+    closed: bool,
+}
+
+impl OpenCall {
+    /// Sends the request and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the leaf gives no whole answer to this request, or refuses it.
+    pub async fn run(mut self, spec: &CallSpec) -> Result<Reply, CallError> {
+        let result = self.attempt(spec).await;
+        self.finish(&result);
+        result
+    }
+
+    async fn attempt(&mut self, spec: &CallSpec) -> Result<Reply, CallError> {
+        let (address, id) = {
+            let state = self.engine.state();
+            let leaf = state.leaves.get(self.leaf).ok_or(CallError::Connect)?;
+            let id = HeaderValue::from_str(&leaf.record.id).map_err(|_| CallError::Connect)?;
+            (leaf.address(), id)
+        };
+        if self.connection.is_some() {
+            let result = self.exchange(spec, &id).await;
+            if result.as_ref().err() != Some(&CallError::Unsent) {
+                return result;
+            }
+        }
+        self.connection = Some(Connection::open(address).await?);
+        self.exchange(spec, &id).await
+    }
+
+    async fn exchange(&mut self, spec: &CallSpec, id: &HeaderValue) -> Result<Reply, CallError> {
+        let headers = &self.engine.headers;
+        let request = build_request(headers, spec, id);
+        let Some(connection) = &mut self.connection else {
+            return Err(CallError::Unsent);
+        };
+        let reply = connection.exchange(request).await?;
+        if reply.status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(CallError::OtherLeaf);
+        }
+        let echoed = reply.headers.get(&headers.request_id);
+        if echoed.is_some_and(|echoed| echoed != spec.request_id) {
+            return Err(CallError::Foreign);
+        }
+        if reply.headers.contains_key(&headers.not_run) {
+            return Err(CallError::Refused);
+        }
+        if reply.status.is_success() && !reply.headers.contains_key(&headers.signature) {
+            return Err(CallError::Unsigned);
+        }
+        Ok(reply)
+    }
+
+    fn finish(&mut self, result: &Result<Reply, CallError>) {
+        self.closed = true;
+        let now_us = boot_us();
+        let connection = self.connection.take();
+        let state = &mut *self.engine.state();
+        let Some(leaf) = state.leaves.get_mut(self.leaf) else {
+            return;
+        };
+        let mut idle = None;
+        match result {
+            Ok(reply) => {
+                leaf.pace.answered(self.number, now_us);
+                idle = connection.and_then(|c| c.into_idle(&reply.headers, now_us / 1_000));
+            }
+            Err(CallError::Foreign) => leaf.pace.dropped(self.number),
+            Err(_) => leaf.pace.failed(self.number, now_us),
+        }
+        match idle {
+            Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
+            _ => leaf.connections = leaf.connections.saturating_sub(1),
+        }
+        if result.as_ref().err() == Some(&CallError::OtherLeaf) {
+            state.leaves.retire(self.leaf);
+        }
+        state.leaves.tidy(self.leaf);
+        self.engine.freed.notify_waiters();
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        if self.closed {
+            return;
+        }
+        let now_us = boot_us();
+        let state = &mut *self.engine.state();
+        if let Some(leaf) = state.leaves.get_mut(self.leaf) {
+            leaf.connections = leaf.connections.saturating_sub(1);
+            if now_us.saturating_sub(self.started_us) >= SILENCE_US {
+                leaf.pace.failed(self.number, now_us);
+            } else {
+                leaf.pace.dropped(self.number);
+            }
+        }
+        state.leaves.tidy(self.leaf);
+        self.engine.freed.notify_waiters();
+    }
+}
+
+fn build_request(headers: &Headers, spec: &CallSpec, leaf: &HeaderValue) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(spec.body.clone()));
+    *request.method_mut() = spec.method.clone();
+    *request.uri_mut() = spec.uri.clone();
+    *request.headers_mut() = spec.headers.clone();
+    let left_ms = spec.end_us.saturating_sub(boot_us()) / 1_000;
+    let fields = request.headers_mut();
+    fields.insert(&headers.time_left_ms, HeaderValue::from(left_ms.max(1)));
+    fields.insert(&headers.expected_leaf, leaf.clone());
+    request
+}
--- /dev/null
+++ b/src/gateway/follower.rs
@@ -0,0 +1,154 @@
+//! Follows the platform: one full read, then changes as they come.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use thiserror::Error;
+use tokio::time::sleep;
+use tracing::{info, warn};
+
+use super::catalog::{CatalogImage, Change, Changed};
+use super::engine::Engine;
+use crate::clock::boot_ms;
+
+/// Time for which one watch waits. A connection may go silent, so the next watch finds out within
+/// the time in which a configuration has to be in force.
+const WATCH_MS: u64 = 2_000;
+
+/// Pause after changes, in which further ones gather: each call has a price.
+const GATHER_MS: u64 = 150;
+
+/// Shortest and longest pause after a failed call; the longest is short enough for a configuration
+/// to be in force in time once the platform is back.
+const PAUSE_MS: std::ops::RangeInclusive<u64> = 50..=600;
+
+/// Changes after a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// Changes in the order of their revisions.
+    pub changes: Vec<Change>,
+    /// Revision up to which they are complete.
+    pub revision: u64,
+}
+
+/// The platform did not answer as asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub enum SourceError {
+    /// The history since the revision is gone; a full read is needed.
+    #[error("history is no longer available")]
+    HistoryLost,
+    /// The platform refused the call.
+    #[error("platform refused the call with status {0}")]
+    Refused(u16),
+    /// The platform can't be reached or did not answer in time.
+    #[error("platform did not answer")]
+    Unreachable,
+    /// The answer can't be read.
+    #[error("answer of the platform is malformed")]
+    Malformed,
+}
+
+/// The platform as the gateway sees it.
+pub trait Source: Send + Sync + 'static {
+    /// Reads everything.
+    fn read_all(&self) -> impl Future<Output = Result<CatalogImage, SourceError>> + Send;
+
+    /// Waits for changes after a revision, for at most `wait_ms`.
+    fn changes(
+        &self,
+        after: u64,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<Changes, SourceError>> + Send;
+}
+
+/// Follows one platform into an engine's catalog.
+pub struct Follower<S> {
+    source: S,
+    engine: Arc<Engine>,
+    failures: u32,
+    read: bool,
+}
+
+impl<S: Source> Follower<S> {
+    /// Makes a follower that has read nothing yet.
+    pub fn new(source: S, engine: Arc<Engine>) -> Self {
+        Self {
+            source,
+            engine,
+            failures: 0,
+            read: false,
+        }
+    }
+
+    /// Follows until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            let result = if self.read {
+                self.follow().await
+            } else {
+                self.read_all().await
+            };
+            self.engine.meters.count_platform_call(result.is_ok());
+            let pause_ms = match result {
+                Ok(changed) => self.succeeded(changed),
+                Err(error) => self.failed(error),
+            };
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<Changed, SourceError> {
+        let image = self.source.read_all().await?;
+        self.read = true;
+        info!(
+            event = "platform_read",
+            revision = image.revision,
+            leaves = image.leaves.len()
+        );
+        self.note_return();
+        let mut state = self.engine.state();
+        Ok(state.catalog.replace(image, boot_ms()))
+    }
+
+    async fn follow(&mut self) -> Result<Changed, SourceError> {
+        let after = self.engine.state().catalog.revision();
+        let found = self.source.changes(after, WATCH_MS).await?;
+        self.note_return();
+        let mut state = self.engine.state();
+        let catalog = &mut state.catalog;
+        Ok(catalog.apply(found.changes, found.revision, boot_ms()))
+    }
+
+    fn note_return(&mut self) {
+        if self.failures == 0 {
+            return;
+        }
+        info!(event = "platform_returned", failed_calls = self.failures);
+        self.failures = 0;
+        self.engine.state().catalog.platform_returned(boot_ms());
+    }
+
+    fn succeeded(&self, changed: Changed) -> u64 {
+        if !changed.document && !changed.leaves {
+            return 0;
+        }
+        self.engine.refresh();
+        GATHER_MS
+    }
+
+    fn failed(&mut self, error: SourceError) -> u64 {
+        if error == SourceError::HistoryLost {
+            info!(event = "platform_history_lost");
+            self.read = false;
+            return 0;
+        }
+        if self.failures == 0 {
+            warn!(event = "platform_lost", %error);
+        }
+        let longest_ms = (*PAUSE_MS.start() << self.failures.min(6)).min(*PAUSE_MS.end());
+        self.failures = self.failures.saturating_add(1);
+        rand::rng().random_range(longest_ms / 2..=longest_ms)
+    }
+}
--- /dev/null
+++ b/src/gateway/leaves.rs
@@ -0,0 +1,272 @@
+//! Leaves in use: an arena of their pace and connections, and the choice among replicas.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use super::catalog::LeafRecord;
+use super::connection::Idle;
+use super::pace::Pace;
+use super::routes::{RouteTable, ServiceNames};
+use crate::ids::{LeafKey, ServiceKey};
+
+/// Price of a call to another failure domain, as time: the way there and back, and the bytes.
+const REMOTE_COST_US: u64 = 5_000;
+
+/// Price of a new connection, as time: its set-up at the leaf.
+const CONNECT_COST_US: u64 = 7_000;
+
+/// Price of a call to a leaf that has started recently.
+const WARMUP_COST_US: u64 = 40_000;
+
+/// Connections to one leaf while the configuration doesn't name its limit.
+const DEFAULT_MAX_CONNECTIONS: u32 = 16;
+
+/// Share of a leaf's connections that is left to VMs which join or are seen late, as a divisor.
+const SPARE_DIVISOR: u32 = 8;
+
+/// A leaf with what this VM knows of it.
+#[derive(Debug)]
+pub struct Leaf {
+    /// What the leaf says of itself.
+    pub record: LeafRecord,
+    /// Service that it serves.
+    pub service: ServiceKey,
+    /// How fast it answers.
+    pub pace: Pace,
+    /// Open connections, those in use included.
+    pub connections: u32,
+    /// Connections that wait for a call.
+    pub idle: Vec<Idle>,
+    /// Time until which it counts as warming up.
+    pub warm_at_ms: u64,
+    /// Whether it is no longer listed; its open calls may end.
+    pub retired: bool,
+}
+
+/// Arena of leaves. Keys are never used again.
+#[derive(Debug, Default)]
+pub struct Leaves {
+    arena: HashMap<LeafKey, Leaf>,
+    next_key: usize,
+    by_id: HashMap<Box<str>, LeafKey>,
+    by_service: BTreeMap<ServiceKey, Vec<LeafKey>>,
+    own_domain: Box<str>,
+}
+
+/// Why no leaf of a service can take a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoLeaf {
+    /// The service has no leaf that serves.
+    None,
+    /// All connections to its leaves are in use.
+    Busy,
+}
+
+impl Leaves {
+    /// Makes an empty arena of a VM in a failure domain.
+    pub fn new(own_domain: Box<str>) -> Self {
+        Self {
+            own_domain,
+            ..Self::default()
+        }
+    }
+
+    /// Returns a leaf.
+    pub fn get(&self, key: LeafKey) -> Option<&Leaf> {
+        self.arena.get(&key)
+    }
+
+    /// Returns a leaf.
+    pub fn get_mut(&mut self, key: LeafKey) -> Option<&mut Leaf> {
+        self.arena.get_mut(&key)
+    }
+
+    /// Returns all leaves that are listed.
+    pub fn iter(&self) -> impl Iterator<Item = (LeafKey, &Leaf)> {
+        let listed = self.arena.iter().filter(|(_, leaf)| !leaf.retired);
+        listed.map(|(key, leaf)| (*key, leaf))
+    }
+
+    /// Takes the listed leaves: new ones join, changed ones change, missing ones retire.
+    pub fn update<'a>(
+        &mut self,
+        records: impl Iterator<Item = &'a LeafRecord>,
+        names: &mut ServiceNames,
+        now_ms: u64,
+    ) {
+        let mut listed: HashMap<Box<str>, LeafKey> = HashMap::new();
+        for record in records {
+            let key = self.take(record, names, now_ms);
+            listed.insert(record.id.clone(), key);
+        }
+        let before = std::mem::replace(&mut self.by_id, listed);
+        for (id, key) in before {
+            if self.by_id.get(&id) != Some(&key) {
+                self.retire(key);
+            }
+        }
+        self.by_service.clear();
+        for key in self.by_id.values() {
+            let Some(leaf) = self.arena.get(key) else {
+                continue;
+            };
+            if !leaf.record.draining {
+                self.by_service.entry(leaf.service).or_default().push(*key);
+            }
+        }
+    }
+
+    fn take(&mut self, record: &LeafRecord, names: &mut ServiceNames, now_ms: u64) -> LeafKey {
+        let service = names.intern(&record.service);
+        if let Some(key) = self.by_id.get(&record.id).copied()
+            && let Some(leaf) = self.arena.get_mut(&key)
+            && is_same_process(&leaf.record, record)
+        {
+            leaf.record = record.clone();
+            if record.draining {
+                leaf.idle.clear();
+            }
+            return key;
+        }
+        let key = LeafKey::new(self.next_key);
+        self.next_key += 1;
+        let leaf = Leaf {
+            record: record.clone(),
+            service,
+            pace: Pace::default(),
+            connections: 0,
+            idle: Vec::new(),
+            warm_at_ms: now_ms + record.warmup_left_ms,
+            retired: false,
+        };
+        self.arena.insert(key, leaf);
+        key
+    }
+
+    /// Takes a leaf out of use at once: another process answers at its address.
+    pub fn retire(&mut self, key: LeafKey) {
+        let Some(leaf) = self.arena.get_mut(&key) else {
+            return;
+        };
+        leaf.retired = true;
+        leaf.idle.clear();
+        if let Some(keys) = self.by_service.get_mut(&leaf.service) {
+            keys.retain(|other| *other != key);
+        }
+        self.tidy(key);
+    }
+
+    /// Forgets a retired leaf once its last call has ended.
+    pub fn tidy(&mut self, key: LeafKey) {
+        let finished = |leaf: &Leaf| leaf.retired && leaf.pace.open_calls() == 0;
+        if self.arena.get(&key).is_some_and(finished) {
+            self.arena.remove(&key);
+        }
+    }
+
+    /// Returns the leaves of a service that take work.
+    pub fn of_service(&self, service: ServiceKey) -> &[LeafKey] {
+        self.by_service.get(&service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Chooses the leaf of a service that is expected to answer first, other than those tried.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service has no leaf left, or none with a free connection.
+    pub fn choose(
+        &self,
+        service: ServiceKey,
+        tried: &[LeafKey],
+        limits: &ConnectionLimits,
+        now_us: u64,
+    ) -> Result<LeafKey, NoLeaf> {
+        let mut best: Option<(u64, LeafKey)> = None;
+        let mut verdict = NoLeaf::None;
+        for key in self.of_service(service) {
+            let Some(leaf) = self.arena.get(key) else {
+                continue;
+            };
+            if tried.contains(key) {
+                continue;
+            }
+            if leaf.idle.is_empty() && leaf.connections >= limits.per_leaf(service) {
+                verdict = NoLeaf::Busy;
+                continue;
+            }
+            let cost_us = self.cost_us(leaf, now_us);
+            if best.is_none_or(|(least_us, _)| cost_us < least_us) {
+                best = Some((cost_us, *key));
+            }
+        }
+        best.map(|(_, key)| key).ok_or(verdict)
+    }
+
+    fn cost_us(&self, leaf: &Leaf, now_us: u64) -> u64 {
+        let mut cost_us = leaf.pace.expected_us(leaf.record.slots, now_us);
+        if leaf.record.failure_domain != self.own_domain {
+            cost_us += REMOTE_COST_US;
+        }
+        if leaf.idle.is_empty() {
+            cost_us += CONNECT_COST_US;
+        }
+        if now_us / 1_000 < leaf.warm_at_ms {
+            cost_us += WARMUP_COST_US;
+        }
+        cost_us
+    }
+}
+
+/// Returns whether two records are of one process; a leaf may start again under its old identity.
+fn is_same_process(held: &LeafRecord, new: &LeafRecord) -> bool {
+    held.address == new.address
+        && held.service == new.service
+        && held.started_unix_ms == new.started_unix_ms
+}
+
+/// Connections that this VM may open to one leaf of each service.
+#[derive(Debug, Default)]
+pub struct ConnectionLimits {
+    shares: HashMap<ServiceKey, u32>,
+}
+
+impl ConnectionLimits {
+    /// Divides what the leaves accept among the VMs that carry calls.
+    pub fn new(table: &RouteTable, services: impl Iterator<Item = ServiceKey>, vms: u32) -> Self {
+        let mut shares = HashMap::new();
+        for service in services {
+            let all = table
+                .max_connections(service)
+                .unwrap_or(DEFAULT_MAX_CONNECTIONS);
+            shares.insert(service, connection_share(all, vms));
+        }
+        Self { shares }
+    }
+
+    /// Returns the connections that this VM may open to one leaf of a service.
+    pub fn per_leaf(&self, service: ServiceKey) -> u32 {
+        self.shares.get(&service).copied().unwrap_or(1)
+    }
+}
+
+/// Returns one VM's share of a leaf's connections, at least one.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::gateway::connection_share;
+/// assert_eq!(connection_share(31, 7), 4);
+/// assert_eq!(connection_share(31, 90), 1);
+/// ```
+pub fn connection_share(max_connections: u32, vms: u32) -> u32 {
+    let usable = max_connections - max_connections / SPARE_DIVISOR;
+    (usable.div_ceil(vms.max(1))).max(1)
+}
+
+/// Returns the address of a leaf.
+impl Leaf {
+    /// Returns where the leaf listens.
+    pub fn address(&self) -> SocketAddr {
+        self.record.address
+    }
+}
--- /dev/null
+++ b/src/gateway/members.rs
@@ -0,0 +1,224 @@
+//! Live VMs and where they serve callers, by gossip over UDP.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tracing::{info, warn};
+
+use crate::clock::{boot_ms, unix_ms};
+use crate::fact::{Fact, FactKey, Profile, VmState};
+use crate::gossip::{Datagram, Gossip, Outgoing, Timing};
+use crate::ids::Incarnation;
+use crate::wire::{decode, encode};
+
+/// Time between two looks at what gossip has to do.
+const TICK_MS: u64 = 50;
+
+/// Ticks between two looks at which VMs there are.
+const PEERS_TICKS: u64 = 10;
+
+/// Largest datagram read.
+const RECEIVE_BYTES: usize = 2_048;
+
+/// Time constants: a VM that ends without a word leaves the address answers after the suspicion time
+/// and one round of probes, about the time for which callers keep an answer.
+const TIMING: Timing = Timing {
+    probe_interval_ms: 300,
+    ack_timeout_ms: 100,
+    suspicion_ms: 900,
+    forget_ms: 60_000,
+};
+
+/// A VM that serves callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Internal address.
+    pub address: SocketAddr,
+    /// What it says of itself.
+    pub profile: Profile,
+}
+
+#[derive(Debug)]
+struct State {
+    gossip: Gossip,
+    rng: SmallRng,
+}
+
+/// Membership of this VM.
+#[derive(Debug)]
+pub struct Members {
+    address: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    socket: UdpSocket,
+    state: Mutex<State>,
+}
+
+/// Membership could not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub enum MembersError {
+    /// The address can't be bound.
+    #[error("cannot bind the membership socket")]
+    Bind,
+}
+
+impl Members {
+    /// Binds the socket; [`Members::run`] drives it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        profile: Profile,
+    ) -> Result<Arc<Self>, error_stack::Report<MembersError>> {
+        use error_stack::ResultExt;
+        let socket = UdpSocket::bind(address)
+            .await
+            .change_context(MembersError::Bind)?;
+        let incarnation = Incarnation::new(unix_ms(), rand::random());
+        let now_ms = boot_ms();
+        let mut gossip = Gossip::new(address, incarnation, TIMING, now_ms);
+        gossip.set_peers(seeds.iter().copied());
+        let fact = Fact::Profile {
+            address,
+            incarnation,
+            profile,
+        };
+        gossip.publish(fact, now_ms);
+        let state = State {
+            gossip,
+            rng: SmallRng::from_rng(&mut rand::rng()),
+        };
+        Ok(Arc::new(Self {
+            address,
+            seeds,
+            socket,
+            state: Mutex::new(state),
+        }))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the VMs that serve callers, this one included unless it leaves.
+    pub fn live(&self) -> Vec<Member> {
+        let state = self.state();
+        let mut members = Vec::new();
+        for address in state.gossip.live_vms() {
+            let Some(entry) = state.gossip.fact(&FactKey::Profile(address)) else {
+                continue;
+            };
+            let Fact::Profile { profile, .. } = &entry.fact else {
+                continue;
+            };
+            let profile = profile.clone();
+            members.push(Member { address, profile });
+        }
+        members
+    }
+
+    /// Returns the number of live VMs, at least 1.
+    pub fn count(&self) -> u32 {
+        let live = self.state().gossip.live_vms().len();
+        u32::try_from(live).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Announces that this VM is stopping.
+    pub fn leave(&self) {
+        self.state().gossip.leave(boot_ms());
+    }
+
+    /// Drives gossip until the task is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let receiving = Arc::clone(&self);
+        tokio::join!(self.run_ticks(), receiving.run_receive());
+    }
+
+    async fn run_ticks(&self) {
+        let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticks = 0_u64;
+        loop {
+            interval.tick().await;
+            let out = {
+                let state = &mut *self.state();
+                if ticks.is_multiple_of(PEERS_TICKS) {
+                    self.set_peers(&mut state.gossip);
+                }
+                state.gossip.tick(boot_ms(), &mut state.rng)
+            };
+            ticks += 1;
+            self.send(out).await;
+        }
+    }
+
+    /// Keeps dead VMs among the peers, so that they are probed again when a partition heals.
+    fn set_peers(&self, gossip: &mut Gossip) {
+        let mut peers = self.seeds.clone();
+        for entry in gossip.facts() {
+            if let Fact::Vm { address, .. } = entry.fact {
+                peers.push(address);
+            }
+        }
+        gossip.set_peers(peers);
+    }
+
+    async fn run_receive(&self) {
+        let mut buffer = vec![0; RECEIVE_BYTES];
+        loop {
+            let received = self.socket.recv_from(&mut buffer).await;
+            let (length, from) = match received {
+                Ok(received) => received,
+                Err(error) => {
+                    warn!(event = "membership_receive_failed", %error);
+                    tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+                    continue;
+                }
+            };
+            let Ok(message) = decode::<Datagram>(&buffer[..length]) else {
+                warn!(event = "datagram_malformed", %from, length_bytes = length);
+                continue;
+            };
+            let out = {
+                let state = &mut *self.state();
+                let (out, news) = state
+                    .gossip
+                    .receive(from, message, boot_ms(), &mut state.rng);
+                self.log(&news);
+                out
+            };
+            self.send(out).await;
+        }
+    }
+
+    fn log(&self, news: &[Fact]) {
+        for fact in news {
+            let Fact::Vm { address, state, .. } = fact else {
+                continue;
+            };
+            if *address != self.address && *state != VmState::Suspect {
+                info!(event = "vm_state", vm = %address, state = ?state);
+            }
+        }
+    }
+
+    async fn send(&self, out: Outgoing) {
+        for (to, message) in out {
+            let Ok(bytes) = encode(&message) else {
+                warn!(event = "datagram_too_large", %to);
+                continue;
+            };
+            if let Err(error) = self.socket.send_to(&bytes, to).await {
+                warn!(event = "datagram_not_sent", %to, %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/meters.rs
@@ -0,0 +1,94 @@
+//! Counters and latency histograms of the gateway.
+
+use error_stack::{Report, ResultExt};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use super::connection::CallError;
+use crate::telemetry::TelemetryError;
+
+/// Counters of one process.
+#[derive(Debug)]
+pub struct Meters {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    answer_us: Histogram<u64>,
+    calls: Counter<u64>,
+    extra_calls: Counter<u64>,
+    connections: Counter<u64>,
+    platform_calls: Counter<u64>,
+}
+
+impl Meters {
+    /// Opens the counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be built.
+    pub fn open() -> Result<Self, Report<TelemetryError>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .change_context(TelemetryError::Exporter)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("cloverrack_gateway");
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        Ok(Self {
+            answers: counter("cloverrack_gateway_answers"),
+            answer_us: meter.u64_histogram("cloverrack_gateway_answer_us").build(),
+            calls: counter("cloverrack_gateway_failed_calls"),
+            extra_calls: counter("cloverrack_gateway_extra_calls"),
+            connections: counter("cloverrack_gateway_connections"),
+            platform_calls: counter("cloverrack_gateway_platform_calls"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a final answer by status.
+    pub fn count_answer(&self, status: u16, elapsed_us: u64) {
+        self.answers
+            .add(1, &[KeyValue::new("status", i64::from(status))]);
+        self.answer_us.record(elapsed_us, &[]);
+    }
+
+    /// Counts a leaf call that failed.
+    pub fn count_failed_call(&self, error: CallError) {
+        self.calls
+            .add(1, &[KeyValue::new("error", error.to_string())]);
+    }
+
+    /// Counts an extra call that the budget granted or denied.
+    pub fn count_extra(&self, granted: bool) {
+        self.extra_calls
+            .add(1, &[KeyValue::new("granted", granted)]);
+    }
+
+    /// Counts a new connection to a leaf.
+    pub fn count_connection(&self) {
+        self.connections.add(1, &[]);
+    }
+
+    /// Counts a call to the platform.
+    pub fn count_platform_call(&self, succeeded: bool) {
+        self.platform_calls
+            .add(1, &[KeyValue::new("succeeded", succeeded)]);
+    }
+
+    /// Returns all counters as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a counter can't be encoded.
+    pub fn text(&self) -> Result<Vec<u8>, Report<TelemetryError>> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .change_context(TelemetryError::Encode)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,39 @@
+//! HTTP gateway over routes: callers ask by host and path, one leaf or one leaf of each shard
+//! answers, and the records of the shards are merged.
+//!
+//! Decisions stand in modules without a network: [`routes`], [`catalog`], [`pace`], [`policy`],
+//! [`merge`], [`directory`].
+
+pub mod catalog;
+pub mod connection;
+pub mod directory;
+pub mod engine;
+pub mod entry;
+pub mod fanout;
+pub mod follower;
+pub mod leaves;
+pub mod members;
+pub mod merge;
+pub mod meters;
+pub mod pace;
+pub mod policy;
+pub mod routes;
+pub mod service;
+
+pub use catalog::{Catalog, CatalogImage, Change, Changed, LeafRecord};
+pub use connection::{CallError, Connection, Reply};
+pub use directory::caller_addresses;
+pub use engine::{CallSpec, Engine, ExtraCallBounds, Headers};
+pub use entry::{Gateway, GatewaySettings};
+pub use follower::{Changes, Follower, Source, SourceError};
+pub use leaves::{ConnectionLimits, Leaves, NoLeaf, connection_share};
+pub use members::{Member, Members};
+pub use merge::merge_records;
+pub use meters::Meters;
+pub use pace::Pace;
+pub use policy::{CallTimes, Schedule, Step, Tally};
+pub use routes::{
+    CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames, ServiceSpec,
+    min_parts, pick_weighted,
+};
+pub use service::CallerService;
--- /dev/null
+++ b/src/gateway/pace.rs
@@ -0,0 +1,146 @@
+//! How fast a leaf answers, from the calls of this VM, and what a further call to it would cost.
+//!
+//! Answers the loads in which a few leaves are slow, pause for a moment, or fall silent while their
+//! replicas have room.
+
+use std::collections::BTreeMap;
+
+/// Weight of a new latency in the average is 1 / 2^`AVERAGE_SHIFT`.
+const AVERAGE_SHIFT: u32 = 3;
+
+/// Latency assumed of a leaf that has not answered yet, in microseconds.
+const INITIAL_LATENCY_US: u64 = 15_000;
+
+/// Age of the oldest open call, in average latencies, from which the leaf counts as stalled.
+const STALL_FACTOR: u64 = 2;
+
+/// Age added to that, so that short calls don't count as stalled by jitter.
+const STALL_FLOOR_US: u64 = 12_000;
+
+/// Cost of a call to a stalled leaf beside its average latency.
+const STALL_COST_US: u64 = 120_000;
+
+/// Time for which a failure counts, doubled with each further failure.
+const FAILURE_BASE_MS: u64 = 400;
+
+/// Longest time for which failures count.
+const FAILURE_MAX_MS: u64 = 6_400;
+
+/// Cost of a call to a leaf that failed recently.
+const FAILURE_COST_US: u64 = 400_000;
+
+/// Time in which the excess of an average over the best replica's halves while the leaf is unused.
+const FORGET_HALF_MS: u64 = 1_500;
+
+/// Latency estimate and open calls of one leaf.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    average_us: u64,
+    observed_ms: u64,
+    open: BTreeMap<u64, u64>,
+    next_call: u64,
+    failures: u32,
+    failed_until_ms: u64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            average_us: INITIAL_LATENCY_US,
+            observed_ms: 0,
+            open: BTreeMap::new(),
+            next_call: 0,
+            failures: 0,
+            failed_until_ms: 0,
+        }
+    }
+}
+
+impl Pace {
+    /// Opens a call and returns its number.
+    pub fn begin(&mut self, now_us: u64) -> u64 {
+        self.next_call += 1;
+        self.open.insert(self.next_call, now_us);
+        self.next_call
+    }
+
+    /// Closes a call that the leaf answered. `cost_us` scales the sample to a common size of work.
+    pub fn answered(&mut self, call: u64, now_us: u64) {
+        let Some(started_us) = self.open.remove(&call) else {
+            return;
+        };
+        let latency_us = now_us.saturating_sub(started_us);
+        let old_us = self.average_us - (self.average_us >> AVERAGE_SHIFT);
+        self.average_us = old_us + (latency_us >> AVERAGE_SHIFT);
+        self.observed_ms = now_us / 1_000;
+        self.failures = 0;
+        self.failed_until_ms = 0;
+    }
+
+    /// Closes a call that was given up with no verdict on the leaf.
+    pub fn dropped(&mut self, call: u64) {
+        self.open.remove(&call);
+    }
+
+    /// Closes a call that the leaf failed: a reset, a refusal or silence.
+    pub fn failed(&mut self, call: u64, now_us: u64) {
+        self.open.remove(&call);
+        let hold_ms = (FAILURE_BASE_MS << self.failures.min(8)).min(FAILURE_MAX_MS);
+        self.failures = self.failures.saturating_add(1);
+        self.failed_until_ms = now_us / 1_000 + hold_ms;
+    }
+
+    /// Returns the open calls.
+    pub fn open_calls(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns the average latency.
+    pub fn average_us(&self) -> u64 {
+        self.average_us
+    }
+
+    /// Returns whether the leaf failed so recently that it is used only if no other can be.
+    pub fn is_failing(&self, now_us: u64) -> bool {
+        now_us / 1_000 < self.failed_until_ms
+    }
+
+    /// Returns whether the oldest open call waits for much longer than calls usually do.
+    pub fn is_stalled(&self, now_us: u64) -> bool {
+        let oldest = self
+            .open
+            .first_key_value()
+            .map(|(_, started_us)| *started_us);
+        let limit_us = self.average_us * STALL_FACTOR + STALL_FLOOR_US;
+        oldest.is_some_and(|started_us| now_us.saturating_sub(started_us) > limit_us)
+    }
+
+    /// Returns the expected time of a further call, in microseconds.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::Pace;
+    /// let mut pace = Pace::default();
+    /// let idle_us = pace.expected_us(3, 0);
+    /// pace.begin(0);
+    /// assert!(pace.expected_us(3, 200_000) > idle_us, "the leaf is stalled");
+    /// ```
+    pub fn expected_us(&self, slots: u32, now_us: u64) -> u64 {
+        let idle_ms = (now_us / 1_000).saturating_sub(self.observed_ms);
+        let halvings = u32::try_from(idle_ms / FORGET_HALF_MS)
+            .unwrap_or(u32::MAX)
+            .min(16);
+        let excess_us = self.average_us.saturating_sub(INITIAL_LATENCY_US) >> halvings;
+        let average_us = self.average_us.min(INITIAL_LATENCY_US) + excess_us;
+        let queue = self.open.len() as u64 * average_us / u64::from(slots.max(1));
+        let mut expected_us = average_us + queue;
+        if self.is_stalled(now_us) {
+            expected_us += STALL_COST_US;
+        }
+        if self.is_failing(now_us) {
+            expected_us += FAILURE_COST_US;
+        }
+        expected_us
+    }
+}
--- /dev/null
+++ b/src/gateway/routes.rs
@@ -0,0 +1,271 @@
+//! Routes in force: which service answers a host and path, and within which limits.
+
+use std::collections::HashMap;
+
+use bincode::{Decode, Encode};
+
+use crate::ids::ServiceKey;
+
+/// Where the requests of a route go, as operators describe it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub enum Destination {
+    /// One service.
+    Service(Box<str>),
+    /// Several services, each with its weight.
+    Weighted(Vec<(Box<str>, u32)>),
+    /// All shards of an index, whose records are merged.
+    Shards {
+        /// Service of each shard.
+        services: Vec<Box<str>>,
+        /// Records in an answer.
+        top_records: u32,
+        /// Least share of the shards in an answer, in parts per million.
+        min_coverage_ppm: u32,
+    },
+}
+
+/// One route as operators describe it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct RouteSpec {
+    /// Name of the route, for logs.
+    pub name: Box<str>,
+    /// Host that callers ask for.
+    pub host: Box<str>,
+    /// Beginning of the path; begins and ends with a slash.
+    pub prefix: Box<str>,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// Longest time that a caller is kept waiting.
+    pub timeout_ms: u64,
+    /// Time within which an answer has its full worth.
+    pub target_latency_ms: u64,
+    /// Most leaves that get one request; holds for each shard.
+    pub max_attempts: u32,
+    /// Rank of the route; 0 is the most urgent.
+    pub priority: u32,
+    /// Where requests go.
+    pub destination: Destination,
+}
+
+/// Limits of one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct ServiceSpec {
+    /// Name of the service.
+    pub name: Box<str>,
+    /// Connections that one of its leaves accepts from all VMs together.
+    pub max_connections: u32,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct CallerLimits {
+    /// Largest request body.
+    pub max_body_bytes: u64,
+    /// Time for which a connection may stay idle.
+    pub idle_timeout_ms: u64,
+}
+
+/// One version of the operators' configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct RouteDocument {
+    /// Version; a greater one replaces a smaller one.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<RouteSpec>,
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+    /// Limits of callers.
+    pub limits: CallerLimits,
+}
+
+/// Names of services and their keys; a key stays valid for the life of the process.
+#[derive(Debug, Default)]
+pub struct ServiceNames {
+    keys: HashMap<Box<str>, ServiceKey>,
+    names: Vec<Box<str>>,
+}
+
+impl ServiceNames {
+    /// Returns the key of a name, a new one for a new name.
+    pub fn intern(&mut self, name: &str) -> ServiceKey {
+        if let Some(key) = self.keys.get(name) {
+            return *key;
+        }
+        let key = ServiceKey::new(self.names.len());
+        self.names.push(name.into());
+        self.keys.insert(name.into(), key);
+        key
+    }
+
+    /// Returns the name of a key.
+    pub fn name(&self, key: ServiceKey) -> &str {
+        self.names.get(key.index()).map_or("", |name| name)
+    }
+}
+
+/// Where the requests of a route go, with keys of services.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// One service.
+    Service(ServiceKey),
+    /// Several services, with running totals of their weights.
+    Weighted(Vec<(ServiceKey, u64)>),
+    /// All shards.
+    Shards {
+        /// Service of each shard.
+        services: Vec<ServiceKey>,
+        /// Records in an answer.
+        top_records: usize,
+        /// Fewest shards in an answer.
+        min_parts: usize,
+    },
+}
+
+/// A compiled route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// What the operators say.
+    pub spec: RouteSpec,
+    /// Where requests go.
+    pub target: Target,
+}
+
+/// All routes of one version, ready for look-ups.
+#[derive(Debug)]
+pub struct RouteTable {
+    /// Version of the document.
+    pub version: u64,
+    /// Limits of callers.
+    pub limits: CallerLimits,
+    hosts: HashMap<Box<str>, Vec<Route>>,
+    max_connections: HashMap<ServiceKey, u32>,
+}
+
+/// Denominator of shares in parts per million.
+const PPM: u64 = 1_000_000;
+
+/// Returns the fewest parts that make up a share of all.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::gateway::min_parts;
+/// assert_eq!(min_parts(10, 890_000), 9);
+/// assert_eq!(min_parts(10, 900_000), 9);
+/// assert_eq!(min_parts(10, 0), 1);
+/// ```
+pub fn min_parts(shards: usize, min_coverage_ppm: u32) -> usize {
+    let wanted = (shards as u64 * u64::from(min_coverage_ppm)).div_ceil(PPM);
+    usize::try_from(wanted).unwrap_or(shards).max(1)
+}
+
+impl RouteTable {
+    /// Compiles a document.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::{
+    ///     CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames,
+    /// };
+    /// let route = RouteSpec {
+    ///     name: "sheets".into(),
+    ///     host: "desk.example".into(),
+    ///     prefix: "/sheets/".into(),
+    ///     idempotent: true,
+    ///     timeout_ms: 6_000,
+    ///     target_latency_ms: 600,
+    ///     max_attempts: 2,
+    ///     priority: 1,
+    ///     destination: Destination::Service("submittal-room".into()),
+    /// };
+    /// let limits = CallerLimits { max_body_bytes: 262_144, idle_timeout_ms: 15_000 };
+    /// let document = RouteDocument { version: 1, routes: vec![route], services: vec![], limits };
+    /// let table = RouteTable::compile(document, &mut ServiceNames::default());
+    /// assert!(table.find("desk.example", "/sheets/7").is_some());
+    /// assert!(table.find("desk.example", "/orders/7").is_none());
+    /// ```
+    pub fn compile(document: RouteDocument, names: &mut ServiceNames) -> Self {
+        let mut hosts: HashMap<Box<str>, Vec<Route>> = HashMap::new();
+        for spec in document.routes {
+            let target = compile_target(&spec.destination, names);
+            let host = spec.host.to_ascii_lowercase().into_boxed_str();
+            hosts.entry(host).or_default().push(Route { spec, target });
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.spec.prefix.len()));
+        }
+        let mut max_connections = HashMap::new();
+        for service in document.services {
+            max_connections.insert(names.intern(&service.name), service.max_connections);
+        }
+        Self {
+            version: document.version,
+            limits: document.limits,
+            hosts,
+            max_connections,
+        }
+    }
+
+    /// Returns the route of a host and path: the longest prefix wins.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.hosts.get(host)?;
+        let mut matching = routes.iter();
+        matching.find(|route| path.starts_with(&*route.spec.prefix))
+    }
+
+    /// Returns the connections that one leaf of a service accepts from all VMs.
+    pub fn max_connections(&self, service: ServiceKey) -> Option<u32> {
+        self.max_connections.get(&service).copied()
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten()
+    }
+}
+
+fn compile_target(destination: &Destination, names: &mut ServiceNames) -> Target {
+    match destination {
+        Destination::Service(name) => Target::Service(names.intern(name)),
+        Destination::Weighted(parts) => {
+            let mut total = 0;
+            let mut cumulative = Vec::with_capacity(parts.len());
+            for (name, weight) in parts {
+                total += u64::from(*weight);
+                cumulative.push((names.intern(name), total));
+            }
+            Target::Weighted(cumulative)
+        }
+        Destination::Shards {
+            services,
+            top_records,
+            min_coverage_ppm,
+        } => Target::Shards {
+            services: services.iter().map(|name| names.intern(name)).collect(),
+            top_records: usize::try_from(*top_records).unwrap_or(usize::MAX),
+            min_parts: min_parts(services.len(), *min_coverage_ppm),
+        },
+    }
+}
+
+/// Picks a service by weight for a number drawn below the total weight.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::ServiceKey;
+/// use cloverrack::gateway::pick_weighted;
+/// let parts = [(ServiceKey::new(0), 3), (ServiceKey::new(1), 4)];
+/// assert_eq!(pick_weighted(&parts, 2), Some(ServiceKey::new(0)));
+/// assert_eq!(pick_weighted(&parts, 3), Some(ServiceKey::new(1)));
+/// ```
+pub fn pick_weighted(cumulative: &[(ServiceKey, u64)], drawn: u64) -> Option<ServiceKey> {
+    let mut parts = cumulative.iter();
+    parts.find(|(_, total)| drawn < *total).map(|(key, _)| *key)
+}
--- a/src/gossip/table.rs
+++ b/src/gossip/table.rs
@@ -244,6 +244,7 @@
             bytes.extend_from_slice(&[b'r', *slot]);
             bytes.extend_from_slice(name.as_bytes());
         }
+        FactKey::Profile(address) => push_address(&mut bytes, b'p', *address),
     }
     let bucket = xxh3_64(&bytes) % BUCKETS as u64;
     for part in rank {
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -26,6 +26,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     tokens_ppm: u64,
+    capacity_ppm: u64,
     rate: u64,
     calls_towards_step: u64,
 }
@@ -34,6 +35,7 @@
     fn default() -> Self {
         Self {
             tokens_ppm: MAX_TOKENS_PPM / 2,
+            capacity_ppm: MAX_TOKENS_PPM,
             rate: FULL_RATE,
             calls_towards_step: 0,
         }
@@ -41,6 +43,34 @@
 }
 
 impl Budget {
+    /// Makes an empty budget that saves up at most `calls` extra calls.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let mut budget = cloverrack::Budget::with_capacity(2);
+    /// budget.earn(100, 200_000);
+    /// assert!(budget.try_spend() && budget.try_spend() && !budget.try_spend());
+    /// ```
+    pub fn with_capacity(calls: u64) -> Self {
+        Self {
+            tokens_ppm: 0,
+            capacity_ppm: calls.saturating_mul(CALL_PPM),
+            ..Self::default()
+        }
+    }
+
+    /// Changes how many extra calls are saved up at most.
+    pub fn set_capacity(&mut self, calls: u64) {
+        self.capacity_ppm = calls.saturating_mul(CALL_PPM);
+        self.tokens_ppm = self.tokens_ppm.min(self.capacity_ppm);
+    }
+
+    /// Returns whether at least half of what can be saved up is there.
+    pub fn is_ample(&self) -> bool {
+        self.tokens_ppm >= (self.capacity_ppm / 2).max(CALL_PPM)
+    }
+
     /// Earns for `calls` first calls at `budget_ppm` extra calls per million.
     ///
     /// # Examples
@@ -58,7 +88,10 @@
         let towards_step = self.calls_towards_step.saturating_add(calls);
         self.calls_towards_step = towards_step % CALLS_PER_RATE_STEP;
         self.rate = (self.rate + towards_step / CALLS_PER_RATE_STEP).min(FULL_RATE);
-        self.tokens_ppm = self.tokens_ppm.saturating_add(earned).min(MAX_TOKENS_PPM);
+        self.tokens_ppm = self
+            .tokens_ppm
+            .saturating_add(earned)
+            .min(self.capacity_ppm);
     }
 
     /// Lowers the budget after a leaf shed a call.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod front;
+pub mod gateway;
 pub mod gossip;
 pub mod hedge;
 pub mod http_server;
