Avoid leaves by the share of calls that they fail

A leaf's share of failures is now an average that fades while the leaf is unused, and a whole refusal keeps its connection. One watch of the platform waits 5 s instead of 2 s.

Ruled out: raising the cost of failures in a row (still reset by one success).

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -293,8 +293,18 @@
     ///
     /// Fails if the leaf gives no whole answer to this request, or refuses it.
     pub async fn run(mut self, spec: &CallSpec) -> Result<Reply, CallError> {
-        let result = self.attempt(spec).await;
-        self.finish(&result);
+        let exchanged = self.attempt(spec).await;
+        let result = exchanged.and_then(|reply| match self.verdict(spec, &reply) {
+            Some(error) => {
+                self.finish(Err(error), Some(&reply));
+                Err(error)
+            }
+            None => Ok(reply),
+        });
+        if !self.closed {
+            let outcome = result.as_ref().map(|reply| reply.status);
+            self.finish(outcome.map_err(|error| *error), result.as_ref().ok());
+        }
         result
     }
 
@@ -305,40 +315,36 @@
             let id = HeaderValue::from_str(&leaf.record.id).map_err(|_| CallError::Connect)?;
             (leaf.address(), id)
         };
-        if self.connection.is_some() {
-            let result = self.exchange(spec, &id).await;
+        if let Some(connection) = &mut self.connection {
+            let request = build_request(&self.engine.headers, spec, &id);
+            let result = connection.exchange(request).await;
             if result.as_ref().err() != Some(&CallError::Unsent) {
                 return result;
             }
         }
-        self.connection = Some(Connection::open(address).await?);
-        self.exchange(spec, &id).await
+        let connection = self.connection.insert(Connection::open(address).await?);
+        let request = build_request(&self.engine.headers, spec, &id);
+        connection.exchange(request).await
     }
 
-    async fn exchange(&mut self, spec: &CallSpec, id: &HeaderValue) -> Result<Reply, CallError> {
+    /// Returns why a whole reply is no answer of the leaf to this request.
+    fn verdict(&self, spec: &CallSpec, reply: &Reply) -> Option<CallError> {
         let headers = &self.engine.headers;
-        let request = build_request(headers, spec, id);
-        let Some(connection) = &mut self.connection else {
-            return Err(CallError::Unsent);
-        };
-        let reply = connection.exchange(request).await?;
         if reply.status == StatusCode::MISDIRECTED_REQUEST {
-            return Err(CallError::OtherLeaf);
+            return Some(CallError::OtherLeaf);
         }
         let echoed = reply.headers.get(&headers.request_id);
         if echoed.is_some_and(|echoed| echoed != spec.request_id) {
-            return Err(CallError::Foreign);
+            return Some(CallError::Foreign);
         }
         if reply.headers.contains_key(&headers.not_run) {
-            return Err(CallError::Refused);
-        }
-        if reply.status.is_success() && !reply.headers.contains_key(&headers.signature) {
-            return Err(CallError::Unsigned);
+            return Some(CallError::Refused);
         }
-        Ok(reply)
+        let unsigned = !reply.headers.contains_key(&headers.signature);
+        (reply.status.is_success() && unsigned).then_some(CallError::Unsigned)
     }
 
-    fn finish(&mut self, result: &Result<Reply, CallError>) {
+    fn finish(&mut self, outcome: Result<StatusCode, CallError>, reply: Option<&Reply>) {
         self.closed = true;
         let now_us = boot_us();
         let connection = self.connection.take();
@@ -346,20 +352,20 @@
         let Some(leaf) = state.leaves.get_mut(self.leaf) else {
             return;
         };
-        let mut idle = None;
-        match result {
-            Ok(reply) => {
-                leaf.pace.answered(self.number, now_us);
-                idle = connection.and_then(|c| c.into_idle(&reply.headers, now_us / 1_000));
-            }
+        match outcome {
+            Ok(status) if status.is_success() => leaf.pace.answered(self.number, now_us),
+            Ok(_) | Err(CallError::Refused) => leaf.pace.answered_badly(self.number, now_us),
             Err(CallError::Foreign) => leaf.pace.dropped(self.number),
             Err(_) => leaf.pace.failed(self.number, now_us),
         }
+        let is_sound = matches!(outcome, Ok(_) | Err(CallError::Refused));
+        let sound = connection.zip(reply).filter(|_| is_sound);
+        let idle = sound.and_then(|(c, reply)| c.into_idle(&reply.headers, now_us / 1_000));
         match idle {
             Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
-        if result.as_ref().err() == Some(&CallError::OtherLeaf) {
+        if outcome == Err(CallError::OtherLeaf) {
             state.leaves.retire(self.leaf);
         }
         state.leaves.tidy(self.leaf);
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -12,9 +12,9 @@
 use super::engine::Engine;
 use crate::clock::boot_ms;
 
-/// Time for which one watch waits. A connection may go silent, so the next watch finds out within
-/// the time in which a configuration has to be in force.
-const WATCH_MS: u64 = 2_000;
+/// Time for which one watch waits. A connection may go silent without an end; the next watch finds
+/// out within the 7 s after which a VM has to know of a new configuration again.
+const WATCH_MS: u64 = 5_000;
 
 /// Pause after changes, in which further ones gather: each call has a price.
 const GATHER_MS: u64 = 150;
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -124,7 +124,7 @@
         {
             leaf.record = record.clone();
             if record.draining {
-                leaf.idle.clear();
+                leaf.close_idle();
             }
             return key;
         }
@@ -149,7 +149,7 @@
             return;
         };
         leaf.retired = true;
-        leaf.idle.clear();
+        leaf.close_idle();
         if let Some(keys) = self.by_service.get_mut(&leaf.service) {
             keys.retain(|other| *other != key);
         }
@@ -263,8 +263,14 @@
     (usable.div_ceil(vms.max(1))).max(1)
 }
 
-/// Returns the address of a leaf.
 impl Leaf {
+    /// Closes the connections that wait for a call.
+    fn close_idle(&mut self) {
+        let closed = u32::try_from(self.idle.len()).unwrap_or(u32::MAX);
+        self.connections = self.connections.saturating_sub(closed);
+        self.idle.clear();
+    }
+
     /// Returns where the leaf listens.
     pub fn address(&self) -> SocketAddr {
         self.record.address
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -29,6 +29,18 @@
 /// Cost of a call to a leaf that failed recently.
 const FAILURE_COST_US: u64 = 400_000;
 
+/// Weight of a new outcome in the share of failures is 1 / 2^`FAILURE_SHARE_SHIFT`.
+const FAILURE_SHARE_SHIFT: u32 = 3;
+
+/// Cost of a call to a leaf that fails all its calls; one that fails a share costs that share.
+const FAILURE_SHARE_COST_US: u64 = 500_000;
+
+/// Time in which the share of failures halves while the leaf is unused.
+const FAILURE_HALF_MS: u64 = 2_500;
+
+/// Parts per million in one.
+const PPM: u64 = 1_000_000;
+
 /// Time in which the excess of an average over the best replica's halves while the leaf is unused.
 const FORGET_HALF_MS: u64 = 1_500;
 
@@ -41,6 +53,8 @@
     next_call: u64,
     failures: u32,
     failed_until_ms: u64,
+    failure_share_ppm: u64,
+    judged_ms: u64,
 }
 
 impl Default for Pace {
@@ -52,6 +66,8 @@
             next_call: 0,
             failures: 0,
             failed_until_ms: 0,
+            failure_share_ppm: 0,
+            judged_ms: 0,
         }
     }
 }
@@ -64,7 +80,7 @@
         self.next_call
     }
 
-    /// Closes a call that the leaf answered. `cost_us` scales the sample to a common size of work.
+    /// Closes a call that the leaf answered.
     pub fn answered(&mut self, call: u64, now_us: u64) {
         let Some(started_us) = self.open.remove(&call) else {
             return;
@@ -75,6 +91,28 @@
         self.observed_ms = now_us / 1_000;
         self.failures = 0;
         self.failed_until_ms = 0;
+        self.judge(0, now_us / 1_000);
+    }
+
+    /// Closes a call that the leaf answered with a refusal or a failure of its own.
+    ///
+    /// Such answers come fast, so they say nothing of the latency.
+    pub fn answered_badly(&mut self, call: u64, now_us: u64) {
+        self.open.remove(&call);
+        self.judge(PPM, now_us / 1_000);
+    }
+
+    fn judge(&mut self, outcome_ppm: u64, now_ms: u64) {
+        let old_ppm = self.failure_share_ppm(now_ms);
+        let kept_ppm = old_ppm - (old_ppm >> FAILURE_SHARE_SHIFT);
+        self.failure_share_ppm = kept_ppm + (outcome_ppm >> FAILURE_SHARE_SHIFT);
+        self.judged_ms = now_ms;
+    }
+
+    /// Returns the share of calls that failed lately, in parts per million.
+    pub fn failure_share_ppm(&self, now_ms: u64) -> u64 {
+        let idle_ms = now_ms.saturating_sub(self.judged_ms);
+        self.failure_share_ppm >> halvings(idle_ms, FAILURE_HALF_MS)
     }
 
     /// Closes a call that was given up with no verdict on the leaf.
@@ -88,6 +126,7 @@
         let hold_ms = (FAILURE_BASE_MS << self.failures.min(8)).min(FAILURE_MAX_MS);
         self.failures = self.failures.saturating_add(1);
         self.failed_until_ms = now_us / 1_000 + hold_ms;
+        self.judge(PPM, now_us / 1_000);
     }
 
     /// Returns the open calls.
@@ -135,6 +174,8 @@
         let average_us = self.average_us.min(INITIAL_LATENCY_US) + excess_us;
         let queue = self.open.len() as u64 * average_us / u64::from(slots.max(1));
         let mut expected_us = average_us + queue;
+        let failure_share_ppm = self.failure_share_ppm(now_us / 1_000);
+        expected_us += failure_share_ppm * FAILURE_SHARE_COST_US / PPM;
         if self.is_stalled(now_us) {
             expected_us += STALL_COST_US;
         }
@@ -144,3 +185,8 @@
         expected_us
     }
 }
+
+/// Returns how often a value halved in a time.
+fn halvings(idle_ms: u64, half_ms: u64) -> u32 {
+    u32::try_from(idle_ms / half_ms).unwrap_or(u32::MAX).min(32)
+}
