Predict the regular pauses of leaves

A stall that ends without any answer although calls were open votes for an interval over all leaves; a leaf's phase is what most of its stalls agree on. A call is kept off a leaf that stops before it could answer. Nothing is predicted where stalls don't repeat.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -352,8 +352,9 @@
         let Some(leaf) = state.leaves.get_mut(self.leaf) else {
             return;
         };
+        let mut stall = None;
         match outcome {
-            Ok(status) if status.is_success() => leaf.pace.answered(self.number, now_us),
+            Ok(status) if status.is_success() => stall = leaf.pace.answered(self.number, now_us),
             Ok(_) | Err(CallError::Refused) => leaf.pace.answered_badly(self.number, now_us),
             Err(CallError::Foreign) => leaf.pace.dropped(self.number),
             Err(_) => leaf.pace.failed(self.number, now_us),
@@ -365,6 +366,9 @@
             Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
+        if let Some(stall) = stall {
+            state.leaves.observe_stall(self.leaf, stall);
+        }
         if outcome == Err(CallError::OtherLeaf) {
             state.leaves.retire(self.leaf);
         }
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -6,6 +6,7 @@
 use super::catalog::LeafRecord;
 use super::connection::Idle;
 use super::pace::Pace;
+use super::rhythm::{Interval, Rhythm, Stall};
 use super::routes::{RouteTable, ServiceNames};
 use crate::ids::{LeafKey, ServiceKey};
 
@@ -33,6 +34,8 @@
     pub service: ServiceKey,
     /// How fast it answers.
     pub pace: Pace,
+    /// When it pauses.
+    pub rhythm: Rhythm,
     /// Open connections, those in use included.
     pub connections: u32,
     /// Connections that wait for a call.
@@ -51,6 +54,7 @@
     by_id: HashMap<Box<str>, LeafKey>,
     by_service: BTreeMap<ServiceKey, Vec<LeafKey>>,
     own_domain: Box<str>,
+    interval: Interval,
 }
 
 /// Why no leaf of a service can take a call.
@@ -134,6 +138,7 @@
             record: record.clone(),
             service,
             pace: Pace::default(),
+            rhythm: Rhythm::default(),
             connections: 0,
             idle: Vec::new(),
             warm_at_ms: now_ms + record.warmup_left_ms,
@@ -143,6 +148,13 @@
         key
     }
 
+    /// Takes a stall of a leaf that has ended.
+    pub fn observe_stall(&mut self, key: LeafKey, stall: Stall) {
+        if let Some(leaf) = self.arena.get_mut(&key) {
+            leaf.rhythm.observe(stall, &mut self.interval);
+        }
+    }
+
     /// Takes a leaf out of use at once: another process answers at its address.
     pub fn retire(&mut self, key: LeafKey) {
         let Some(leaf) = self.arena.get_mut(&key) else {
@@ -213,6 +225,9 @@
         if now_us / 1_000 < leaf.warm_at_ms {
             cost_us += WARMUP_COST_US;
         }
+        let call_us = leaf.pace.average_us();
+        let pause_left = leaf.rhythm.pause_left_us(now_us, call_us, &self.interval);
+        cost_us += pause_left.unwrap_or(0);
         cost_us
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod meters;
 pub mod pace;
 pub mod policy;
+pub mod rhythm;
 pub mod routes;
 pub mod service;
 
@@ -32,6 +33,7 @@
 pub use meters::Meters;
 pub use pace::Pace;
 pub use policy::{CallTimes, Schedule, Step, Tally};
+pub use rhythm::{Interval, Rhythm, Stall};
 pub use routes::{
     CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames, ServiceSpec,
     min_parts, pick_weighted,
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -5,6 +5,8 @@
 
 use std::collections::BTreeMap;
 
+use super::rhythm::Stall;
+
 /// Weight of a new latency in the average is 1 / 2^`AVERAGE_SHIFT`.
 const AVERAGE_SHIFT: u32 = 3;
 
@@ -49,6 +51,7 @@
 pub struct Pace {
     average_us: u64,
     observed_ms: u64,
+    last_answer_us: u64,
     open: BTreeMap<u64, u64>,
     next_call: u64,
     failures: u32,
@@ -62,6 +65,7 @@
         Self {
             average_us: INITIAL_LATENCY_US,
             observed_ms: 0,
+            last_answer_us: 0,
             open: BTreeMap::new(),
             next_call: 0,
             failures: 0,
@@ -80,11 +84,11 @@
         self.next_call
     }
 
-    /// Closes a call that the leaf answered.
-    pub fn answered(&mut self, call: u64, now_us: u64) {
-        let Some(started_us) = self.open.remove(&call) else {
-            return;
-        };
+    /// Closes a call that the leaf answered; returns the stall that the answer ended.
+    pub fn answered(&mut self, call: u64, now_us: u64) -> Option<Stall> {
+        let stall = self.ended_stall(now_us);
+        self.last_answer_us = now_us;
+        let started_us = self.open.remove(&call)?;
         let latency_us = now_us.saturating_sub(started_us);
         let old_us = self.average_us - (self.average_us >> AVERAGE_SHIFT);
         self.average_us = old_us + (latency_us >> AVERAGE_SHIFT);
@@ -92,6 +96,19 @@
         self.failures = 0;
         self.failed_until_ms = 0;
         self.judge(0, now_us / 1_000);
+        stall
+    }
+
+    /// Returns the stall that an answer ends now: calls were open all the while, and none was answered
+    /// for much longer than usual.
+    fn ended_stall(&self, now_us: u64) -> Option<Stall> {
+        let oldest_us = *self.open.first_key_value()?.1;
+        let start_us = oldest_us.max(self.last_answer_us);
+        let limit_us = self.average_us * STALL_FACTOR + STALL_FLOOR_US;
+        (now_us.saturating_sub(start_us) > limit_us).then_some(Stall {
+            start_us,
+            end_us: now_us,
+        })
     }
 
     /// Closes a call that the leaf answered with a refusal or a failure of its own.
--- /dev/null
+++ b/src/gateway/rhythm.rs
@@ -0,0 +1,238 @@
+//! Regular pauses of leaves: learned from the ends of stalls, and predicted.
+//!
+//! Answers the load in which every leaf stops for a moment at a steady interval, each at its own
+//! phase, so that nearly every query over many shards meets a stopped leaf. Interval and duration are
+//! learned over all leaves, the phase for each leaf; nothing is predicted of a leaf whose stalls don't
+//! repeat.
+
+use std::collections::VecDeque;
+
+/// Shortest and longest interval between pauses that is looked for. Shorter ones can't be told from
+/// queueing; longer ones come too seldom to be worth avoiding.
+const INTERVAL_US: std::ops::RangeInclusive<u64> = 800_000..=30_000_000;
+
+/// Shortest stall that may be a pause; shorter ones are mostly waits of this process itself.
+const MIN_STALL_US: u64 = 70_000;
+
+/// Distance within which two intervals, or a stall and its prediction, count as the same. The first
+/// answer after a pause comes up to one service time late.
+const MATCH_US: u64 = 25_000;
+
+/// Candidates for the interval that are kept.
+const MAX_CANDIDATES: usize = 48;
+
+/// Votes that an interval needs before it is believed.
+const MIN_VOTES: f64 = 5.0;
+
+/// Share of its votes that a candidate keeps when a further sample comes.
+const VOTE_DECAY: f64 = 0.995;
+
+/// Share of the most votes from which a shorter interval is preferred: its multiples get votes too.
+const SHORTER_SHARE: f64 = 0.5;
+
+/// Stalls of one leaf that are kept.
+const MAX_ENDS: usize = 6;
+
+/// Stalls of one leaf that have to agree before its next pause is predicted.
+const MIN_AGREEING: usize = 2;
+
+/// Durations that are kept.
+const MAX_DURATIONS: usize = 64;
+
+/// Share of the observed durations below the one that is assumed, in percent. Most stalls show only
+/// a part of the pause, and a few show the queue after it.
+const DURATION_PERCENT: usize = 85;
+
+/// Time after the predicted end for which a leaf is still avoided.
+const END_GUARD_US: u64 = 4_000;
+
+/// Longest time for which a phase is kept without a new stall: the interval is not known exactly.
+const MAX_AGE_INTERVALS: u64 = 16;
+
+/// A stall of a leaf: no answer although calls were open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stall {
+    /// Time of the last answer before it, or of the oldest call.
+    pub start_us: u64,
+    /// Time of the first answer after it.
+    pub end_us: u64,
+}
+
+/// A candidate for the interval, with the time and the intervals of the samples that agree on it.
+#[derive(Clone, Copy, Debug)]
+struct Candidate {
+    total_us: f64,
+    intervals: f64,
+    votes: f64,
+}
+
+impl Candidate {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn mean_us(&self) -> u64 {
+        (self.total_us / self.intervals) as u64
+    }
+}
+
+/// Interval and duration of pauses, over all leaves.
+#[derive(Clone, Debug, Default)]
+pub struct Interval {
+    candidates: Vec<Candidate>,
+    believed_us: Option<u64>,
+    durations_us: VecDeque<u64>,
+    duration_us: u64,
+}
+
+/// Phase of one leaf's pauses.
+#[derive(Clone, Debug, Default)]
+pub struct Rhythm {
+    ends_us: VecDeque<u64>,
+    anchor_us: Option<u64>,
+}
+
+impl Interval {
+    /// Returns the interval, once enough stalls agree.
+    pub fn believed_us(&self) -> Option<u64> {
+        self.believed_us
+    }
+
+    /// Returns the assumed duration of a pause.
+    pub fn duration_us(&self) -> u64 {
+        self.duration_us
+    }
+
+    #[expect(clippy::cast_precision_loss)]
+    fn add_sample(&mut self, sample_us: u64) {
+        if !INTERVAL_US.contains(&sample_us) {
+            return;
+        }
+        let mut agreed = false;
+        for candidate in &mut self.candidates {
+            candidate.votes *= VOTE_DECAY;
+            let mean_us = candidate.mean_us();
+            let intervals = (sample_us + mean_us / 2) / mean_us;
+            if intervals == 0 || sample_us.abs_diff(intervals * mean_us) > MATCH_US {
+                continue;
+            }
+            candidate.total_us += sample_us as f64;
+            candidate.intervals += intervals as f64;
+            // A multiple agrees by chance with many short intervals, so it counts less.
+            candidate.votes += 1.0 / intervals as f64;
+            agreed |= intervals == 1;
+        }
+        if !agreed {
+            self.add_candidate(sample_us);
+        }
+        self.believed_us = self.best_us();
+    }
+
+    #[expect(clippy::cast_precision_loss)]
+    fn add_candidate(&mut self, sample_us: u64) {
+        if self.candidates.len() >= MAX_CANDIDATES {
+            let weakest = self.candidates.iter().enumerate();
+            let weakest = weakest.min_by(|(_, a), (_, b)| a.votes.total_cmp(&b.votes));
+            if let Some(index) = weakest.map(|(index, _)| index) {
+                self.candidates.swap_remove(index);
+            }
+        }
+        self.candidates.push(Candidate {
+            total_us: sample_us as f64,
+            intervals: 1.0,
+            votes: 1.0,
+        });
+    }
+
+    /// Returns the shortest interval with about the most votes.
+    fn best_us(&self) -> Option<u64> {
+        let votes = self.candidates.iter().map(|candidate| candidate.votes);
+        let most = votes.fold(0.0, f64::max);
+        let enough = (most * SHORTER_SHARE).max(MIN_VOTES);
+        let believed = self.candidates.iter().filter(|c| c.votes >= enough);
+        believed.map(Candidate::mean_us).min()
+    }
+
+    fn add_duration(&mut self, duration_us: u64) {
+        self.durations_us.push_back(duration_us);
+        if self.durations_us.len() > MAX_DURATIONS {
+            self.durations_us.pop_front();
+        }
+        let mut sorted: Vec<u64> = self.durations_us.iter().copied().collect();
+        sorted.sort_unstable();
+        let index = (sorted.len() - 1) * DURATION_PERCENT / 100;
+        self.duration_us = sorted[index];
+    }
+}
+
+impl Rhythm {
+    /// Takes a stall of the leaf.
+    pub fn observe(&mut self, stall: Stall, interval: &mut Interval) {
+        let duration_us = stall.end_us.saturating_sub(stall.start_us);
+        if duration_us < MIN_STALL_US {
+            return;
+        }
+        for end_us in &self.ends_us {
+            interval.add_sample(stall.end_us.saturating_sub(*end_us));
+        }
+        self.ends_us.push_back(stall.end_us);
+        if self.ends_us.len() > MAX_ENDS {
+            self.ends_us.pop_front();
+        }
+        let Some(interval_us) = interval.believed_us() else {
+            return;
+        };
+        self.anchor_us = self.find_anchor(interval_us);
+        let anchor_us = self.anchor_us.unwrap_or(0);
+        if offset_us(stall.end_us, anchor_us, interval_us) <= MATCH_US {
+            interval.add_duration(duration_us);
+        }
+    }
+
+    /// Returns the latest end of the phase on which most stalls of the leaf agree.
+    fn find_anchor(&self, interval_us: u64) -> Option<u64> {
+        let mut best: Option<(usize, u64)> = None;
+        for first_us in &self.ends_us {
+            let agrees = |end: &&u64| offset_us(**end, *first_us, interval_us) <= MATCH_US;
+            let agreeing: Vec<u64> = self.ends_us.iter().filter(agrees).copied().collect();
+            let latest_us = agreeing.last().copied().unwrap_or(*first_us);
+            // The earliest phase is the truest: an end is late by the rest of a call's work.
+            let late_us = offset_us(latest_us, *first_us, interval_us);
+            let candidate = (agreeing.len(), latest_us - late_us);
+            if agreeing.len() >= MIN_AGREEING && best.is_none_or(|best| candidate > best) {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(_, anchor_us)| anchor_us)
+    }
+
+    /// Returns the time until the end of a pause that a call of `call_us` sent now would meet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::{Interval, Rhythm};
+    /// let rhythm = Rhythm::default();
+    /// assert_eq!(rhythm.pause_left_us(1_000_000, 20_000, &Interval::default()), None);
+    /// ```
+    pub fn pause_left_us(&self, now_us: u64, call_us: u64, interval: &Interval) -> Option<u64> {
+        let interval_us = interval.believed_us()?;
+        let age_us = now_us.saturating_sub(self.anchor_us?);
+        if age_us > interval_us * MAX_AGE_INTERVALS {
+            return None;
+        }
+        let since_end_us = age_us % interval_us;
+        if since_end_us < END_GUARD_US {
+            return Some(END_GUARD_US - since_end_us);
+        }
+        let left_us = interval_us - since_end_us;
+        (left_us <= interval.duration_us() + call_us).then_some(left_us + END_GUARD_US)
+    }
+}
+
+/// Returns how much later a time is than the last whole number of intervals from an anchor, which may
+/// be later than the time.
+fn offset_us(time_us: u64, anchor_us: u64, interval_us: u64) -> u64 {
+    if time_us >= anchor_us {
+        return (time_us - anchor_us) % interval_us;
+    }
+    let short_us = (anchor_us - time_us) % interval_us;
+    if short_us == 0 { 0 } else { interval_us - short_us }
+}
