--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -138,10 +138,12 @@
         GATHER_MS
     }
 
+    /// Takes a failure: everything is read again, since a watch that was cut may have missed changes
+    /// whose history is gone, and a new one then waits in vain.
     fn failed(&mut self, error: SourceError) -> u64 {
+        self.read = false;
         if error == SourceError::HistoryLost {
             info!(event = "platform_history_lost");
-            self.read = false;
             return 0;
         }
         if self.failures == 0 {
