Fail at once when a needed shard has no budget left

A request that fails without a shard for which there is no budget now fails at once, so that the caller's own next attempt may still be in time. A failing leaf costs as much as an answer that is too late (200 ms), not more.

Ruled out: more budget (bounded by rule); waiting for tokens, of which there are 0.18 a request for 1.1 refusals a request.

--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -224,9 +224,7 @@
             }
         };
         if repeat && !self.engine.spend_extra(self.plan.budget, urgent) {
-            if self.shards[index].fallback.is_some() {
-                self.shards[index].settle();
-            }
+            self.no_budget_left(index, urgent);
             return;
         }
         let now_us = self.elapsed_us();
@@ -241,6 +239,18 @@
             .push(run_call(index, call, Arc::clone(&self.spec)));
     }
 
+    /// Handles that no extra call is allowed now.
+    ///
+    /// If the request fails without this shard, it fails at once: the caller's own next attempt is
+    /// worth more to it than a wait for a budget that others drain as well.
+    fn no_budget_left(&mut self, index: usize, urgent: bool) {
+        let shard = &mut self.shards[index];
+        let last_hope = shard.open_calls == 0 && urgent;
+        if shard.fallback.is_some() || last_hope {
+            shard.settle();
+        }
+    }
+
     /// Handles that all leaves of a shard were tried, or that it has none.
     fn no_leaf_left(&mut self, index: usize) {
         let shard = &mut self.shards[index];
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -34,8 +34,10 @@
 /// Weight of a new outcome in the share of failures is 1 / 2^`FAILURE_SHARE_SHIFT`.
 const FAILURE_SHARE_SHIFT: u32 = 3;
 
-/// Cost of a call to a leaf that fails all its calls; one that fails a share costs that share.
-const FAILURE_SHARE_COST_US: u64 = 500_000;
+/// Cost of a call to a leaf that fails all its calls; one that fails a share costs that share. It is
+/// about the latency from which an answer comes too late, which is as bad as a failure: a sound leaf
+/// is not preferred to a failing one up to its own collapse.
+const FAILURE_SHARE_COST_US: u64 = 200_000;
 
 /// Time in which the share of failures halves while the leaf is unused.
 const FAILURE_HALF_MS: u64 = 2_500;
