Exchange the catalog between VMs; watch from a few in a large fleet

Cause: a VM that the platform turns away kept its old configuration, and one that started meanwhile had none; and with 90 VMs each of them watched the platform, most of the prices.

VMs announce by gossip at which revision their catalog last changed. A VM that is behind asks the announcer over HTTP/2 for the changes, or for everything if these are gone. Up to 10 VMs watch all; of more, the 7 with the smallest hashes.

Ruled out: sending configuration in gossip datagrams (1,200 bytes).

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -1,6 +1,6 @@
 //! What this VM knows of the platform: the newest configuration and the leaves, by revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
@@ -11,6 +11,9 @@
 /// the return of the platform: live leaves write their entries again within two seconds.
 pub const RETURN_GRACE_MS: u64 = 2_300;
 
+/// Batches of changes kept for peers that are behind.
+const MAX_BATCHES: usize = 128;
+
 /// A leaf as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
@@ -35,6 +38,7 @@
 
 /// One change that the platform reports.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
 pub enum Change {
     /// The operators published a configuration.
     Document(RouteDocument),
@@ -63,6 +67,35 @@
     pub leaves: Vec<LeafRecord>,
 }
 
+/// Changes after a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct Changes {
+    /// Changes in the order of their revisions.
+    pub changes: Vec<Change>,
+    /// Revision up to which they are complete.
+    pub revision: u64,
+}
+
+/// What a VM tells a peer that is behind.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub enum Update {
+    /// The peer has everything.
+    Nothing,
+    /// Changes that may begin before the peer's revision.
+    Changes(Changes),
+    /// Everything.
+    Image(CatalogImage),
+}
+
+/// Changes between two revisions, as they came.
+#[derive(Clone, Debug)]
+struct Batch {
+    after: u64,
+    found: Changes,
+}
+
 /// What changed in the catalog.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Changed {
@@ -76,9 +109,11 @@
 #[derive(Debug, Default)]
 pub struct Catalog {
     revision: u64,
+    changed_at: u64,
     document: Option<RouteDocument>,
     leaves: BTreeMap<Box<str>, Known>,
     grace_until_ms: u64,
+    recent: VecDeque<Batch>,
 }
 
 impl Catalog {
@@ -87,6 +122,11 @@
         self.revision
     }
 
+    /// Returns the revision at which the configuration or a leaf last changed.
+    pub fn changed_at(&self) -> u64 {
+        self.changed_at
+    }
+
     /// Returns the newest configuration.
     pub fn document(&self) -> Option<&RouteDocument> {
         self.document.as_ref()
@@ -116,19 +156,74 @@
     }
 
     /// Applies changes in the order of their revisions, up to `revision`.
-    pub fn apply(&mut self, changes: Vec<Change>, revision: u64, now_ms: u64) -> Changed {
+    pub fn apply(&mut self, found: Changes, now_ms: u64) -> Changed {
         let mut changed = Changed::default();
-        for change in changes {
+        if found.revision < self.revision {
+            return changed;
+        }
+        let revision = found.revision;
+        self.remember(found.clone());
+        for change in found.changes {
             match change {
                 Change::Document(document) => changed.document |= self.take_document(document),
                 Change::Leaf(record) => changed.leaves |= self.take_leaf(record),
                 Change::LeafRemoved(id) => changed.leaves |= self.remove_leaf(&id, now_ms),
             }
         }
-        self.revision = self.revision.max(revision);
+        self.reach(revision, changed);
         changed
     }
 
+    fn reach(&mut self, revision: u64, changed: Changed) {
+        self.revision = revision;
+        if changed.document || changed.leaves {
+            self.changed_at = revision;
+        }
+    }
+
+    /// Keeps changes for peers that are behind.
+    fn remember(&mut self, found: Changes) {
+        let after = self.revision;
+        self.recent.push_back(Batch { after, found });
+        if self.recent.len() > MAX_BATCHES {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Returns what a peer lacks that knows everything up to `after`.
+    ///
+    /// Changes that it has already may come again: they end in the same state.
+    pub fn since(&self, after: u64) -> Update {
+        if after >= self.revision {
+            return Update::Nothing;
+        }
+        let mut changes = Vec::new();
+        let mut begins = u64::MAX;
+        for batch in &self.recent {
+            if batch.found.revision <= after {
+                continue;
+            }
+            begins = begins.min(batch.after);
+            changes.extend(batch.found.changes.iter().cloned());
+        }
+        if begins > after {
+            return Update::Image(self.image());
+        }
+        Update::Changes(Changes {
+            changes,
+            revision: self.revision,
+        })
+    }
+
+    /// Takes what a peer knows.
+    pub fn update(&mut self, update: Update, now_ms: u64) -> Changed {
+        match update {
+            Update::Nothing => Changed::default(),
+            Update::Changes(found) => self.apply(found, now_ms),
+            Update::Image(image) => self.replace(image, now_ms),
+        }
+    }
+
     /// Replaces everything by a whole image; an image of an older revision is ignored.
     pub fn replace(&mut self, image: CatalogImage, now_ms: u64) -> Changed {
         let mut changed = Changed::default();
@@ -150,7 +245,10 @@
         for record in image.leaves {
             changed.leaves |= self.take_leaf(record);
         }
-        self.revision = image.revision;
+        if image.revision > self.revision {
+            self.recent.clear();
+        }
+        self.reach(image.revision, changed);
         changed
     }
 
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -1,6 +1,7 @@
 //! Shared state of the gateway: routes in force, leaves, budgets; and single calls to leaves.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
@@ -87,6 +88,8 @@
     /// Tells requests that wait for a connection that one may be free.
     pub freed: Notify,
     bounds: ExtraCallBounds,
+    watching: AtomicBool,
+    platform_answers: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -130,10 +133,32 @@
             meters,
             freed: Notify::new(),
             bounds,
+            watching: AtomicBool::new(true),
+            platform_answers: AtomicBool::new(true),
             state: Mutex::new(state),
         }
     }
 
+    /// Sets whether this VM watches the platform itself.
+    pub fn set_watching(&self, watching: bool) {
+        self.watching.store(watching, Ordering::Relaxed);
+    }
+
+    /// Returns whether this VM watches the platform itself.
+    pub fn is_watching(&self) -> bool {
+        self.watching.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the platform answered the latest call.
+    pub fn set_platform_answers(&self, answers: bool) {
+        self.platform_answers.store(answers, Ordering::Relaxed);
+    }
+
+    /// Returns whether the platform answered the latest call.
+    pub fn platform_answers(&self) -> bool {
+        self.platform_answers.load(Ordering::Relaxed)
+    }
+
     /// Locks the state; never hold it across a wait.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -11,10 +11,12 @@
 use tracing::info;
 
 use super::engine::{Engine, ExtraCallBounds, Headers};
+use super::exchange;
 use super::follower::{Follower, Source};
 use super::members::Members;
 use super::meters::Meters;
 use super::service::CallerService;
+use super::spread;
 use crate::clock::boot_ms;
 use crate::fact::Profile;
 use crate::http_server::{Handler, Phases, serve};
@@ -112,6 +114,7 @@
             failure_domain: settings.failure_domain.clone(),
             millicores: settings.millicores,
         };
+        let internal = bind(settings.internal_address, "internal").await?;
         let members = Members::bind(settings.internal_address, settings.seeds.clone(), profile);
         let members = members
             .await
@@ -128,6 +131,8 @@
         kernel.register(ROOT, Arc::clone(&engine));
         tokio::spawn(Arc::clone(&members).run());
         tokio::spawn(Follower::new(source, Arc::clone(&engine)).run());
+        tokio::spawn(exchange::serve(internal, Arc::clone(&engine)));
+        tokio::spawn(spread::run(Arc::clone(&engine), Arc::clone(&members)));
         tokio::spawn(tidy(Arc::clone(&engine), members));
         let phases = Phases::default();
         let service = Arc::new(CallerService::new(engine));
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 
-use super::catalog::{CatalogImage, Change, Changed};
+use super::catalog::{CatalogImage, Changed, Changes};
 use super::engine::Engine;
 use crate::clock::boot_ms;
 
@@ -19,19 +19,13 @@
 /// Pause after changes, in which further ones gather: each call has a price.
 const GATHER_MS: u64 = 150;
 
+/// Pause of a VM that leaves the watch to others.
+const IDLE_MS: u64 = 250;
+
 /// Shortest and longest pause after a failed call; the longest is short enough for a configuration
 /// to be in force in time once the platform is back.
 const PAUSE_MS: std::ops::RangeInclusive<u64> = 50..=600;
 
-/// Changes after a revision.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Changes {
-    /// Changes in the order of their revisions.
-    pub changes: Vec<Change>,
-    /// Revision up to which they are complete.
-    pub revision: u64,
-}
-
 /// The platform did not answer as asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Error)]
@@ -85,12 +79,18 @@
     /// Follows until the task is dropped.
     pub async fn run(mut self) {
         loop {
+            if !self.engine.is_watching() {
+                self.read = false;
+                sleep(Duration::from_millis(IDLE_MS)).await;
+                continue;
+            }
             let result = if self.read {
                 self.follow().await
             } else {
                 self.read_all().await
             };
             self.engine.meters.count_platform_call(result.is_ok());
+            self.engine.set_platform_answers(result.is_ok());
             let pause_ms = match result {
                 Ok(changed) => self.succeeded(changed),
                 Err(error) => self.failed(error),
@@ -118,7 +118,7 @@
         self.note_return();
         let mut state = self.engine.state();
         let catalog = &mut state.catalog;
-        Ok(catalog.apply(found.changes, found.revision, boot_ms()))
+        Ok(catalog.apply(found, boot_ms()))
     }
 
     fn note_return(&mut self) {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -11,6 +11,7 @@
 use tracing::{info, warn};
 
 use crate::clock::{boot_ms, unix_ms};
+use crate::document::Version;
 use crate::fact::{Fact, FactKey, Profile, VmState};
 use crate::gossip::{Datagram, Gossip, Outgoing, Timing};
 use crate::ids::Incarnation;
@@ -25,6 +26,9 @@
 /// Largest datagram read.
 const RECEIVE_BYTES: usize = 2_048;
 
+/// Name under which the revision of the catalog is announced.
+const CATALOG: &str = "catalog";
+
 /// Time constants: a VM that ends without a word leaves the address answers after the suspicion time
 /// and one round of probes, about the time for which callers keep an answer.
 const TIMING: Timing = Timing {
@@ -131,6 +135,30 @@
         u32::try_from(live).unwrap_or(u32::MAX).max(1)
     }
 
+    /// Returns the internal address of this VM.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Announces that this VM knows everything up to a revision of the platform.
+    pub fn announce_catalog(&self, revision: u64) {
+        let fact = Fact::Document {
+            name: CATALOG.into(),
+            version: Version { epoch: 0, revision },
+        };
+        self.state().gossip.publish(fact, boot_ms());
+    }
+
+    /// Returns the newest revision that a peer announced, with the peer.
+    pub fn announced_catalog(&self) -> Option<(u64, SocketAddr)> {
+        let state = self.state();
+        let entry = state.gossip.fact(&FactKey::Document(CATALOG.into()))?;
+        let Fact::Document { version, .. } = &entry.fact else {
+            return None;
+        };
+        Some((version.revision, entry.source?))
+    }
+
     /// Announces that this VM is stopping.
     pub fn leave(&self) {
         self.state().gossip.leave(boot_ms());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 pub mod directory;
 pub mod engine;
+pub mod exchange;
 pub mod entry;
 pub mod fanout;
 pub mod follower;
@@ -20,13 +21,15 @@
 pub mod rhythm;
 pub mod routes;
 pub mod service;
+pub mod spread;
 
-pub use catalog::{Catalog, CatalogImage, Change, Changed, LeafRecord};
+pub use catalog::{Catalog, CatalogImage, Change, Changed, Changes, LeafRecord, Update};
 pub use connection::{CallError, Connection, Reply};
 pub use directory::caller_addresses;
 pub use engine::{CallSpec, Engine, ExtraCallBounds, Headers};
 pub use entry::{Gateway, GatewaySettings};
-pub use follower::{Changes, Follower, Source, SourceError};
+pub use exchange::ExchangeError;
+pub use follower::{Follower, Source, SourceError};
 pub use leaves::{ConnectionLimits, Leaves, NoLeaf, connection_share};
 pub use members::{Member, Members};
 pub use merge::merge_records;
@@ -39,3 +42,4 @@
     min_parts, pick_weighted,
 };
 pub use service::CallerService;
+pub use spread::watches_platform;
--- /dev/null
+++ b/src/gateway/spread.rs
@@ -0,0 +1,118 @@
+//! Spreads the catalog over the VMs: who watches the platform, and who asks a peer instead.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use tokio::time::sleep;
+use tracing::{debug, info};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::engine::Engine;
+use super::exchange;
+use super::members::{Member, Members};
+use crate::clock::boot_ms;
+
+/// Fleets up to this size watch the platform from every VM: each then needs no peer.
+const ALL_WATCH_VMS: usize = 10;
+
+/// VMs of a larger fleet that watch the platform. With a third of the VMs turned away, all of them
+/// are with a probability of 0.0005.
+const WATCHERS: usize = 7;
+
+/// Time between two comparisons with what peers announce.
+const CHECK_MS: u64 = 100;
+
+/// Time for which a VM that watches the platform lets its own watch catch up with a peer's
+/// announcement; a longer lag means that its connection is silent or that it is turned away.
+const OWN_WATCH_MS: u64 = 600;
+
+/// Pause after a peer did not answer.
+const RETRY_MS: u64 = 200;
+
+/// Returns whether a VM watches the platform itself: those with the smallest hashes do, so all VMs
+/// agree as soon as they know the same members.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::gateway::watches_platform;
+/// assert!(watches_platform(&[], ([127, 0, 0, 1], 7000).into()));
+/// ```
+pub fn watches_platform(live: &[Member], own: SocketAddr) -> bool {
+    if live.len() <= ALL_WATCH_VMS {
+        return true;
+    }
+    let hash = |address: SocketAddr| xxh3_64(address.to_string().as_bytes());
+    let own_hash = hash(own);
+    let smaller = live.iter().filter(|m| hash(m.address) < own_hash).count();
+    smaller < WATCHERS
+}
+
+/// Keeps this VM's catalog level with the newest that a peer announces.
+pub async fn run(engine: Arc<Engine>, members: Arc<Members>) {
+    let mut announced = 0;
+    let mut behind_since_ms = None;
+    loop {
+        sleep(Duration::from_millis(CHECK_MS)).await;
+        let (own, changed_at) = {
+            let catalog = &engine.state().catalog;
+            (catalog.revision(), catalog.changed_at())
+        };
+        let watches = watches_platform(&members.live(), members.address());
+        engine.set_watching(watches);
+        if changed_at > announced && engine.table().is_some() {
+            announced = changed_at;
+            members.announce_catalog(changed_at);
+        }
+        let Some(peer) = source(&engine, &members, own) else {
+            behind_since_ms = None;
+            continue;
+        };
+        let since_ms = *behind_since_ms.get_or_insert(boot_ms());
+        let waited_ms = boot_ms().saturating_sub(since_ms);
+        if watches && engine.platform_answers() && waited_ms < OWN_WATCH_MS {
+            continue;
+        }
+        if !fetch(&engine, peer, own).await {
+            sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+}
+
+/// Returns the peer to ask: one that announced more than this VM knows, or any while this VM knows
+/// nothing.
+fn source(engine: &Engine, members: &Members, own: u64) -> Option<SocketAddr> {
+    if let Some((revision, peer)) = members.announced_catalog()
+        && revision > own
+    {
+        return Some(peer);
+    }
+    if engine.table().is_some() {
+        return None;
+    }
+    let mut peers = members.live();
+    peers.retain(|member| member.address != members.address());
+    peers.choose(&mut rand::rng()).map(|member| member.address)
+}
+
+async fn fetch(engine: &Engine, peer: SocketAddr, own: u64) -> bool {
+    let update = match exchange::ask(peer, own).await {
+        Ok(update) => update,
+        Err(error) => {
+            info!(event = "catalog_not_fetched", %peer, %error);
+            return false;
+        }
+    };
+    let (changed, revision) = {
+        let catalog = &mut engine.state().catalog;
+        let changed = catalog.update(update, boot_ms());
+        (changed, catalog.revision())
+    };
+    debug!(event = "catalog_fetched", %peer, from = own, to = revision);
+    if changed.document || changed.leaves {
+        engine.refresh();
+    }
+    revision > own
+}
