Let a few VMs of each failure domain carry the requests

The address answers name carriers only: in each failure domain the fittest VMs by processor and link, as many as have 6 connections to a leaf each, two at least. Connections and budgets are divided among carriers. All VMs choose the same from the same members.

Ruled out: the relay through owners (a second hop for each call, and its processor time).

--- a/src/fact.rs
+++ b/src/fact.rs
@@ -129,6 +129,8 @@
     pub failure_domain: Box<str>,
     /// Processor time that the VM has, in thousandths of a core.
     pub millicores: u32,
+    /// Rate of the VM's link, in megabits per second.
+    pub link_mbps: u32,
 }
 
 /// A rejected or superseded version of a document.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -13,7 +13,9 @@
 
 use super::catalog::Catalog;
 use super::connection::{CallError, Connection, Reply};
+use super::directory::{carriers, carriers_wanted};
 use super::leaves::{ConnectionLimits, Leaves, NoLeaf};
+use super::members::Member;
 use super::meters::Meters;
 use super::policy::CallTimes;
 use super::routes::{RouteTable, ServiceNames};
@@ -202,6 +204,14 @@
         state.divide_connections();
     }
 
+    /// Returns the VMs that carry requests.
+    pub fn carriers(&self, live: &[Member]) -> Vec<Member> {
+        let table = self.table();
+        let fewest = table.and_then(|table| table.fewest_connections());
+        let wanted = fewest.map_or(live.len(), carriers_wanted);
+        carriers(live, wanted)
+    }
+
     fn budget_capacity(&self, vms: u32) -> u64 {
         let slack = self.bounds.slack_calls * SLACK_USED_PERCENT / 100;
         (slack / u64::from(vms.max(1))).max(1)
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -43,6 +43,8 @@
     pub failure_domain: Box<str>,
     /// Processor time of this VM, in thousandths of a core.
     pub millicores: u32,
+    /// Rate of this VM's link, in megabits per second.
+    pub link_mbps: u32,
     /// Bounds of extra calls.
     pub extra_calls: ExtraCallBounds,
     /// Time from a stop signal to the end of the process at the latest.
@@ -113,6 +115,7 @@
             caller_address: settings.caller_address,
             failure_domain: settings.failure_domain.clone(),
             millicores: settings.millicores,
+            link_mbps: settings.link_mbps,
         };
         let internal = bind(settings.internal_address, "internal").await?;
         let members = Members::bind(settings.internal_address, settings.seeds.clone(), profile);
@@ -216,7 +219,8 @@
 async fn tidy(engine: Arc<Engine>, members: Arc<Members>) {
     loop {
         sleep(Duration::from_millis(TIDY_MS)).await;
-        engine.set_vms(members.count());
+        let carriers = engine.carriers(&members.live());
+        engine.set_vms(u32::try_from(carriers.len()).unwrap_or(u32::MAX).max(1));
         let changed = {
             let state = &mut *engine.state();
             state.leaves.close_expired(boot_ms());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,7 +25,7 @@
 
 pub use catalog::{Catalog, CatalogImage, Change, Changed, Changes, LeafRecord, Update};
 pub use connection::{CallError, Connection, Reply};
-pub use directory::caller_addresses;
+pub use directory::{caller_addresses, carriers, carriers_wanted};
 pub use engine::{CallSpec, Engine, ExtraCallBounds, Headers};
 pub use entry::{Gateway, GatewaySettings};
 pub use exchange::ExchangeError;
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -224,6 +224,17 @@
         self.max_connections.get(&service).copied()
     }
 
+    /// Returns the connections that a leaf of the service with the fewest accepts, among services of
+    /// shards; these are called most.
+    pub fn fewest_connections(&self) -> Option<u32> {
+        let shards = self.routes().filter_map(|route| match &route.target {
+            Target::Shards { services, .. } => Some(services),
+            _ => None,
+        });
+        let limits = shards.flatten().filter_map(|service| self.max_connections(*service));
+        limits.filter(|limit| *limit > 0).min()
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.hosts.values().flatten()
