--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -17,6 +17,7 @@
 use super::leaves::{ConnectionLimits, Leaves, NoLeaf};
 use super::members::Member;
 use super::meters::Meters;
+use super::notes::{Note, Pending, Sight};
 use super::policy::CallTimes;
 use super::routes::{RouteTable, ServiceNames};
 use crate::clock::{boot_ms, boot_us};
@@ -76,6 +77,7 @@
     pub limits: ConnectionLimits,
     /// VMs among which connections and budgets are divided.
     pub vms: u32,
+    pending: Pending,
     budgets: HashMap<ServiceKey, Budget>,
     call_times: HashMap<Box<str>, CallTimes>,
 }
@@ -127,6 +129,7 @@
             leaves: Leaves::new(own_domain),
             limits: ConnectionLimits::default(),
             vms: 1,
+            pending: Pending::default(),
             budgets: HashMap::new(),
             call_times: HashMap::new(),
         };
@@ -257,6 +260,24 @@
         state.call_times.insert(route.into(), times);
     }
 
+    /// Takes the notes for the other carriers.
+    pub fn take_notes(&self) -> Vec<Note> {
+        let now_us = boot_us();
+        let state = &mut *self.state();
+        for leaf in state.leaves.stalled(now_us) {
+            state.pending.add(leaf, Sight::Stalled, now_us);
+        }
+        state.pending.take(now_us)
+    }
+
+    /// Takes the notes of another carrier.
+    pub fn take_hearsay(&self, notes: &[Note], now_us: u64) {
+        let state = &mut *self.state();
+        for note in notes {
+            state.leaves.hear(note, now_us);
+        }
+    }
+
     /// Chooses a leaf and opens a call to it, which counts as under way from now on.
     ///
     /// # Errors
@@ -399,7 +420,16 @@
             Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
+        let address = leaf.address();
+        if matches!(outcome, Err(CallError::Connect | CallError::Broken)) {
+            state.pending.add(address, Sight::Silent, now_us);
+        }
         if let Some(stall) = stall {
+            let sight = Sight::Resumed {
+                age_us: 0,
+                duration_us: u32::try_from(stall.end_us - stall.start_us).unwrap_or(u32::MAX),
+            };
+            state.pending.add(address, sight, now_us);
             state.leaves.observe_stall(self.leaf, stall);
         }
         if outcome == Err(CallError::OtherLeaf) {
@@ -421,6 +451,7 @@
             leaf.connections = leaf.connections.saturating_sub(1);
             if now_us.saturating_sub(self.started_us) >= SILENCE_US {
                 leaf.pace.failed(self.number, now_us);
+                state.pending.add(leaf.address(), Sight::Silent, now_us);
             } else {
                 leaf.pace.dropped(self.number);
             }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -6,7 +6,7 @@
 
 use error_stack::{Report, ResultExt};
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 use tracing::info;
 
@@ -15,6 +15,7 @@
 use super::follower::{Follower, Source};
 use super::members::Members;
 use super::meters::Meters;
+use super::notes;
 use super::service::CallerService;
 use super::spread;
 use crate::clock::boot_ms;
@@ -37,6 +38,8 @@
     pub caller_address: SocketAddr,
     /// Address for other VMs.
     pub internal_address: SocketAddr,
+    /// Address for notes on leaves; its port is the same on all VMs.
+    pub notes_address: SocketAddr,
     /// Internal addresses of VMs to ask at start.
     pub seeds: Vec<SocketAddr>,
     /// Failure domain of this VM.
@@ -134,6 +137,13 @@
         kernel.register(ROOT, Arc::clone(&engine));
         tokio::spawn(Arc::clone(&members).run());
         tokio::spawn(Follower::new(source, Arc::clone(&engine)).run());
+        let notes_socket = UdpSocket::bind(settings.notes_address)
+            .await
+            .change_context(GatewayError::Bind("notes"))?;
+        let notes_socket = Arc::new(notes_socket);
+        tokio::spawn(notes::receive(Arc::clone(&notes_socket), Arc::clone(&engine)));
+        let sending = notes::send(notes_socket, Arc::clone(&engine), Arc::clone(&members));
+        tokio::spawn(sending);
         tokio::spawn(exchange::serve(internal, Arc::clone(&engine)));
         tokio::spawn(spread::run(Arc::clone(&engine), Arc::clone(&members)));
         tokio::spawn(tidy(Arc::clone(&engine), members));
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -5,6 +5,7 @@
 
 use super::catalog::LeafRecord;
 use super::connection::Idle;
+use super::notes::{Note, Sight, resumed_stall};
 use super::pace::Pace;
 use super::rhythm::{Interval, Rhythm, Stall};
 use super::routes::{RouteTable, ServiceNames};
@@ -52,6 +53,7 @@
     arena: HashMap<LeafKey, Leaf>,
     next_key: usize,
     by_id: HashMap<Box<str>, LeafKey>,
+    by_address: HashMap<SocketAddr, LeafKey>,
     by_service: BTreeMap<ServiceKey, Vec<LeafKey>>,
     own_domain: Box<str>,
     interval: Interval,
@@ -110,10 +112,12 @@
             }
         }
         self.by_service.clear();
+        self.by_address.clear();
         for key in self.by_id.values() {
             let Some(leaf) = self.arena.get(key) else {
                 continue;
             };
+            self.by_address.insert(leaf.address(), *key);
             if !leaf.record.draining {
                 self.by_service.entry(leaf.service).or_default().push(*key);
             }
@@ -155,6 +159,35 @@
         }
     }
 
+    /// Takes what another VM saw of a leaf.
+    pub fn hear(&mut self, note: &Note, now_us: u64) {
+        let Some(key) = self.by_address.get(&note.leaf).copied() else {
+            return;
+        };
+        let Some(leaf) = self.arena.get_mut(&key) else {
+            return;
+        };
+        match note.sight {
+            Sight::Stalled => leaf.pace.hear_stall(now_us),
+            Sight::Silent => leaf.pace.hear_silence(now_us),
+            Sight::Resumed {
+                age_us,
+                duration_us,
+            } => {
+                leaf.pace.hear_answer();
+                if let Some(stall) = resumed_stall(age_us, duration_us, now_us) {
+                    leaf.rhythm.observe(stall, &mut self.interval);
+                }
+            }
+        }
+    }
+
+    /// Returns the addresses of leaves that are stalled now.
+    pub fn stalled(&self, now_us: u64) -> Vec<SocketAddr> {
+        let stalled = self.iter().filter(|(_, leaf)| leaf.pace.is_stalled(now_us));
+        stalled.map(|(_, leaf)| leaf.address()).collect()
+    }
+
     /// Takes a stall of a leaf that has ended.
     pub fn observe_stall(&mut self, key: LeafKey, stall: Stall) {
         if let Some(leaf) = self.arena.get_mut(&key) {
--- a/src/gateway/rhythm.rs
+++ b/src/gateway/rhythm.rs
@@ -18,6 +18,9 @@
 /// answer after a pause comes up to one service time late.
 const MATCH_US: u64 = 25_000;
 
+/// Distance within which two stalls of one leaf are the same pause, seen by two VMs.
+const SAME_PAUSE_US: u64 = 150_000;
+
 /// Candidates for the interval that are kept.
 const MAX_CANDIDATES: usize = 48;
 
@@ -169,6 +172,13 @@
         if duration_us < MIN_STALL_US {
             return;
         }
+        if let Some(latest_us) = self.ends_us.back_mut()
+            && latest_us.abs_diff(stall.end_us) < SAME_PAUSE_US
+        {
+            // Another VM saw the end of the same pause: the earliest is the truest.
+            *latest_us = stall.end_us.min(*latest_us);
+            return;
+        }
         for end_us in &self.ends_us {
             interval.add_sample(stall.end_us.saturating_sub(*end_us));
         }
