Choose the pause interval by votes beyond chance; tell carriers of pauses only

Cause: a debug log of what one VM believed showed the interval wandering to parts of the true one (0.9, 1.125, 2.25 s of 4.5 s): these get all votes of the true one, and more by chance, the more so once pauses are avoided and few are seen.

A candidate's votes are now counted beyond those that chance gives it, and a part of the interval believed in does not replace it. Of the trial with notes between carriers, only the ends of pauses stay.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -264,9 +264,6 @@
     pub fn take_notes(&self) -> Vec<Note> {
         let now_us = boot_us();
         let state = &mut *self.state();
-        for leaf in state.leaves.stalled(now_us) {
-            state.pending.add(leaf, Sight::Stalled, now_us);
-        }
         state.pending.take(now_us)
     }
 
@@ -421,9 +418,6 @@
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
         let address = leaf.address();
-        if matches!(outcome, Err(CallError::Connect | CallError::Broken)) {
-            state.pending.add(address, Sight::Silent, now_us);
-        }
         if let Some(stall) = stall {
             let sight = Sight::Resumed {
                 age_us: 0,
@@ -451,7 +445,6 @@
             leaf.connections = leaf.connections.saturating_sub(1);
             if now_us.saturating_sub(self.started_us) >= SILENCE_US {
                 leaf.pace.failed(self.number, now_us);
-                state.pending.add(leaf.address(), Sight::Silent, now_us);
             } else {
                 leaf.pace.dropped(self.number);
             }
--- a/src/gateway/rhythm.rs
+++ b/src/gateway/rhythm.rs
@@ -24,15 +24,15 @@
 /// Candidates for the interval that are kept.
 const MAX_CANDIDATES: usize = 48;
 
-/// Votes that an interval needs before it is believed.
+/// Votes above those expected by chance that an interval needs before it is believed.
 const MIN_VOTES: f64 = 5.0;
 
+/// Standard deviations of the votes by chance that these have to exceed.
+const MIN_DEVIATIONS: f64 = 4.0;
+
 /// Share of its votes that a candidate keeps when a further sample comes.
 const VOTE_DECAY: f64 = 0.995;
 
-/// Share of the most votes from which a shorter interval is preferred: its multiples get votes too.
-const SHORTER_SHARE: f64 = 0.5;
-
 /// Stalls of one leaf that are kept.
 const MAX_ENDS: usize = 6;
 
@@ -67,6 +67,7 @@
     total_us: f64,
     intervals: f64,
     votes: f64,
+    samples: f64,
 }
 
 impl Candidate {
@@ -74,6 +75,18 @@
     fn mean_us(&self) -> u64 {
         (self.total_us / self.intervals) as u64
     }
+
+    /// Returns the votes beyond those that samples without any rhythm would give.
+    ///
+    /// Parts of the true interval get all of its votes, and more by chance than it does; its
+    /// multiples get fewer of its votes.
+    fn excess_votes(&self) -> Option<f64> {
+        let chance = 2.0 * MATCH_US as f64 * self.intervals / self.total_us;
+        let expected = self.samples * chance;
+        let excess = self.votes - expected;
+        let least = (MIN_DEVIATIONS * expected.sqrt()).max(MIN_VOTES);
+        (excess >= least).then_some(excess)
+    }
 }
 
 /// Interval and duration of pauses, over all leaves.
@@ -111,6 +124,7 @@
         let mut agreed = false;
         for candidate in &mut self.candidates {
             candidate.votes *= VOTE_DECAY;
+            candidate.samples = candidate.samples * VOTE_DECAY + 1.0;
             let mean_us = candidate.mean_us();
             let intervals = (sample_us + mean_us / 2) / mean_us;
             if intervals == 0 || sample_us.abs_diff(intervals * mean_us) > MATCH_US {
@@ -118,14 +132,20 @@
             }
             candidate.total_us += sample_us as f64;
             candidate.intervals += intervals as f64;
-            // A multiple agrees by chance with many short intervals, so it counts less.
-            candidate.votes += 1.0 / intervals as f64;
+            candidate.votes += 1.0;
             agreed |= intervals == 1;
         }
         if !agreed {
             self.add_candidate(sample_us);
         }
-        self.believed_us = self.best_us();
+        let Some(best_us) = self.best_us() else {
+            return;
+        };
+        // Once pauses are avoided, few are seen, and parts of the interval gain by chance.
+        let is_part = |held_us: u64| best_us < held_us && is_multiple(held_us, best_us);
+        if !self.believed_us.is_some_and(is_part) {
+            self.believed_us = Some(best_us);
+        }
     }
 
     #[expect(clippy::cast_precision_loss)]
@@ -141,16 +161,22 @@
             total_us: sample_us as f64,
             intervals: 1.0,
             votes: 1.0,
+            samples: 1.0,
         });
     }
 
-    /// Returns the shortest interval with about the most votes.
+    /// Returns the interval that explains the most samples.
     fn best_us(&self) -> Option<u64> {
-        let votes = self.candidates.iter().map(|candidate| candidate.votes);
-        let most = votes.fold(0.0, f64::max);
-        let enough = (most * SHORTER_SHARE).max(MIN_VOTES);
-        let believed = self.candidates.iter().filter(|c| c.votes >= enough);
-        believed.map(Candidate::mean_us).min()
+        let mut best: Option<(f64, u64)> = None;
+        for candidate in &self.candidates {
+            let Some(votes) = candidate.excess_votes() else {
+                continue;
+            };
+            if best.is_none_or(|(most, _)| votes > most) {
+                best = Some((votes, candidate.mean_us()));
+            }
+        }
+        best.map(|(_, mean_us)| mean_us)
     }
 
     fn add_duration(&mut self, duration_us: u64) {
@@ -237,6 +263,12 @@
     }
 }
 
+/// Returns whether a time is about a whole number of intervals.
+fn is_multiple(time_us: u64, interval_us: u64) -> bool {
+    let intervals = (time_us + interval_us / 2) / interval_us;
+    time_us.abs_diff(intervals * interval_us) <= MATCH_US
+}
+
 /// Returns how much later a time is than the last whole number of intervals from an anchor, which may
 /// be later than the time.
 fn offset_us(time_us: u64, anchor_us: u64, interval_us: u64) -> u64 {
