Learn pauses from the only stall of a leaf; spare platform calls at the start

Once the interval is known, the only stall of a leaf gives its phase. At the first start VMs that are no seeds ask peers before the platform. 5 VMs watch instead of 7, and changes gather for 250 ms.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -48,6 +48,8 @@
     pub millicores: u32,
     /// Rate of this VM's link, in megabits per second.
     pub link_mbps: u32,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Bounds of extra calls.
     pub extra_calls: ExtraCallBounds,
     /// Time from a stop signal to the end of the process at the latest.
@@ -136,6 +138,9 @@
         kernel.register(CONTROL, Arc::clone(&members));
         kernel.register(ROOT, Arc::clone(&engine));
         tokio::spawn(Arc::clone(&members).run());
+        // Callers wait for a VM that comes back; a first start has time to spare calls.
+        let asks_peers = settings.first_start && !members.is_seed();
+        engine.set_watching(!asks_peers);
         tokio::spawn(Follower::new(source, Arc::clone(&engine)).run());
         let notes_socket = UdpSocket::bind(settings.notes_address)
             .await
@@ -145,7 +150,8 @@
         let sending = notes::send(notes_socket, Arc::clone(&engine), Arc::clone(&members));
         tokio::spawn(sending);
         tokio::spawn(exchange::serve(internal, Arc::clone(&engine)));
-        tokio::spawn(spread::run(Arc::clone(&engine), Arc::clone(&members)));
+        let spreading = spread::run(Arc::clone(&engine), Arc::clone(&members), asks_peers);
+        tokio::spawn(spreading);
         tokio::spawn(tidy(Arc::clone(&engine), members));
         let phases = Phases::default();
         let service = Arc::new(CallerService::new(engine));
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -17,10 +17,10 @@
 const WATCH_MS: u64 = 5_000;
 
 /// Pause after changes, in which further ones gather: each call has a price.
-const GATHER_MS: u64 = 150;
+const GATHER_MS: u64 = 250;
 
 /// Pause of a VM that leaves the watch to others.
-const IDLE_MS: u64 = 250;
+const IDLE_MS: u64 = 100;
 
 /// Shortest and longest pause after a failed call; the longest is short enough for a configuration
 /// to be in force in time once the platform is back.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -140,6 +140,11 @@
         self.address
     }
 
+    /// Returns whether other VMs ask this one at their start, or this one has nobody to ask.
+    pub fn is_seed(&self) -> bool {
+        self.seeds.is_empty() || self.seeds.contains(&self.address)
+    }
+
     /// Announces that this VM knows everything up to a revision of the platform.
     pub fn announce_catalog(&self, revision: u64) {
         let fact = Fact::Document {
--- a/src/gateway/rhythm.rs
+++ b/src/gateway/rhythm.rs
@@ -36,7 +36,7 @@
 /// Stalls of one leaf that are kept.
 const MAX_ENDS: usize = 6;
 
-/// Stalls of one leaf that have to agree before its next pause is predicted.
+/// Stalls of one leaf that have to agree, if it has as many.
 const MIN_AGREEING: usize = 2;
 
 /// Durations that are kept.
@@ -222,7 +222,8 @@
         }
     }
 
-    /// Returns the latest end of the phase on which most stalls of the leaf agree.
+    /// Returns the latest end of the phase on which most stalls of the leaf agree; the only stall of a
+    /// leaf is enough, since a wrong phase only moves a few calls to other replicas.
     fn find_anchor(&self, interval_us: u64) -> Option<u64> {
         let mut best: Option<(usize, u64)> = None;
         for first_us in &self.ends_us {
@@ -232,7 +233,8 @@
             // The earliest phase is the truest: an end is late by the rest of a call's work.
             let late_us = offset_us(latest_us, *first_us, interval_us);
             let candidate = (agreeing.len(), latest_us - late_us);
-            if agreeing.len() >= MIN_AGREEING && best.is_none_or(|best| candidate > best) {
+            let enough = agreeing.len().min(MIN_AGREEING) == self.ends_us.len().min(MIN_AGREEING);
+            if enough && best.is_none_or(|best| candidate > best) {
                 best = Some(candidate);
             }
         }
--- a/src/gateway/spread.rs
+++ b/src/gateway/spread.rs
@@ -18,8 +18,8 @@
 const ALL_WATCH_VMS: usize = 10;
 
 /// VMs of a larger fleet that watch the platform. With a third of the VMs turned away, all of them
-/// are with a probability of 0.0005.
-const WATCHERS: usize = 7;
+/// are with a probability of 0.005.
+const WATCHERS: usize = 5;
 
 /// Time between two comparisons with what peers announce.
 const CHECK_MS: u64 = 100;
@@ -28,6 +28,9 @@
 /// announcement; a longer lag means that its connection is silent or that it is turned away.
 const OWN_WATCH_MS: u64 = 600;
 
+/// Longest wait for a peer's catalog at the first start of a VM that is no seed.
+const JOIN_MS: u64 = 900;
+
 /// Pause after a peer did not answer.
 const RETRY_MS: u64 = 200;
 
@@ -50,8 +53,28 @@
     smaller < WATCHERS
 }
 
+/// Waits for a peer's catalog at the start, for a bounded time.
+///
+/// VMs that start together would all read the platform, and each call has a price.
+pub async fn join(engine: &Engine, members: &Members) {
+    let until_ms = boot_ms() + JOIN_MS;
+    engine.set_watching(false);
+    while boot_ms() < until_ms && engine.table().is_none() {
+        sleep(Duration::from_millis(CHECK_MS)).await;
+        if let Some(peer) = source(engine, members, 0) {
+            fetch(engine, peer, 0).await;
+        }
+    }
+    engine.set_watching(true);
+}
+
 /// Keeps this VM's catalog level with the newest that a peer announces.
-pub async fn run(engine: Arc<Engine>, members: Arc<Members>) {
+///
+/// With `asks_peers`, peers are asked before the platform at the start.
+pub async fn run(engine: Arc<Engine>, members: Arc<Members>, asks_peers: bool) {
+    if asks_peers {
+        join(&engine, &members).await;
+    }
     let mut announced = 0;
     let mut behind_since_ms = None;
     loop {
