Take changed settings into use while the process serves

Cause: SIGHUP was only logged, and a settings file that changes without a signal was not seen.

Ruled out: watching the file by inotify, which the platform does not allow.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -35,7 +35,7 @@
 const RATIO_USED_PERCENT: u64 = 90;
 
 /// Names of the headers that callers, leaves and this system exchange.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
     /// Identity of a request, which leaves echo.
     pub request_id: HeaderName,
@@ -54,7 +54,7 @@
 }
 
 /// Bounds of the extra calls that all VMs together may make to a service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ExtraCallBounds {
     /// Extra calls allowed for each million requests.
     pub ratio_ppm: u32,
@@ -91,7 +91,7 @@
     pub meters: Meters,
     /// Tells requests that wait for a connection that one may be free.
     pub freed: Notify,
-    bounds: ExtraCallBounds,
+    bounds: Mutex<ExtraCallBounds>,
     watching: AtomicBool,
     platform_answers: AtomicBool,
     state: Mutex<State>,
@@ -137,13 +137,27 @@
             headers,
             meters,
             freed: Notify::new(),
-            bounds,
+            bounds: Mutex::new(bounds),
             watching: AtomicBool::new(true),
             platform_answers: AtomicBool::new(true),
             state: Mutex::new(state),
         }
     }
 
+    fn bounds(&self) -> ExtraCallBounds {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the bounds of extra calls.
+    pub fn set_bounds(&self, bounds: ExtraCallBounds) {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
+        let state = &mut *self.state();
+        let capacity = self.budget_capacity(state.vms);
+        for budget in state.budgets.values_mut() {
+            budget.set_capacity(capacity);
+        }
+    }
+
     /// Sets whether this VM watches the platform itself.
     pub fn set_watching(&self, watching: bool) {
         self.watching.store(watching, Ordering::Relaxed);
@@ -216,7 +230,7 @@
     }
 
     fn budget_capacity(&self, vms: u32) -> u64 {
-        let slack = self.bounds.slack_calls * SLACK_USED_PERCENT / 100;
+        let slack = self.bounds().slack_calls * SLACK_USED_PERCENT / 100;
         (slack / u64::from(vms.max(1))).max(1)
     }
 
@@ -226,7 +240,7 @@
         let capacity = self.budget_capacity(state.vms);
         let budget = state.budgets.entry(service);
         let budget = budget.or_insert_with(|| Budget::with_capacity(capacity));
-        let ratio_ppm = u64::from(self.bounds.ratio_ppm) * RATIO_USED_PERCENT / 100;
+        let ratio_ppm = u64::from(self.bounds().ratio_ppm) * RATIO_USED_PERCENT / 100;
         budget.earn(1, u32::try_from(ratio_ppm).unwrap_or(u32::MAX));
     }
 
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -33,7 +33,7 @@
 const EXIT_MARGIN_MS: u64 = 200;
 
 /// Settings of the gateway on one VM.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewaySettings {
     /// Name of this VM.
     pub vm: Box<str>,
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub struct Members {
     address: SocketAddr,
-    seeds: Vec<SocketAddr>,
+    seeds: Mutex<Vec<SocketAddr>>,
     socket: UdpSocket,
     state: Mutex<State>,
 }
@@ -102,7 +102,7 @@
         };
         Ok(Arc::new(Self {
             address,
-            seeds,
+            seeds: Mutex::new(seeds),
             socket,
             state: Mutex::new(state),
         }))
@@ -112,6 +112,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn seeds(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.seeds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the VMs that are asked although nothing is known of them.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds() = seeds;
+    }
+
     /// Returns the VMs that serve callers, this one included unless it leaves.
     pub fn live(&self) -> Vec<Member> {
         let state = self.state();
@@ -142,7 +151,8 @@
 
     /// Returns whether other VMs ask this one at their start, or this one has nobody to ask.
     pub fn is_seed(&self) -> bool {
-        self.seeds.is_empty() || self.seeds.contains(&self.address)
+        let seeds = self.seeds();
+        seeds.is_empty() || seeds.contains(&self.address)
     }
 
     /// Announces that this VM knows everything up to a revision of the platform.
@@ -195,7 +205,7 @@
 
     /// Keeps dead VMs among the peers, so that they are probed again when a partition heals.
     fn set_peers(&self, gossip: &mut Gossip) {
-        let mut peers = self.seeds.clone();
+        let mut peers = self.seeds().clone();
         for entry in gossip.facts() {
             if let Fact::Vm { address, .. } = entry.fact {
                 peers.push(address);
--- a/tests/gateway_follower.rs
+++ b/tests/gateway_follower.rs
@@ -1,5 +1,7 @@
 //! How the gateway follows the platform, against a platform written here.
 
+#![expect(clippy::unwrap_used, reason = "a failure of the harness ends the test")]
+
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
