--- a/src/gateway/meters.rs
+++ b/src/gateway/meters.rs
@@ -36,14 +36,15 @@
             .change_context(TelemetryError::Exporter)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("cloverrack_gateway");
-        let counter = |name: &'static str| meter.u64_counter(name).build();
         Ok(Self {
-            answers: counter("cloverrack_gateway_answers"),
+            answers: meter.u64_counter("cloverrack_gateway_answers").build(),
             answer_us: meter.u64_histogram("cloverrack_gateway_answer_us").build(),
-            calls: counter("cloverrack_gateway_failed_calls"),
-            extra_calls: counter("cloverrack_gateway_extra_calls"),
-            connections: counter("cloverrack_gateway_connections"),
-            platform_calls: counter("cloverrack_gateway_platform_calls"),
+            calls: meter.u64_counter("cloverrack_gateway_failed_calls").build(),
+            extra_calls: meter.u64_counter("cloverrack_gateway_extra_calls").build(),
+            connections: meter.u64_counter("cloverrack_gateway_connections").build(),
+            platform_calls: meter
+                .u64_counter("cloverrack_gateway_platform_calls")
+                .build(),
             registry,
             _provider: provider,
         })
