trial: status checks that find pauses before callers come

Hypothesis: a status check waits for a slot like any request, so checks every 110 ms before traffic starts show the pauses of all leaves.

The notes between carriers keep only ends of pauses, whose other kinds were never sent.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -14,11 +14,13 @@
 use super::catalog::Catalog;
 use super::connection::{CallError, Connection, Reply};
 use super::directory::{carriers, carriers_wanted};
-use super::leaves::{ConnectionLimits, Leaves, NoLeaf};
+use super::leaves::{ConnectionLimits, Leaf, Leaves, NoLeaf};
 use super::members::Member;
 use super::meters::Meters;
-use super::notes::{Note, Pending, Sight};
+use super::notes::{Note, Pending};
 use super::policy::CallTimes;
+use super::probe::{Candidate, LeafToCheck, leaf_hash};
+use super::rhythm::Stall;
 use super::routes::{RouteTable, ServiceNames};
 use crate::clock::{boot_ms, boot_us};
 use crate::hedge::Budget;
@@ -289,6 +291,59 @@
         }
     }
 
+    /// Returns the leaves of shards whose pauses are to be found by status checks.
+    pub fn leaves_to_check(&self, now_ms: u64) -> Vec<LeafToCheck> {
+        let state = self.state();
+        let Some(table) = &state.table else {
+            return Vec::new();
+        };
+        let mut found = Vec::new();
+        for (key, leaf) in state.leaves.iter() {
+            let Some(path) = table.status_path(leaf.service) else {
+                continue;
+            };
+            let hash = leaf_hash(&leaf.record.id);
+            let candidate = Candidate {
+                known_ms: now_ms.saturating_sub(leaf.known_since_ms),
+                unused_ms: now_ms.saturating_sub(leaf.pace.observed_ms()),
+                pause_seen: leaf.rhythm.has_seen_stall(),
+                interval_known: state.leaves.interval_is_known(),
+                hash,
+            };
+            if candidate.is_checked() && !leaf.record.draining {
+                found.push((key, hash, path.into()));
+            }
+        }
+        found
+    }
+
+    /// Opens a call to one leaf, if it has no call open and a connection is free.
+    pub fn open_check(self: &Arc<Self>, leaf: LeafKey) -> Option<OpenCall> {
+        let now_us = boot_us();
+        let state = &mut *self.state();
+        let entry = state.leaves.get_mut(leaf)?;
+        if entry.pace.open_calls() > 0 {
+            return None;
+        }
+        Some(self.open(leaf, entry, now_us))
+    }
+
+    fn open(self: &Arc<Self>, leaf: LeafKey, entry: &mut Leaf, now_us: u64) -> OpenCall {
+        let connection = take_idle(entry, now_us / 1_000);
+        if connection.is_none() {
+            entry.connections += 1;
+            self.meters.count_connection();
+        }
+        OpenCall {
+            engine: Arc::clone(self),
+            leaf,
+            number: entry.pace.begin(now_us),
+            started_us: now_us,
+            connection,
+            closed: false,
+        }
+    }
+
     /// Chooses a leaf and opens a call to it, which counts as under way from now on.
     ///
     /// # Errors
@@ -303,24 +358,12 @@
         let state = &mut *self.state();
         let leaf = state.leaves.choose(service, tried, &state.limits, now_us)?;
         let entry = state.leaves.get_mut(leaf).ok_or(NoLeaf::None)?;
-        let connection = take_idle(entry, now_us / 1_000);
-        if connection.is_none() {
-            entry.connections += 1;
-            self.meters.count_connection();
-        }
-        Ok(OpenCall {
-            engine: Arc::clone(self),
-            leaf,
-            number: entry.pace.begin(now_us),
-            started_us: now_us,
-            connection,
-            closed: false,
-        })
+        Ok(self.open(leaf, entry, now_us))
     }
 }
 
 /// Takes the connection that has waited longest: late bytes of an earlier answer show on it.
-fn take_idle(leaf: &mut super::leaves::Leaf, now_ms: u64) -> Option<Connection> {
+fn take_idle(leaf: &mut Leaf, now_ms: u64) -> Option<Connection> {
     leaf.close_expired(now_ms);
     if leaf.idle.is_empty() {
         return None;
@@ -329,6 +372,16 @@
 }
 
 impl State {
+    /// Takes a stall of a leaf that has ended, for this VM and the other carriers.
+    fn take_stall(&mut self, leaf: LeafKey, stall: Option<Stall>) {
+        let address = self.leaves.get(leaf).map(Leaf::address);
+        let (Some(stall), Some(address)) = (stall, address) else {
+            return;
+        };
+        self.pending.add(address, stall);
+        self.leaves.observe_stall(leaf, stall);
+    }
+
     fn divide_connections(&mut self) {
         let Some(table) = &self.table else {
             return;
@@ -373,6 +426,52 @@
         result
     }
 
+    /// Sends a status check. Its time says nothing of the leaf's work, but a stall shows in it.
+    pub async fn run_check(mut self, request: Request<Full<Bytes>>) {
+        let connected = match self.connection.take() {
+            Some(connection) => Ok(connection),
+            None => {
+                let address = {
+                    let state = self.engine.state();
+                    state.leaves.get(self.leaf).map(Leaf::address)
+                };
+                match address {
+                    Some(address) => Connection::open(address).await,
+                    None => Err(CallError::Connect),
+                }
+            }
+        };
+        let reply = match connected {
+            Ok(mut connection) => {
+                let reply = connection.exchange(request).await;
+                self.connection = Some(connection);
+                reply
+            }
+            Err(error) => Err(error),
+        };
+        self.finish_check(reply);
+    }
+
+    fn finish_check(&mut self, reply: Result<Reply, CallError>) {
+        self.closed = true;
+        let now_us = boot_us();
+        let connection = self.connection.take();
+        let state = &mut *self.engine.state();
+        let Some(leaf) = state.leaves.get_mut(self.leaf) else {
+            return;
+        };
+        let stall = leaf.pace.checked(self.number, now_us, reply.is_ok());
+        let idle = connection
+            .zip(reply.ok())
+            .and_then(|(c, reply)| c.into_idle(&reply.headers, now_us / 1_000));
+        match idle {
+            Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
+            _ => leaf.connections = leaf.connections.saturating_sub(1),
+        }
+        state.take_stall(self.leaf, stall);
+        state.leaves.tidy(self.leaf);
+    }
+
     async fn attempt(&mut self, spec: &CallSpec) -> Result<Reply, CallError> {
         let (address, id) = {
             let state = self.engine.state();
@@ -431,15 +530,7 @@
             Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
-        let address = leaf.address();
-        if let Some(stall) = stall {
-            let sight = Sight::Resumed {
-                age_us: 0,
-                duration_us: u32::try_from(stall.end_us - stall.start_us).unwrap_or(u32::MAX),
-            };
-            state.pending.add(address, sight, now_us);
-            state.leaves.observe_stall(self.leaf, stall);
-        }
+        state.take_stall(self.leaf, stall);
         if outcome == Err(CallError::OtherLeaf) {
             state.leaves.retire(self.leaf);
         }
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -5,7 +5,7 @@
 
 use super::catalog::LeafRecord;
 use super::connection::Idle;
-use super::notes::{Note, Sight, resumed_stall};
+use super::notes::Note;
 use super::pace::Pace;
 use super::rhythm::{Interval, Rhythm, Stall};
 use super::routes::{RouteTable, ServiceNames};
@@ -41,6 +41,8 @@
     pub connections: u32,
     /// Connections that wait for a call.
     pub idle: Vec<Idle>,
+    /// Time since which it is known.
+    pub known_since_ms: u64,
     /// Time until which it counts as warming up.
     pub warm_at_ms: u64,
     /// Whether it is no longer listed; its open calls may end.
@@ -145,6 +147,7 @@
             rhythm: Rhythm::default(),
             connections: 0,
             idle: Vec::new(),
+            known_since_ms: now_ms,
             warm_at_ms: now_ms + record.warmup_left_ms,
             retired: false,
         };
@@ -167,25 +170,14 @@
         let Some(leaf) = self.arena.get_mut(&key) else {
             return;
         };
-        match note.sight {
-            Sight::Stalled => leaf.pace.hear_stall(now_us),
-            Sight::Silent => leaf.pace.hear_silence(now_us),
-            Sight::Resumed {
-                age_us,
-                duration_us,
-            } => {
-                leaf.pace.hear_answer();
-                if let Some(stall) = resumed_stall(age_us, duration_us, now_us) {
-                    leaf.rhythm.observe(stall, &mut self.interval);
-                }
-            }
+        if let Some(stall) = note.stall(now_us) {
+            leaf.rhythm.observe(stall, &mut self.interval);
         }
     }
 
-    /// Returns the addresses of leaves that are stalled now.
-    pub fn stalled(&self, now_us: u64) -> Vec<SocketAddr> {
-        let stalled = self.iter().filter(|(_, leaf)| leaf.pace.is_stalled(now_us));
-        stalled.map(|(_, leaf)| leaf.address()).collect()
+    /// Returns whether the interval between pauses is known.
+    pub fn interval_is_known(&self) -> bool {
+        self.interval.believed_us().is_some()
     }
 
     /// Takes a stall of a leaf that has ended.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod notes;
 pub mod pace;
 pub mod policy;
+pub mod probe;
 pub mod rhythm;
 pub mod routes;
 pub mod service;
@@ -35,9 +36,10 @@
 pub use members::{Member, Members};
 pub use merge::merge_records;
 pub use meters::Meters;
-pub use notes::{Note, Pending, Sight};
+pub use notes::{Note, Pending};
 pub use pace::Pace;
 pub use policy::{CallTimes, Schedule, Step, Tally};
+pub use probe::Candidate;
 pub use rhythm::{Interval, Rhythm, Stall};
 pub use routes::{
     CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames, ServiceSpec,
--- a/src/gateway/notes.rs
+++ b/src/gateway/notes.rs
@@ -1,8 +1,8 @@
-//! What carriers tell each other about leaves: pauses that ended, stalls under way, silence.
+//! What carriers tell each other about leaves: the ends of their pauses.
 //!
-//! Each VM sees only its own calls. At a size at which a VM calls a leaf a few times a second, a pause
-//! or a silent leaf is known to all carriers in tens of milliseconds instead of after calls of each
-//! of them. Ages travel instead of times, since the clocks of VMs differ.
+//! Each VM sees only its own calls, a few a second to each leaf of a large fleet; the pauses that all
+//! carriers see give the interval and the phases sooner. Ages travel instead of times, since the
+//! clocks of VMs differ.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,31 +34,16 @@
 /// Oldest note that is believed.
 const MAX_AGE_US: u32 = 2_000_000;
 
-/// What a VM saw of a leaf.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Encode, Decode)]
-pub enum Sight {
-    /// The leaf answered again after a time without answers.
-    Resumed {
-        /// Time since then.
-        age_us: u32,
-        /// Time without answers.
-        duration_us: u32,
-    },
-    /// The leaf has not answered open calls for much longer than usual.
-    Stalled,
-    /// A call was given up without an answer, or broke off.
-    Silent,
-}
-
-/// A sight of one leaf.
+/// A leaf answered again after a time without answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
 pub struct Note {
     /// Address of the leaf.
     pub leaf: SocketAddr,
-    /// What was seen.
-    pub sight: Sight,
+    /// Time since it answered again.
+    pub age_us: u32,
+    /// Time without answers before.
+    pub duration_us: u32,
 }
 
 /// Notes that wait to be sent.
@@ -68,11 +53,18 @@
 }
 
 impl Pending {
-    /// Adds a note at a time.
-    pub fn add(&mut self, leaf: SocketAddr, sight: Sight, now_us: u64) {
-        if self.notes.len() < MAX_PENDING {
-            self.notes.push((now_us, Note { leaf, sight }));
+    /// Adds a stall that ends now.
+    pub fn add(&mut self, leaf: SocketAddr, stall: Stall) {
+        if self.notes.len() >= MAX_PENDING {
+            return;
         }
+        let duration_us = stall.end_us.saturating_sub(stall.start_us);
+        let note = Note {
+            leaf,
+            age_us: 0,
+            duration_us: u32::try_from(duration_us).unwrap_or(u32::MAX),
+        };
+        self.notes.push((stall.end_us, note));
     }
 
     /// Takes all notes, with their ages at `now_us`.
@@ -80,36 +72,36 @@
     /// # Examples
     ///
     /// ```
-    /// use cloverrack::gateway::{Pending, Sight};
+    /// use cloverrack::gateway::{Pending, Stall};
     /// let mut pending = Pending::default();
-    /// let leaf = ([127, 0, 0, 1], 7000).into();
-    /// pending.add(leaf, Sight::Resumed { age_us: 0, duration_us: 200_000 }, 1_000);
-    /// let notes = pending.take(1_500);
-    /// assert_eq!(notes[0].sight, Sight::Resumed { age_us: 500, duration_us: 200_000 });
+    /// let stall = Stall { start_us: 1_000, end_us: 201_000 };
+    /// pending.add(([127, 0, 0, 1], 7000).into(), stall);
+    /// let notes = pending.take(201_500);
+    /// assert_eq!((notes[0].age_us, notes[0].duration_us), (500, 200_000));
     /// ```
     pub fn take(&mut self, now_us: u64) -> Vec<Note> {
         let mut notes = Vec::with_capacity(self.notes.len());
-        for (seen_us, mut note) in self.notes.drain(..) {
-            if let Sight::Resumed { age_us, .. } = &mut note.sight {
-                let waited_us = u32::try_from(now_us.saturating_sub(seen_us));
-                *age_us = age_us.saturating_add(waited_us.unwrap_or(u32::MAX));
-            }
+        for (ended_us, mut note) in self.notes.drain(..) {
+            let waited_us = now_us.saturating_sub(ended_us);
+            note.age_us = u32::try_from(waited_us).unwrap_or(u32::MAX);
             notes.push(note);
         }
         notes
     }
 }
 
-/// Returns the stall that a note tells of, on this VM's clock.
-pub fn resumed_stall(age_us: u32, duration_us: u32, now_us: u64) -> Option<Stall> {
-    if age_us > MAX_AGE_US {
-        return None;
+impl Note {
+    /// Returns the stall on this VM's clock; `None` for one that is too old to be told exactly.
+    pub fn stall(&self, now_us: u64) -> Option<Stall> {
+        if self.age_us > MAX_AGE_US {
+            return None;
+        }
+        let end_us = now_us.saturating_sub(u64::from(self.age_us));
+        Some(Stall {
+            start_us: end_us.saturating_sub(u64::from(self.duration_us)),
+            end_us,
+        })
     }
-    let end_us = now_us.saturating_sub(u64::from(age_us));
-    Some(Stall {
-        start_us: end_us.saturating_sub(u64::from(duration_us)),
-        end_us,
-    })
 }
 
 /// Sends this VM's notes to the other carriers until the task is dropped.
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -39,13 +39,6 @@
 /// is not preferred to a failing one up to its own collapse.
 const FAILURE_SHARE_COST_US: u64 = 200_000;
 
-/// Time for which another VM's word of a stall counts: a little more than the time between two of
-/// its words.
-const HEARSAY_STALL_MS: u64 = 70;
-
-/// Time for which another VM's word of silence counts.
-const HEARSAY_SILENCE_MS: u64 = 300;
-
 /// Time in which the share of failures halves while the leaf is unused.
 const FAILURE_HALF_MS: u64 = 2_500;
 
@@ -67,7 +60,6 @@
     failed_until_ms: u64,
     failure_share_ppm: u64,
     judged_ms: u64,
-    hearsay_stall_until_ms: u64,
 }
 
 impl Default for Pace {
@@ -82,7 +74,6 @@
             failed_until_ms: 0,
             failure_share_ppm: 0,
             judged_ms: 0,
-            hearsay_stall_until_ms: 0,
         }
     }
 }
@@ -130,6 +121,22 @@
         self.judge(PPM, now_us / 1_000);
     }
 
+    /// Closes a status check; returns the stall that its answer ended.
+    pub fn checked(&mut self, call: u64, now_us: u64, answered: bool) -> Option<Stall> {
+        let stall = self.ended_stall(now_us);
+        self.open.remove(&call);
+        if !answered {
+            return None;
+        }
+        self.last_answer_us = now_us;
+        stall
+    }
+
+    /// Returns when the leaf last answered a caller's request, in milliseconds.
+    pub fn observed_ms(&self) -> u64 {
+        self.observed_ms
+    }
+
     fn judge(&mut self, outcome_ppm: u64, now_ms: u64) {
         let old_ppm = self.failure_share_ppm(now_ms);
         let kept_ppm = old_ppm - (old_ppm >> FAILURE_SHARE_SHIFT);
@@ -157,22 +164,6 @@
         self.judge(PPM, now_us / 1_000);
     }
 
-    /// Takes another VM's word that the leaf is stalled.
-    pub fn hear_stall(&mut self, now_us: u64) {
-        self.hearsay_stall_until_ms = now_us / 1_000 + HEARSAY_STALL_MS;
-    }
-
-    /// Takes another VM's word that the leaf answers again.
-    pub fn hear_answer(&mut self) {
-        self.hearsay_stall_until_ms = 0;
-    }
-
-    /// Takes another VM's word that the leaf left a call without an answer.
-    pub fn hear_silence(&mut self, now_us: u64) {
-        let until_ms = now_us / 1_000 + HEARSAY_SILENCE_MS;
-        self.failed_until_ms = self.failed_until_ms.max(until_ms);
-    }
-
     /// Returns the open calls.
     pub fn open_calls(&self) -> usize {
         self.open.len()
@@ -220,8 +211,7 @@
         let mut expected_us = average_us + queue;
         let failure_share_ppm = self.failure_share_ppm(now_us / 1_000);
         expected_us += failure_share_ppm * FAILURE_SHARE_COST_US / PPM;
-        let heard_stall = now_us / 1_000 < self.hearsay_stall_until_ms;
-        if heard_stall || self.is_stalled(now_us) {
+        if self.is_stalled(now_us) {
             expected_us += STALL_COST_US;
         }
         if self.is_failing(now_us) {
--- a/src/gateway/rhythm.rs
+++ b/src/gateway/rhythm.rs
@@ -222,6 +222,11 @@
         }
     }
 
+    /// Returns whether a stall that may be a pause was seen.
+    pub fn has_seen_stall(&self) -> bool {
+        !self.ends_us.is_empty()
+    }
+
     /// Returns the latest end of the phase on which most stalls of the leaf agree; the only stall of a
     /// leaf is enough, since a wrong phase only moves a few calls to other replicas.
     fn find_anchor(&self, interval_us: u64) -> Option<u64> {
