--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -19,7 +19,6 @@
 use super::meters::Meters;
 use super::notes::{Note, Pending};
 use super::policy::CallTimes;
-use super::probe::{Candidate, LeafToCheck, leaf_hash};
 use super::rhythm::Stall;
 use super::routes::{RouteTable, ServiceNames};
 use crate::clock::{boot_ms, boot_us};
@@ -291,43 +290,6 @@
         }
     }
 
-    /// Returns the leaves of shards whose pauses are to be found by status checks.
-    pub fn leaves_to_check(&self, now_ms: u64) -> Vec<LeafToCheck> {
-        let state = self.state();
-        let Some(table) = &state.table else {
-            return Vec::new();
-        };
-        let mut found = Vec::new();
-        for (key, leaf) in state.leaves.iter() {
-            let Some(path) = table.status_path(leaf.service) else {
-                continue;
-            };
-            let hash = leaf_hash(&leaf.record.id);
-            let candidate = Candidate {
-                known_ms: now_ms.saturating_sub(leaf.known_since_ms),
-                unused_ms: now_ms.saturating_sub(leaf.pace.observed_ms()),
-                pause_seen: leaf.rhythm.has_seen_stall(),
-                interval_known: state.leaves.interval_is_known(),
-                hash,
-            };
-            if candidate.is_checked() && !leaf.record.draining {
-                found.push((key, hash, path.into()));
-            }
-        }
-        found
-    }
-
-    /// Opens a call to one leaf, if it has no call open and a connection is free.
-    pub fn open_check(self: &Arc<Self>, leaf: LeafKey) -> Option<OpenCall> {
-        let now_us = boot_us();
-        let state = &mut *self.state();
-        let entry = state.leaves.get_mut(leaf)?;
-        if entry.pace.open_calls() > 0 {
-            return None;
-        }
-        Some(self.open(leaf, entry, now_us))
-    }
-
     fn open(self: &Arc<Self>, leaf: LeafKey, entry: &mut Leaf, now_us: u64) -> OpenCall {
         let connection = take_idle(entry, now_us / 1_000);
         if connection.is_none() {
@@ -426,52 +388,6 @@
         result
     }
 
-    /// Sends a status check. Its time says nothing of the leaf's work, but a stall shows in it.
-    pub async fn run_check(mut self, request: Request<Full<Bytes>>) {
-        let connected = match self.connection.take() {
-            Some(connection) => Ok(connection),
-            None => {
-                let address = {
-                    let state = self.engine.state();
-                    state.leaves.get(self.leaf).map(Leaf::address)
-                };
-                match address {
-                    Some(address) => Connection::open(address).await,
-                    None => Err(CallError::Connect),
-                }
-            }
-        };
-        let reply = match connected {
-            Ok(mut connection) => {
-                let reply = connection.exchange(request).await;
-                self.connection = Some(connection);
-                reply
-            }
-            Err(error) => Err(error),
-        };
-        self.finish_check(reply);
-    }
-
-    fn finish_check(&mut self, reply: Result<Reply, CallError>) {
-        self.closed = true;
-        let now_us = boot_us();
-        let connection = self.connection.take();
-        let state = &mut *self.engine.state();
-        let Some(leaf) = state.leaves.get_mut(self.leaf) else {
-            return;
-        };
-        let stall = leaf.pace.checked(self.number, now_us, reply.is_ok());
-        let idle = connection
-            .zip(reply.ok())
-            .and_then(|(c, reply)| c.into_idle(&reply.headers, now_us / 1_000));
-        match idle {
-            Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
-            _ => leaf.connections = leaf.connections.saturating_sub(1),
-        }
-        state.take_stall(self.leaf, stall);
-        state.leaves.tidy(self.leaf);
-    }
-
     async fn attempt(&mut self, spec: &CallSpec) -> Result<Reply, CallError> {
         let (address, id) = {
             let state = self.engine.state();
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -16,7 +16,6 @@
 use super::members::Members;
 use super::meters::Meters;
 use super::notes;
-use super::probe;
 use super::service::CallerService;
 use super::spread;
 use crate::clock::boot_ms;
@@ -156,7 +155,6 @@
         ));
         let sending = notes::send(notes_socket, Arc::clone(&engine), Arc::clone(&members));
         tokio::spawn(sending);
-        tokio::spawn(probe::run(Arc::clone(&engine), Arc::clone(&members)));
         tokio::spawn(exchange::serve(internal, Arc::clone(&engine)));
         let spreading = spread::run(Arc::clone(&engine), Arc::clone(&members), asks_peers);
         tokio::spawn(spreading);
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -41,8 +41,6 @@
     pub connections: u32,
     /// Connections that wait for a call.
     pub idle: Vec<Idle>,
-    /// Time since which it is known.
-    pub known_since_ms: u64,
     /// Time until which it counts as warming up.
     pub warm_at_ms: u64,
     /// Whether it is no longer listed; its open calls may end.
@@ -147,7 +145,6 @@
             rhythm: Rhythm::default(),
             connections: 0,
             idle: Vec::new(),
-            known_since_ms: now_ms,
             warm_at_ms: now_ms + record.warmup_left_ms,
             retired: false,
         };
@@ -175,11 +172,6 @@
         }
     }
 
-    /// Returns whether the interval between pauses is known.
-    pub fn interval_is_known(&self) -> bool {
-        self.interval.believed_us().is_some()
-    }
-
     /// Takes a stall of a leaf that has ended.
     pub fn observe_stall(&mut self, key: LeafKey, stall: Stall) {
         if let Some(leaf) = self.arena.get_mut(&key) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,7 +19,6 @@
 pub mod notes;
 pub mod pace;
 pub mod policy;
-pub mod probe;
 pub mod rhythm;
 pub mod routes;
 pub mod service;
@@ -39,7 +38,6 @@
 pub use notes::{Note, Pending};
 pub use pace::Pace;
 pub use policy::{CallTimes, Schedule, Step, Tally};
-pub use probe::Candidate;
 pub use rhythm::{Interval, Rhythm, Stall};
 pub use routes::{
     CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames, ServiceSpec,
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -121,22 +121,6 @@
         self.judge(PPM, now_us / 1_000);
     }
 
-    /// Closes a status check; returns the stall that its answer ended.
-    pub fn checked(&mut self, call: u64, now_us: u64, answered: bool) -> Option<Stall> {
-        let stall = self.ended_stall(now_us);
-        self.open.remove(&call);
-        if !answered {
-            return None;
-        }
-        self.last_answer_us = now_us;
-        stall
-    }
-
-    /// Returns when the leaf last answered a caller's request, in milliseconds.
-    pub fn observed_ms(&self) -> u64 {
-        self.observed_ms
-    }
-
     fn judge(&mut self, outcome_ppm: u64, now_ms: u64) {
         let old_ppm = self.failure_share_ppm(now_ms);
         let kept_ppm = old_ppm - (old_ppm >> FAILURE_SHARE_SHIFT);
--- a/src/gateway/rhythm.rs
+++ b/src/gateway/rhythm.rs
@@ -25,7 +25,7 @@
 const MAX_CANDIDATES: usize = 48;
 
 /// Votes above those expected by chance that an interval needs before it is believed.
-const MIN_VOTES: f64 = 5.0;
+const MIN_VOTES: f64 = 10.0;
 
 /// Standard deviations of the votes by chance that these have to exceed.
 const MIN_DEVIATIONS: f64 = 4.0;
@@ -222,11 +222,6 @@
         }
     }
 
-    /// Returns whether a stall that may be a pause was seen.
-    pub fn has_seen_stall(&self) -> bool {
-        !self.ends_us.is_empty()
-    }
-
     /// Returns the latest end of the phase on which most stalls of the leaf agree; the only stall of a
     /// leaf is enough, since a wrong phase only moves a few calls to other replicas.
     fn find_anchor(&self, interval_us: u64) -> Option<u64> {
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -1,6 +1,6 @@
 //! Routes in force: which service answers a host and path, and within which limits.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use bincode::{Decode, Encode};
 
@@ -57,8 +57,6 @@
     pub name: Box<str>,
     /// Connections that one of its leaves accepts from all VMs together.
     pub max_connections: u32,
-    /// Path of a leaf's status.
-    pub status_path: Box<str>,
 }
 
 /// What callers may send.
@@ -146,8 +144,6 @@
     pub limits: CallerLimits,
     hosts: HashMap<Box<str>, Vec<Route>>,
     max_connections: HashMap<ServiceKey, u32>,
-    /// Status paths of services that are shards.
-    status_paths: HashMap<ServiceKey, Box<str>>,
 }
 
 /// Denominator of shares in parts per million.
@@ -204,35 +200,18 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.spec.prefix.len()));
         }
-        let mut shards: HashSet<ServiceKey> = HashSet::new();
-        for route in hosts.values().flatten() {
-            if let Target::Shards { services, .. } = &route.target {
-                shards.extend(services);
-            }
-        }
         let mut max_connections = HashMap::new();
-        let mut status_paths = HashMap::new();
         for service in document.services {
-            let key = names.intern(&service.name);
-            max_connections.insert(key, service.max_connections);
-            if shards.contains(&key) && !service.status_path.is_empty() {
-                status_paths.insert(key, service.status_path);
-            }
+            max_connections.insert(names.intern(&service.name), service.max_connections);
         }
         Self {
             version: document.version,
             limits: document.limits,
             hosts,
             max_connections,
-            status_paths,
         }
     }
 
-    /// Returns the status path of a service that is a shard.
-    pub fn status_path(&self, service: ServiceKey) -> Option<&str> {
-        self.status_paths.get(&service).map(|path| &**path)
-    }
-
     /// Returns the route of a host and path: the longest prefix wins.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let routes = self.hosts.get(host)?;
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -190,7 +190,6 @@
         let services = leaves.iter().map(|(service, _)| ServiceSpec {
             name: (*service).into(),
             max_connections: 31,
-            status_path: "/status".into(),
         });
         let document = RouteDocument {
             version,
