Spend extra calls where enough shards are not in sight

Cause: a shard whose call had failed or was late counted as one that answers, so that extra calls were urgent only when the request had no shard to spare; on 36 shards of which 35 are needed, two stuck calls waited without one. Calls that failed at once waited for a budget that they were not allowed to use up.

An extra call is urgent while the shards that answered and those with a call that is not late are too few; other late calls get one only from an ample budget.

--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -96,6 +96,12 @@
         }
     }
 
+    /// Returns whether a call is under way that was sent no longer ago than calls usually take.
+    fn is_on_time(&self, elapsed_us: u64, hedge_us: u64) -> bool {
+        let age_us = elapsed_us.saturating_sub(self.last_sent_us);
+        self.open_calls > 0 && age_us < hedge_us
+    }
+
     /// Ends the shard with what it has: a leaf's own failure, or nothing.
     fn settle(&mut self) {
         self.reply = self.fallback.take();
@@ -151,7 +157,7 @@
         loop {
             let elapsed_us = self.elapsed_us();
             self.start_calls(elapsed_us);
-            match self.tally().step(&self.plan.schedule, elapsed_us) {
+            match self.tally(elapsed_us).step(&self.plan.schedule, elapsed_us) {
                 Step::Answer => return self.end(true),
                 Step::GiveUp => return self.end(false),
                 Step::Wait => {}
@@ -173,29 +179,33 @@
         boot_us().saturating_sub(self.started_us)
     }
 
-    fn tally(&self) -> Tally {
+    fn tally(&self, elapsed_us: u64) -> Tally {
         let parts = self.shards.iter().filter(|s| s.reply.is_some()).count();
-        let open = self.shards.iter().filter(|s| s.is_open()).count();
+        let open = self.shards.iter().filter(|s| s.is_open());
+        let hedge_us = self.plan.schedule.hedge_us;
+        let on_time = open.clone().filter(|s| s.is_on_time(elapsed_us, hedge_us));
         Tally {
             parts,
-            open,
+            open: open.clone().count(),
+            on_time: on_time.count(),
             min_parts: self.plan.min_parts,
         }
     }
 
     /// Sends first calls, repeats of failed calls, and second calls to shards that are late.
     fn start_calls(&mut self, elapsed_us: u64) {
-        let urgent = self.tally().needs_all_open();
         for index in 0..self.shards.len() {
             let shard = &self.shards[index];
             if !shard.is_open() {
                 continue;
             }
             if shard.wanting {
+                let urgent = shard.sent > 0 && self.tally(elapsed_us).needs_extra();
                 self.try_call(index, urgent);
                 continue;
             }
             if self.plan.idempotent && self.is_late(shard, elapsed_us) {
+                let urgent = self.tally(elapsed_us).needs_extra();
                 let before = self.sent_calls;
                 self.try_call(index, urgent);
                 self.shards[index].hedged = self.sent_calls > before;
--- a/src/gateway/policy.rs
+++ b/src/gateway/policy.rs
@@ -116,6 +116,8 @@
     pub parts: usize,
     /// Shards whose answer may still come.
     pub open: usize,
+    /// Those of them with a call under way that is not late.
+    pub on_time: usize,
     /// Fewest shards in an answer.
     pub min_parts: usize,
 }
@@ -139,10 +141,10 @@
     /// ```
     /// use cloverrack::gateway::{Schedule, Step, Tally};
     /// let schedule = Schedule { partial_us: 140, hedge_us: 90, end_us: 1_500 };
-    /// let tally = Tally { parts: 9, open: 1, min_parts: 9 };
+    /// let tally = Tally { parts: 9, open: 1, on_time: 1, min_parts: 9 };
     /// assert_eq!(tally.step(&schedule, 100), Step::Wait);
     /// assert_eq!(tally.step(&schedule, 140), Step::Answer);
-    /// let tally = Tally { parts: 5, open: 3, min_parts: 9 };
+    /// let tally = Tally { parts: 5, open: 3, on_time: 3, min_parts: 9 };
     /// assert_eq!(tally.step(&schedule, 1), Step::GiveUp);
     /// ```
     pub fn step(&self, schedule: &Schedule, elapsed_us: u64) -> Step {
@@ -158,8 +160,18 @@
         Step::Wait
     }
 
-    /// Returns whether the answer fails without one of the open shards.
-    pub fn needs_all_open(&self) -> bool {
-        self.parts + self.open <= self.min_parts
+    /// Returns whether the answer fails unless a further call succeeds: the shards that answered and
+    /// those that answer soon are too few.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::Tally;
+    /// let tally = Tally { parts: 33, open: 3, on_time: 1, min_parts: 35 };
+    /// assert!(tally.needs_extra(), "34 of 35 are in sight");
+    /// assert!(!Tally { on_time: 2, ..tally }.needs_extra());
+    /// ```
+    pub fn needs_extra(&self) -> bool {
+        self.parts + self.on_time < self.min_parts
     }
 }
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -181,6 +181,7 @@
     let enough = Tally {
         parts: 9,
         open: 1,
+        on_time: 1,
         min_parts: 9,
     };
     assert_eq!(enough.step(&schedule, 149_000), Step::Answer);
