--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -13,7 +13,7 @@
 
 /// Connections to one leaf that a carrier should have. Fewer than that, and calls wait behind a
 /// paused leaf's connections although the leaf has slots.
-const CARRIER_CONNECTIONS: u32 = 6;
+const CARRIER_CONNECTIONS: u32 = 9;
 
 /// Fewest carriers of a failure domain: with one, its loss would leave callers with nothing until
 /// their next question.
--- a/src/gateway/policy.rs
+++ b/src/gateway/policy.rs
@@ -6,11 +6,11 @@
 
 /// Time kept free before the target latency: the way back to the caller, the merge and the caller's
 /// own connection set-up.
-const ANSWER_MARGIN_US: u64 = 12_000;
+const ANSWER_MARGIN_US: u64 = 16_000;
 
 /// Margin of routes whose target is so short that the usual one would take most of it, as a divisor
 /// of the target.
-const ANSWER_MARGIN_DIVISOR: u64 = 5;
+const ANSWER_MARGIN_DIVISOR: u64 = 4;
 
 /// Deviations above the mean that a second call is given to answer.
 const HEDGE_DEVIATIONS: u64 = 2;
