--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,185 @@
+//! One call to one leaf: sends the request, judges the answer, and keeps the leaf's account.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::HeaderValue;
+use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+
+use super::connection::{CallError, Connection, Reply};
+use super::engine::{Engine, Headers};
+use crate::clock::boot_us;
+use crate::ids::LeafKey;
+
+/// Age from which a call that is given up counts as a failure of the leaf: silence.
+const SILENCE_US: u64 = 350_000;
+
+/// What one request asks of each leaf.
+#[derive(Clone, Debug)]
+pub struct CallSpec {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers of the caller that leaves get.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// Identity of the request.
+    pub request_id: HeaderValue,
+    /// End of the request on the boot clock.
+    pub end_us: u64,
+}
+
+/// A call under way: it holds a connection of its leaf until it ends.
+#[derive(Debug)]
+pub struct OpenCall {
+    engine: Arc<Engine>,
+    /// Leaf that gets the call.
+    pub leaf: LeafKey,
+    /// Start on the boot clock.
+    pub started_us: u64,
+    number: u64,
+    connection: Option<Connection>,
+    closed: bool,
+}
+
+impl OpenCall {
+    /// Makes a call that the leaf's pace knows by `number`; without a connection it opens one.
+    pub(super) fn new(
+        engine: Arc<Engine>,
+        leaf: LeafKey,
+        number: u64,
+        started_us: u64,
+        connection: Option<Connection>,
+    ) -> Self {
+        Self {
+            engine,
+            leaf,
+            started_us,
+            number,
+            connection,
+            closed: false,
+        }
+    }
+
+    /// Sends the request and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the leaf gives no whole answer to this request, or refuses it.
+    pub async fn run(mut self, spec: &CallSpec) -> Result<Reply, CallError> {
+        let exchanged = self.attempt(spec).await;
+        let result = exchanged.and_then(|reply| match self.verdict(spec, &reply) {
+            Some(error) => {
+                self.finish(Err(error), Some(&reply));
+                Err(error)
+            }
+            None => Ok(reply),
+        });
+        if !self.closed {
+            let outcome = result.as_ref().map(|reply| reply.status);
+            self.finish(outcome.map_err(|error| *error), result.as_ref().ok());
+        }
+        result
+    }
+
+    async fn attempt(&mut self, spec: &CallSpec) -> Result<Reply, CallError> {
+        let (address, id) = {
+            let state = self.engine.state();
+            let leaf = state.leaves.get(self.leaf).ok_or(CallError::Connect)?;
+            let id = HeaderValue::from_str(&leaf.record.id).map_err(|_| CallError::Connect)?;
+            (leaf.address(), id)
+        };
+        if let Some(connection) = &mut self.connection {
+            let request = build_request(&self.engine.headers, spec, &id);
+            let result = connection.exchange(request).await;
+            if result.as_ref().err() != Some(&CallError::Unsent) {
+                return result;
+            }
+        }
+        let connection = self.connection.insert(Connection::open(address).await?);
+        let request = build_request(&self.engine.headers, spec, &id);
+        connection.exchange(request).await
+    }
+
+    /// Returns why a whole reply is no answer of the leaf to this request.
+    fn verdict(&self, spec: &CallSpec, reply: &Reply) -> Option<CallError> {
+        let headers = &self.engine.headers;
+        if reply.status == StatusCode::MISDIRECTED_REQUEST {
+            return Some(CallError::OtherLeaf);
+        }
+        let echoed = reply.headers.get(&headers.request_id);
+        if echoed.is_some_and(|echoed| echoed != spec.request_id) {
+            return Some(CallError::Foreign);
+        }
+        if reply.headers.contains_key(&headers.not_run) {
+            return Some(CallError::Refused);
+        }
+        let unsigned = !reply.headers.contains_key(&headers.signature);
+        (reply.status.is_success() && unsigned).then_some(CallError::Unsigned)
+    }
+
+    fn finish(&mut self, outcome: Result<StatusCode, CallError>, reply: Option<&Reply>) {
+        self.closed = true;
+        let now_us = boot_us();
+        let connection = self.connection.take();
+        let state = &mut *self.engine.state();
+        let Some(leaf) = state.leaves.get_mut(self.leaf) else {
+            return;
+        };
+        let mut stall = None;
+        match outcome {
+            Ok(status) if status.is_success() => stall = leaf.pace.answered(self.number, now_us),
+            Ok(_) | Err(CallError::Refused) => leaf.pace.answered_badly(self.number, now_us),
+            Err(CallError::Foreign) => leaf.pace.dropped(self.number),
+            Err(_) => leaf.pace.failed(self.number, now_us),
+        }
+        let is_sound = matches!(outcome, Ok(_) | Err(CallError::Refused));
+        let sound = connection.zip(reply).filter(|_| is_sound);
+        let idle = sound.and_then(|(c, reply)| c.into_idle(&reply.headers, now_us / 1_000));
+        match idle {
+            Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
+            _ => leaf.connections = leaf.connections.saturating_sub(1),
+        }
+        state.take_stall(self.leaf, stall);
+        if outcome == Err(CallError::OtherLeaf) {
+            state.leaves.retire(self.leaf);
+        }
+        state.leaves.tidy(self.leaf);
+        self.engine.freed.notify_waiters();
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        if self.closed {
+            return;
+        }
+        let now_us = boot_us();
+        let state = &mut *self.engine.state();
+        if let Some(leaf) = state.leaves.get_mut(self.leaf) {
+            leaf.connections = leaf.connections.saturating_sub(1);
+            if now_us.saturating_sub(self.started_us) >= SILENCE_US {
+                leaf.pace.failed(self.number, now_us);
+            } else {
+                leaf.pace.dropped(self.number);
+            }
+        }
+        state.leaves.tidy(self.leaf);
+        self.engine.freed.notify_waiters();
+    }
+}
+
+fn build_request(headers: &Headers, spec: &CallSpec, leaf: &HeaderValue) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(spec.body.clone()));
+    *request.method_mut() = spec.method.clone();
+    *request.uri_mut() = spec.uri.clone();
+    *request.headers_mut() = spec.headers.clone();
+    let left_ms = spec.end_us.saturating_sub(boot_us()) / 1_000;
+    let fields = request.headers_mut();
+    fields.insert(&headers.time_left_ms, HeaderValue::from(left_ms.max(1)));
+    fields.insert(&headers.expected_leaf, leaf.clone());
+    request
+}
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -13,7 +13,7 @@
 
 /// Connections to one leaf that a carrier should have. Fewer than that, and calls wait behind a
 /// paused leaf's connections although the leaf has slots.
-const CARRIER_CONNECTIONS: u32 = 9;
+const CARRIER_CONNECTIONS: u32 = 12;
 
 /// Fewest carriers of a failure domain: with one, its loss would leave callers with nothing until
 /// their next question.
@@ -36,8 +36,8 @@
 ///
 /// ```
 /// use cloverrack::gateway::carriers_wanted;
-/// assert_eq!(carriers_wanted(31), 5);
-/// assert_eq!(carriers_wanted(77), 12);
+/// assert_eq!(carriers_wanted(31), 2);
+/// assert_eq!(carriers_wanted(77), 6);
 /// ```
 pub fn carriers_wanted(max_connections: u32) -> usize {
     let wanted = max_connections / CARRIER_CONNECTIONS;
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -9,8 +9,9 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::{Instant, Sleep, sleep_until, timeout};
 
+use super::call::{CallSpec, OpenCall};
 use super::connection::{CallError, Reply};
-use super::engine::{CallSpec, Engine, OpenCall};
+use super::engine::Engine;
 use super::leaves::NoLeaf;
 use super::policy::{Schedule, Step, Tally};
 use crate::clock::boot_us;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! Decisions stand in modules without a network: [`routes`], [`catalog`], [`pace`], [`policy`],
 //! [`merge`], [`directory`].
 
+pub mod call;
 pub mod catalog;
 pub mod connection;
 pub mod directory;
@@ -24,10 +25,11 @@
 pub mod service;
 pub mod spread;
 
+pub use call::{CallSpec, OpenCall};
 pub use catalog::{Catalog, CatalogImage, Change, Changed, Changes, LeafRecord, Update};
 pub use connection::{CallError, Connection, Reply};
 pub use directory::{caller_addresses, carriers, carriers_wanted};
-pub use engine::{CallSpec, Engine, ExtraCallBounds, Headers};
+pub use engine::{Engine, ExtraCallBounds, Headers};
 pub use entry::{Gateway, GatewaySettings};
 pub use exchange::ExchangeError;
 pub use follower::{Follower, Source, SourceError};
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -10,8 +10,9 @@
 use rand::RngExt;
 use tracing::{info, warn};
 
+use super::call::CallSpec;
 use super::connection::Reply;
-use super::engine::{CallSpec, Engine};
+use super::engine::Engine;
 use super::fanout::{Fanout, Gathered, Plan};
 use super::merge::merge_records;
 use super::policy::Schedule;
