Ask for the budget of an extra call before a leaf is chosen for it

Cause: found on reading: each look at an empty budget, every 4 ms while a shard waited, first opened a call to a replica and then dropped it, which closed one of the replica's open connections. A test shows it: after one refused request the replica's connection was gone.

The budget is asked first. Takes out a notification that nobody waited for.

Ruled out: putting the connection back (the leaf would count one more call meanwhile).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -148,7 +148,6 @@
             state.leaves.retire(self.leaf);
         }
         state.leaves.tidy(self.leaf);
-        self.engine.freed.notify_waiters();
     }
 }
 
@@ -168,7 +167,6 @@
             }
         }
         state.leaves.tidy(self.leaf);
-        self.engine.freed.notify_waiters();
     }
 }
 
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::header::HeaderName;
-use tokio::sync::Notify;
 use tracing::info;
 
 use super::call::OpenCall;
@@ -85,8 +84,6 @@
     pub headers: Headers,
     /// Counters.
     pub meters: Meters,
-    /// Tells requests that wait for a connection that one may be free.
-    pub freed: Notify,
     bounds: Mutex<ExtraCallBounds>,
     watching: AtomicBool,
     platform_answers: AtomicBool,
@@ -115,7 +112,6 @@
         Self {
             headers,
             meters,
-            freed: Notify::new(),
             bounds: Mutex::new(bounds),
             watching: AtomicBool::new(true),
             platform_answers: AtomicBool::new(true),
@@ -183,7 +179,6 @@
         let records = state.catalog.leaves();
         state.leaves.update(records, &mut state.names, boot_ms());
         state.divide_connections();
-        self.freed.notify_waiters();
     }
 
     /// Takes the number of VMs among which connections and budgets are divided.
@@ -223,15 +218,25 @@
         budget.earn(1, u32::try_from(ratio_ppm).unwrap_or(u32::MAX));
     }
 
-    /// Takes one extra call, if there is one; an urgent one may use the last.
-    pub fn spend_extra(&self, service: ServiceKey, urgent: bool) -> bool {
+    /// Returns whether an extra call is allowed; an urgent one may use the last.
+    pub fn allows_extra(&self, service: ServiceKey, urgent: bool) -> bool {
+        let state = self.state();
+        let budget = state.budgets.get(&service);
+        let allowed = budget.is_some_and(|b| b.is_ample() || urgent && b.can_spend());
+        if !allowed {
+            self.meters.count_extra(false);
+        }
+        allowed
+    }
+
+    /// Takes the extra call that was allowed.
+    pub fn spend_extra(&self, service: ServiceKey) {
         let state = &mut *self.state();
-        let Some(budget) = state.budgets.get_mut(&service) else {
-            return false;
-        };
-        let granted = (urgent || budget.is_ample()) && budget.try_spend();
-        self.meters.count_extra(granted);
-        granted
+        let spent = state
+            .budgets
+            .get_mut(&service)
+            .is_some_and(Budget::try_spend);
+        self.meters.count_extra(spent);
     }
 
     /// Returns the call times of a route.
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -225,6 +225,11 @@
     fn try_call(&mut self, index: usize, urgent: bool) {
         let shard = &self.shards[index];
         let repeat = shard.sent > 0;
+        // Asked before a leaf is chosen: a call that is opened and dropped closes its connection.
+        if repeat && !self.engine.allows_extra(self.plan.budget, urgent) {
+            self.no_budget_left(index, urgent);
+            return;
+        }
         let choice = self.engine.open_call(shard.service, &shard.tried);
         let call = match choice {
             Ok(call) => call,
@@ -234,9 +239,8 @@
                 return;
             }
         };
-        if repeat && !self.engine.spend_extra(self.plan.budget, urgent) {
-            self.no_budget_left(index, urgent);
-            return;
+        if repeat {
+            self.engine.spend_extra(self.plan.budget);
         }
         let now_us = self.elapsed_us();
         let shard = &mut self.shards[index];
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -99,9 +99,14 @@
         self.rate = (self.rate - self.rate / SHED_DIVISOR).max(LOWEST_RATE);
     }
 
+    /// Returns whether there is an extra call.
+    pub fn can_spend(&self) -> bool {
+        self.tokens_ppm >= CALL_PPM
+    }
+
     /// Takes one extra call from the budget, if it has one.
     pub fn try_spend(&mut self) -> bool {
-        if self.tokens_ppm < CALL_PPM {
+        if !self.can_spend() {
             return false;
         }
         self.tokens_ppm -= CALL_PPM;
--- a/tests/gateway_serving.rs
+++ b/tests/gateway_serving.rs
@@ -242,3 +242,36 @@
     assert!(replies.iter().all(|reply| reply.status == StatusCode::OK));
     assert!(most <= 4, "{most} connections of a share of 4");
 }
+
+/// Guards against an open connection that is given up because no extra call is allowed.
+#[tokio::test]
+async fn a_denied_extra_call_keeps_the_replicas_connection() {
+    let served = Served::spawn().await;
+    let one = Leaf::spawn("one", 1, Conduct::Answer).await;
+    let two = Leaf::spawn("two", 2, Conduct::Answer).await;
+    served.publish(
+        1,
+        vec![single("/a/", "s", true, 2)],
+        &[("s", &one), ("s", &two)],
+    );
+    let idle = || {
+        let state = served.engine.state();
+        let idle: Vec<usize> = state
+            .leaves
+            .iter()
+            .map(|(_, leaf)| leaf.idle.len())
+            .collect();
+        idle.iter().sum::<usize>()
+    };
+    // Two at a time, so that both leaves get a connection; no extra call is earned beyond one.
+    tokio::join!(served.ask("/a/x"), served.ask("/a/x"));
+    let before = idle();
+    assert!(before >= 2, "{before} idle connections");
+    one.set(Conduct::Refuse);
+    two.set(Conduct::Refuse);
+    for _ in 0..3 {
+        let reply = served.ask("/a/x").await;
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(idle(), before, "a refusal keeps its connection");
+    }
+}
