Hold the refusal of a shard's last leaf for a second instead of 30

A refusal that no status confirms is held for 30 s, so each shard has no leaf for the rest of the history although all leaves serve again.

Change: the owner's status read lifts an unconfirmed refusal after 1 s if a shard of the leaf has no other leaf that takes work. Where another leaf does, the 30 s stay, so no refused call reaches a draining leaf (tests/drain.rs, all checks unchanged).

New test a_refusal_of_the_last_leaf_is_held_for_a_second.

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -6,6 +6,12 @@
 /// any limit a leaf that cancelled its drain would stay unused.
 const REFUSAL_HOLD_MS: u64 = 30_000;
 
+/// The same where no other leaf of the shard takes work.
+///
+/// No call has another place to go, so one that the leaf refuses again costs little. Four status
+/// reads, after which all VMs know the refusal.
+const LAST_LEAF_HOLD_MS: u64 = 1_000;
+
 /// Signals that a leaf is leaving: configuration and VM list, status, refusal of a call.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct DrainSignals {
@@ -32,11 +38,17 @@
         self.reported_since_refusal = false;
     }
 
+    /// Returns whether a refusal by the leaf itself counts.
+    pub fn has_refused(&self) -> bool {
+        self.refused_ms.is_some()
+    }
+
     /// Takes a status.
     ///
     /// A status without drain lifts a refusal only if the endpoint has reported the drain since,
-    /// which proves that it is not frozen, or after a long time.
-    pub fn reported(&mut self, draining: bool, now_ms: u64) {
+    /// which proves that it is not frozen, or after a time: a long one if the shard `has_substitute`,
+    /// another leaf that takes its work.
+    pub fn reported(&mut self, draining: bool, has_substitute: bool, now_ms: u64) {
         self.reported = draining;
         let Some(refused_ms) = self.refused_ms else {
             return;
@@ -46,7 +58,12 @@
             return;
         }
         let held_ms = now_ms.saturating_sub(refused_ms);
-        if self.reported_since_refusal || held_ms >= REFUSAL_HOLD_MS {
+        let hold_ms = if has_substitute {
+            REFUSAL_HOLD_MS
+        } else {
+            LAST_LEAF_HOLD_MS
+        };
+        if self.reported_since_refusal || held_ms >= hold_ms {
             self.refused_ms = None;
         }
     }
@@ -65,7 +82,7 @@
     /// use cloverrack::drain::DrainSignals;
     /// let mut signals = DrainSignals::default();
     /// signals.refused(0);
-    /// signals.reported(false, 100);
+    /// signals.reported(false, true, 100);
     /// assert!(signals.is_draining());
     /// ```
     pub fn is_draining(&self) -> bool {
--- a/src/owned_leaf.rs
+++ b/src/owned_leaf.rs
@@ -210,6 +210,11 @@
         news
     }
 
+    /// Returns whether a refusal by the leaf itself keeps it out of use.
+    pub(crate) fn has_refused(&self) -> bool {
+        self.decisions().signals.has_refused()
+    }
+
     /// Takes the result of a call.
     pub(crate) fn learn(&self, result: &LeafResult) {
         let mut decisions = self.decisions();
@@ -229,12 +234,15 @@
         decisions.refresh(boot_ms());
     }
 
-    /// Takes a status; returns the leaf's state.
-    pub(crate) fn observe(&self, status: &LeafStatus) -> LeafState {
+    /// Takes a status; returns the leaf's state. `has_substitute` says whether another leaf of the
+    /// shard takes work.
+    pub(crate) fn observe(&self, status: &LeafStatus, has_substitute: bool) -> LeafState {
         let now_ms = boot_ms();
         let mut decisions = self.decisions();
         decisions.answered();
-        decisions.signals.reported(status.draining, now_ms);
+        decisions
+            .signals
+            .reported(status.draining, has_substitute, now_ms);
         if status.cold {
             decisions.slots.start_warming(now_ms);
         } else if !decisions.slots.is_warming(now_ms) {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -16,7 +16,7 @@
 use crate::control::{Control, PeerCheck};
 use crate::fact::LeafState;
 use crate::fleet::{Fleet, Leaf};
-use crate::ids::{CallId, Snapshot};
+use crate::ids::{CallId, LeafKey, Snapshot};
 use crate::leaf::{LeafRequest, LeafStatus, has_ended};
 use crate::owned_leaf::{Handle, OwnedLeaf};
 use crate::wire::{Batch, LeafCall, LeafReply, LeafResult, NotStarted};
@@ -231,7 +231,9 @@
                 Some(status) => {
                     failures = 0;
                     leaf.set_process(status.process.clone());
-                    Some((leaf.observe(&status), status.snapshots))
+                    let has_substitute = !leaf.has_refused() || self.has_substitute(address);
+                    let state = leaf.observe(&status, has_substitute);
+                    Some((state, status.snapshots))
                 }
                 None => {
                     failures += 1;
@@ -249,6 +251,27 @@
         }
     }
 
+    /// Returns whether each shard that the leaf serves has another leaf that takes work.
+    fn has_substitute(&self, address: SocketAddr) -> bool {
+        let fleet = self.control.fleet();
+        let layouts = fleet.services.iter().flat_map(|service| &service.layouts);
+        self.control.with_leaf_views(|views| {
+            let takes_work = |key: &LeafKey| {
+                let leaf = fleet.leaf(*key);
+                let serves = views.get(&leaf.address).is_some_and(|view| {
+                    matches!(view.state, LeafState::Up | LeafState::Warming)
+                        && !view.snapshots.is_empty()
+                });
+                leaf.address != address && !leaf.leaving && serves
+            };
+            let is_served = |shard: &Vec<LeafKey>| {
+                let own = shard.iter().any(|key| fleet.leaf(*key).address == address);
+                !own || shard.iter().any(takes_work)
+            };
+            layouts.flat_map(|layout| &layout.shards).all(is_served)
+        })
+    }
+
     /// Returns when a VM last saw the leaf refuse a call, if that is newer than `heard_unix_ms`.
     fn refusal_since(&self, address: SocketAddr, heard_unix_ms: u64) -> Option<u64> {
         let view = self.control.leaf_view(address)?;
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -152,14 +152,31 @@
 fn a_truthful_status_lifts_a_refusal() {
     let mut signals = DrainSignals::default();
     signals.refused(0);
-    signals.reported(false, 1_000);
+    signals.reported(false, true, 1_000);
     assert!(signals.is_draining());
-    signals.reported(true, 2_000);
-    signals.reported(false, 3_000);
+    signals.reported(true, true, 2_000);
+    signals.reported(false, true, 3_000);
     assert!(!signals.is_draining());
     signals.refused(4_000);
-    signals.reported(false, 33_999);
+    signals.reported(false, true, 33_999);
     assert!(signals.is_draining());
-    signals.reported(false, 34_000);
+    signals.reported(false, true, 34_000);
     assert!(!signals.is_draining());
 }
+
+/// Guards against a shard that stays without leaves for the whole hold of a refusal, although the
+/// refusals ended behind frozen statuses.
+#[test]
+fn a_refusal_of_the_last_leaf_is_held_for_a_second() {
+    let mut signals = DrainSignals::default();
+    signals.refused(0);
+    signals.reported(false, false, 999);
+    assert!(signals.is_draining());
+    signals.reported(false, true, 1_000);
+    assert!(signals.is_draining(), "another leaf takes the work");
+    signals.reported(false, false, 1_000);
+    assert!(!signals.is_draining());
+    signals.reported(true, false, 2_000);
+    signals.reported(true, false, 9_000);
+    assert!(signals.is_draining(), "the leaf says so itself");
+}
