Refuse gathering requests on arrival while the leaves' queues are too long

Nothing was refused.

Change: src/gateway/overload.rs limits the gathering requests that a VM runs at a time. Signal: the median leaf call of a request against a third of its target (or twice its shortest usual time). Above it the limit falls by 15 % each 100 ms, below it grows while in use. Less urgent routes have 80 % of the limit. A refused caller is told to come back in the last half of the time that callers wait, spread at random.

Ruled out as signal: missing shards and lateness of the whole answer, which pauses, slow leaves and lost answers cause too; the median is hardly moved by them.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -15,6 +15,7 @@
 use super::members::Member;
 use super::meters::Meters;
 use super::notes::{Note, Pending};
+use super::overload::{Ended, Overload};
 use super::policy::CallTimes;
 use super::rhythm::Stall;
 use super::routes::{RouteTable, ServiceNames};
@@ -72,6 +73,7 @@
     pub limits: ConnectionLimits,
     /// VMs among which connections and budgets are divided.
     pub vms: u32,
+    overload: Overload,
     pending: Pending,
     budgets: HashMap<ServiceKey, Budget>,
     call_times: HashMap<Box<str>, CallTimes>,
@@ -105,6 +107,7 @@
             leaves: Leaves::new(own_domain),
             limits: ConnectionLimits::default(),
             vms: 1,
+            overload: Overload::default(),
             pending: Pending::default(),
             budgets: HashMap::new(),
             call_times: HashMap::new(),
@@ -208,6 +211,23 @@
         (slack / u64::from(vms.max(1))).max(1)
     }
 
+    /// Takes in a request to a set of shards, named by the first, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the limit and the pressure if the leaves' queues are too long.
+    pub fn admit(self: &Arc<Self>, shards: &[ServiceKey], rank: u32) -> Result<Place, (f64, f64)> {
+        let group = shards.first().copied().unwrap_or(ServiceKey::new(0));
+        let overload = &mut self.state().overload;
+        if !overload.admit(group, rank) {
+            return Err(overload.limit(group));
+        }
+        Ok(Place {
+            engine: Arc::clone(self),
+            group,
+        })
+    }
+
     /// Earns extra calls for one request to a service.
     pub fn earn_extra(&self, service: ServiceKey) {
         let state = &mut *self.state();
@@ -301,6 +321,34 @@
     }
 }
 
+/// Place of a request among those that run at a time; dropping it gives it back.
+#[derive(Debug)]
+pub struct Place {
+    engine: Arc<Engine>,
+    group: ServiceKey,
+}
+
+impl Place {
+    /// Ends the request: its usual call time adjusts the limit.
+    pub fn finish(self, route: &str, target_us: u64, shards: &[ServiceKey], usual_call_us: u64) {
+        let state = &mut *self.engine.state();
+        let ended = Ended {
+            route,
+            target_us,
+            usual_call_us,
+            least_limit: state.least_limit(shards),
+            now_ms: boot_ms(),
+        };
+        state.overload.learn(self.group, ended);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.engine.state().overload.release(self.group);
+    }
+}
+
 /// Takes the connection that has waited longest: late bytes of an earlier answer show on it.
 fn take_idle(leaf: &mut Leaf, now_ms: u64) -> Option<Connection> {
     leaf.close_expired(now_ms);
@@ -321,6 +369,19 @@
         self.leaves.observe_stall(leaf, stall);
     }
 
+    /// Returns the requests that this VM's share of the slots of the smallest shard serves at a time.
+    ///
+    /// The shards of a request do not end together, so that many requests leave some slots idle.
+    fn least_limit(&self, shards: &[ServiceKey]) -> u32 {
+        let slots = |shard: &ServiceKey| {
+            let leaves = self.leaves.of_service(*shard).iter();
+            let leaves = leaves.filter_map(|key| self.leaves.get(*key));
+            leaves.map(|leaf| leaf.record.slots).sum::<u32>()
+        };
+        let least = shards.iter().map(slots).min().unwrap_or(0);
+        (least / self.vms.max(1)).max(1)
+    }
+
     fn divide_connections(&mut self) {
         let Some(table) = &self.table else {
             return;
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -62,6 +62,8 @@
     pub last_error: Option<CallError>,
     /// Whether the time of the request was over.
     pub timed_out: bool,
+    /// Median time of the shards' latest calls; those that have not ended count with their age.
+    pub usual_call_us: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -75,6 +77,8 @@
     /// A call is wanted as soon as there is a leaf, a connection and, for a repeat, a budget.
     wanting: bool,
     reply: Option<Reply>,
+    /// Time that the call with the reply took.
+    latency_us: u64,
     /// A leaf's own failure, which is the answer if no other leaf gives a better one.
     fallback: Option<Reply>,
     failed: bool,
@@ -91,6 +95,7 @@
             last_sent_us: 0,
             wanting: true,
             reply: None,
+            latency_us: 0,
             fallback: None,
             failed: false,
             hedged: false,
@@ -291,7 +296,7 @@
                 let target_us = self.plan.target_us;
                 self.engine.record_call_time(route, target_us, latency_us);
                 self.may_have_run = true;
-                self.take_reply(index, reply);
+                self.take_reply(index, reply, latency_us);
             }
             Err(error) => {
                 self.engine.meters.count_failed_call(error);
@@ -303,13 +308,14 @@
         }
     }
 
-    fn take_reply(&mut self, index: usize, reply: Reply) {
+    fn take_reply(&mut self, index: usize, reply: Reply, latency_us: u64) {
         let shard = &mut self.shards[index];
         if shard.reply.is_some() {
             return;
         }
         if reply.status.is_success() {
             shard.reply = Some(reply);
+            shard.latency_us = latency_us;
             return;
         }
         if self.plan.passes_failures {
@@ -363,8 +369,23 @@
         next_us.max(elapsed_us + 1)
     }
 
+    fn usual_call_us(&self, elapsed_us: u64) -> Option<u64> {
+        let mut times_us = Vec::with_capacity(self.shards.len());
+        for shard in &self.shards {
+            if shard.reply.is_some() {
+                times_us.push(shard.latency_us);
+            } else if shard.open_calls > 0 {
+                times_us.push(elapsed_us.saturating_sub(shard.last_sent_us));
+            }
+        }
+        times_us.sort_unstable();
+        times_us.get(times_us.len() / 2).copied()
+    }
+
     fn end(self, complete: bool) -> Gathered {
-        let timed_out = self.elapsed_us() >= self.plan.schedule.end_us;
+        let elapsed_us = self.elapsed_us();
+        let timed_out = elapsed_us >= self.plan.schedule.end_us;
+        let usual_call_us = self.usual_call_us(elapsed_us);
         let mut calls = self.calls;
         if complete && !calls.is_empty() {
             tokio::spawn(async move {
@@ -379,6 +400,7 @@
             sent_calls: self.sent_calls,
             last_error: self.last_error,
             timed_out,
+            usual_call_us,
             parts: self.shards.into_iter().map(|shard| shard.reply).collect(),
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //! answers, and the records of the shards are merged.
 //!
 //! Decisions stand in modules without a network: [`routes`], [`catalog`], [`pace`], [`policy`],
-//! [`merge`], [`directory`].
+//! [`merge`], [`directory`], [`overload`].
 
 pub mod call;
 pub mod catalog;
@@ -18,6 +18,7 @@
 pub mod merge;
 pub mod meters;
 pub mod notes;
+pub mod overload;
 pub mod pace;
 pub mod policy;
 pub mod rhythm;
@@ -38,6 +39,7 @@
 pub use merge::merge_records;
 pub use meters::Meters;
 pub use notes::{Note, Pending};
+pub use overload::{Ended, Overload};
 pub use pace::Pace;
 pub use policy::{CallTimes, Schedule, Step, Tally};
 pub use rhythm::{Interval, Rhythm, Stall};
--- /dev/null
+++ b/src/gateway/overload.rs
@@ -0,0 +1,183 @@
+//! Which gathering requests are refused on arrival, since the leaves' queues are too long: pure
+//! decisions.
+//!
+//! Answers the load in which callers ask for more than the slots of the leaves can serve. Without a
+//! limit nearly every answer comes after its target then; with one, as many as the slots can serve
+//! come in time, and the others know at once when to come back. The usual (median) leaf call of a
+//! request is the signal: pauses, slow leaves and lost answers hit a part of the shards and hardly
+//! move it, while queues move all.
+
+use std::collections::HashMap;
+
+use crate::ids::ServiceKey;
+
+/// Part of the target latency that a usual call may take, as a divisor: the slowest of some tens of
+/// queued calls takes about three times as long as the usual one.
+const BEARABLE_DIVISOR: f64 = 3.0;
+
+/// Calls count as queued only above this multiple of the shortest usual call time, so that a route
+/// whose work takes most of its target is not refused without any queue.
+const QUEUED_FACTOR: f64 = 2.0;
+
+/// Weight of a request in the smoothed pressure: some ten requests decide, about 200 ms of a VM's
+/// load.
+const PRESSURE_WEIGHT: f64 = 0.125;
+
+/// Time between two changes of a limit: the queues have to show the effect of one first.
+const ADJUST_INTERVAL_MS: u64 = 100;
+
+/// Factor on the limit while the pressure is too high.
+const REDUCE_FACTOR: f64 = 0.85;
+
+/// Growth of a limit that is in use while the pressure is bearable, in requests and as a share.
+const GROWTH: (f64, f64) = (1.0, 0.05);
+
+/// Share of the limit that has to be in use for it to grow.
+const IN_USE_SHARE: f64 = 0.8;
+
+/// Share of the limit that routes may use for each step in which they are less urgent than others.
+const LESS_URGENT_SHARE: f64 = 0.8;
+
+/// Usual call time of one route.
+#[derive(Clone, Copy, Debug)]
+struct Usual {
+    smoothed_us: f64,
+    least_us: f64,
+}
+
+/// Requests under way to one set of shards.
+#[derive(Clone, Debug)]
+struct Group {
+    in_flight: u32,
+    most_in_flight: u32,
+    limit: f64,
+    pressure: f64,
+    adjusted_ms: u64,
+}
+
+impl Default for Group {
+    fn default() -> Self {
+        Self {
+            in_flight: 0,
+            most_in_flight: 0,
+            limit: f64::INFINITY,
+            pressure: 0.0,
+            adjusted_ms: 0,
+        }
+    }
+}
+
+/// Limits on the gathering requests that this VM runs at a time, by their first shard.
+#[derive(Debug, Default)]
+pub struct Overload {
+    groups: HashMap<ServiceKey, Group>,
+    usual: HashMap<Box<str>, Usual>,
+}
+
+/// A request that ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended<'a> {
+    /// Name of its route.
+    pub route: &'a str,
+    /// Target latency of its route.
+    pub target_us: u64,
+    /// Time of its usual leaf call, those that had not ended included.
+    pub usual_call_us: u64,
+    /// Requests that this VM may always run at a time.
+    pub least_limit: u32,
+    /// Time since the machine started.
+    pub now_ms: u64,
+}
+
+impl Overload {
+    /// Takes in a request to a set of shards, or refuses it; `rank` is the number of levels of more
+    /// urgent routes. Each request that was taken in has to be released once.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::ServiceKey;
+    /// use cloverrack::gateway::{Ended, Overload};
+    /// let shards = ServiceKey::new(0);
+    /// let mut overload = Overload::default();
+    /// let mut ended = Ended {
+    ///     route: "sweep",
+    ///     target_us: 150_000,
+    ///     usual_call_us: 20_000,
+    ///     least_limit: 1,
+    ///     now_ms: 0,
+    /// };
+    /// overload.learn(shards, ended);
+    /// assert!((0..40).all(|_| overload.admit(shards, 0)));
+    /// for now_ms in 0..2_000 {
+    ///     ended = Ended { usual_call_us: 100_000, now_ms, ..ended };
+    ///     overload.learn(shards, ended);
+    /// }
+    /// assert!(!overload.admit(shards, 0), "calls wait in long queues");
+    /// ```
+    pub fn admit(&mut self, group: ServiceKey, rank: u32) -> bool {
+        let group = self.groups.entry(group).or_default();
+        let share = LESS_URGENT_SHARE.powi(i32::try_from(rank).unwrap_or(i32::MAX));
+        let limit = (group.limit * share).max(1.0);
+        if f64::from(group.in_flight) >= limit {
+            return false;
+        }
+        group.in_flight += 1;
+        group.most_in_flight = group.most_in_flight.max(group.in_flight);
+        true
+    }
+
+    /// Gives back the place of a request.
+    pub fn release(&mut self, group: ServiceKey) {
+        if let Some(group) = self.groups.get_mut(&group) {
+            group.in_flight = group.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes how long the leaf calls of a request took, and adjusts the limit of its shards.
+    pub fn learn(&mut self, group: ServiceKey, ended: Ended<'_>) {
+        let ratio = self.pressure_of(&ended);
+        let group = self.groups.entry(group).or_default();
+        group.pressure += (ratio - group.pressure) * PRESSURE_WEIGHT;
+        if ended.now_ms < group.adjusted_ms + ADJUST_INTERVAL_MS {
+            return;
+        }
+        group.adjusted_ms = ended.now_ms;
+        let most = f64::from(group.most_in_flight);
+        group.most_in_flight = group.in_flight;
+        if group.pressure > 1.0 {
+            let reduced = group.limit.min(most) * REDUCE_FACTOR;
+            group.limit = reduced.max(f64::from(ended.least_limit.max(1)));
+            return;
+        }
+        if most >= group.limit * IN_USE_SHARE {
+            group.limit += GROWTH.0.max(group.limit * GROWTH.1);
+        }
+    }
+
+    /// Returns the limit on requests at a time, and the pressure: the usual call time as a multiple of
+    /// what is bearable.
+    pub fn limit(&self, group: ServiceKey) -> (f64, f64) {
+        let group = self.groups.get(&group);
+        group.map_or((f64::INFINITY, 0.0), |group| (group.limit, group.pressure))
+    }
+
+    #[expect(clippy::cast_precision_loss)]
+    fn pressure_of(&mut self, ended: &Ended<'_>) -> f64 {
+        let call_us = ended.usual_call_us as f64;
+        if !self.usual.contains_key(ended.route) {
+            let first = Usual {
+                smoothed_us: call_us,
+                least_us: call_us,
+            };
+            self.usual.insert(ended.route.into(), first);
+        }
+        let Some(usual) = self.usual.get_mut(ended.route) else {
+            return 0.0;
+        };
+        usual.smoothed_us += (call_us - usual.smoothed_us) * PRESSURE_WEIGHT;
+        usual.least_us = usual.least_us.min(usual.smoothed_us);
+        let bearable_us = ended.target_us as f64 / BEARABLE_DIVISOR;
+        call_us / bearable_us.max(usual.least_us * QUEUED_FACTOR).max(1.0)
+    }
+}
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -1,6 +1,6 @@
 //! Routes in force: which service answers a host and path, and within which limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use bincode::{Decode, Encode};
 
@@ -49,6 +49,12 @@
     pub destination: Destination,
 }
 
+impl RouteSpec {
+    fn gathers(&self) -> bool {
+        matches!(self.destination, Destination::Shards { .. })
+    }
+}
+
 /// Limits of one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
@@ -133,6 +139,8 @@
     pub spec: RouteSpec,
     /// Where requests go.
     pub target: Target,
+    /// Levels of priority that are more urgent, among the routes that gather.
+    pub rank: u32,
 }
 
 /// All routes of one version, ready for look-ups.
@@ -192,10 +200,17 @@
     /// ```
     pub fn compile(document: RouteDocument, names: &mut ServiceNames) -> Self {
         let mut hosts: HashMap<Box<str>, Vec<Route>> = HashMap::new();
+        let gathering = document.routes.iter().filter(|spec| spec.gathers());
+        let levels: BTreeSet<u32> = gathering.map(|spec| spec.priority).collect();
         for spec in document.routes {
+            let rank = levels.range(..spec.priority).count();
             let target = compile_target(&spec.destination, names);
             let host = spec.host.to_ascii_lowercase().into_boxed_str();
-            hosts.entry(host).or_default().push(Route { spec, target });
+            hosts.entry(host).or_default().push(Route {
+                spec,
+                target,
+                rank: u32::try_from(rank).unwrap_or(u32::MAX),
+            });
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.spec.prefix.len()));
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -1,5 +1,6 @@
 //! The callers' interface: finds the route of a request, runs it and forms the answer.
 
+use std::ops::Range;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 
 use super::call::CallSpec;
 use super::connection::Reply;
-use super::engine::Engine;
+use super::engine::{Engine, Place};
 use super::fanout::{Fanout, Gathered, Plan};
 use super::merge::merge_records;
 use super::policy::Schedule;
@@ -22,7 +23,14 @@
 use crate::ids::ServiceKey;
 
 /// Time after which a caller may come back when nothing can serve its request, in milliseconds.
-const COME_BACK_MS: std::ops::Range<u64> = 200..500;
+const COME_BACK_MS: Range<u64> = 200..500;
+
+/// Latest time at which a caller comes back after an overload, as a divisor of the time that it has
+/// left: callers wait no longer than that.
+const COME_BACK_DIVISOR: u64 = 3;
+
+/// The same for callers with hardly any time left.
+const COME_BACK_LEAST_MS: u64 = 10;
 
 /// One in this many sound answers is logged; the others are only counted.
 const SOUND_LOGGED: u32 = 32;
@@ -48,25 +56,48 @@
 }
 
 /// A request that is refused before any leaf gets it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 enum Refusal {
     NoConfiguration,
     NoRoute,
     NoRequestId,
     BodyTooLarge,
     BodyIncomplete,
+    /// The leaves' queues are too long.
+    Overloaded {
+        /// Time that the caller has left.
+        left_ms: u64,
+        /// Requests to the shards that this VM runs at a time.
+        limit: f64,
+        /// Usual call time, as a multiple of what is bearable.
+        pressure: f64,
+    },
 }
 
 impl Refusal {
     fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfiguration | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoRequestId => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
         }
     }
+
+    /// Returns when the caller may come back.
+    ///
+    /// Queues that are too long stay so for a while: the later a caller comes, the sooner it is served
+    /// then, and the spread keeps callers that were refused together from coming back together.
+    fn come_back_ms(self) -> Range<u64> {
+        match self {
+            Self::Overloaded { left_ms, .. } => {
+                let latest_ms = left_ms / COME_BACK_DIVISOR;
+                latest_ms / 2..latest_ms.max(COME_BACK_LEAST_MS)
+            }
+            _ => COME_BACK_MS,
+        }
+    }
 }
 
 impl CallerService {
@@ -85,8 +116,17 @@
         let plan = plan_of(&self.engine, route, spec.end_us.saturating_sub(started_us));
         let request_id = spec.request_id.clone();
         let is_merged = !plan.passes_failures;
+        let place = if is_merged {
+            Some(self.admit(&plan, route, &spec, started_us)?)
+        } else {
+            None
+        };
+        let (target_us, shards) = (plan.target_us, plan.services.clone());
         let fanout = Fanout::new(Arc::clone(&self.engine), plan, spec, started_us);
         let gathered = fanout.run().await;
+        if let (Some(place), Some(usual_call_us)) = (place, gathered.usual_call_us) {
+            place.finish(&route.spec.name, target_us, &shards, usual_call_us);
+        }
         let outcome = Outcome {
             request_id: &request_id,
             route,
@@ -103,6 +143,25 @@
         Ok(reply.map_or_else(|| empty(StatusCode::BAD_GATEWAY), relayed))
     }
 
+    /// Takes in a gathering request, or refuses it since the leaves' queues are too long.
+    fn admit(
+        &self,
+        plan: &Plan,
+        route: &Route,
+        spec: &CallSpec,
+        started_us: u64,
+    ) -> Result<Place, Refusal> {
+        let admitted = self.engine.admit(&plan.services, route.rank);
+        admitted.map_err(|(limit, pressure)| {
+            let left_ms = spec.end_us.saturating_sub(started_us) / 1_000;
+            Refusal::Overloaded {
+                left_ms,
+                limit,
+                pressure,
+            }
+        })
+    }
+
     async fn call_spec(
         &self,
         request: Request<Incoming>,
@@ -170,11 +229,14 @@
 impl Handler for CallerService {
     async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
         let started_us = boot_us();
+        let request_id = request.headers().get(&self.engine.headers.request_id);
+        let request_id = request_id.cloned();
         let response = match self.answer(request).await {
             Ok(response) => response,
             Err(refusal) => {
-                warn!(event = "request_refused", reason = ?refusal);
-                refused(refusal.status())
+                let request_id = request_id.as_ref().and_then(|id| id.to_str().ok());
+                warn!(event = "request_refused", request_id, reason = ?refusal);
+                refused(refusal.status(), refusal.come_back_ms())
             }
         };
         let elapsed_us = boot_us().saturating_sub(started_us);
@@ -292,7 +354,7 @@
 /// Forms the answer to a request that failed: "not run" only if no leaf may have run it.
 fn failure(gathered: &Gathered) -> HttpResponse {
     if !gathered.may_have_run {
-        return refused(StatusCode::SERVICE_UNAVAILABLE);
+        return refused(StatusCode::SERVICE_UNAVAILABLE, COME_BACK_MS);
     }
     if gathered.timed_out {
         return empty(StatusCode::GATEWAY_TIMEOUT);
@@ -307,10 +369,10 @@
     response
 }
 
-fn refused(status: StatusCode) -> HttpResponse {
+fn refused(status: StatusCode, come_back_ms: Range<u64>) -> HttpResponse {
     let mut response = empty(status);
-    let come_back_ms = rand::rng().random_range(COME_BACK_MS);
-    let seconds = format!("0.{come_back_ms:03}");
+    let come_back_ms = rand::rng().random_range(come_back_ms);
+    let seconds = format!("{}.{:03}", come_back_ms / 1_000, come_back_ms % 1_000);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response
             .headers_mut()
