--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rand::RngExt;
+use thiserror::Error;
 use tracing::{info, warn};
 
 use super::call::CallSpec;
@@ -57,19 +58,23 @@
 
 /// A request that is refused before any leaf gets it.
 #[derive(Clone, Copy, Debug)]
+#[derive(Error)]
 enum Refusal {
+    #[error("no configuration is in force")]
     NoConfiguration,
+    #[error("no route has this host and path")]
     NoRoute,
+    #[error("request has no identity")]
     NoRequestId,
+    #[error("body is larger than the limit")]
     BodyTooLarge,
+    #[error("body did not arrive whole")]
     BodyIncomplete,
-    /// The leaves' queues are too long.
+    /// `pressure` is the usual call time as a multiple of what is bearable.
+    #[error("queues of the leaves are too long: limit {limit:.1}, pressure {pressure:.2}")]
     Overloaded {
-        /// Time that the caller has left.
         left_ms: u64,
-        /// Requests to the shards that this VM runs at a time.
         limit: f64,
-        /// Usual call time, as a multiple of what is bearable.
         pressure: f64,
     },
 }
@@ -235,7 +240,7 @@
             Ok(response) => response,
             Err(refusal) => {
                 let request_id = request_id.as_ref().and_then(|id| id.to_str().ok());
-                warn!(event = "request_refused", request_id, reason = ?refusal);
+                warn!(event = "request_refused", request_id, reason = %refusal);
                 refused(refusal.status(), refusal.come_back_ms())
             }
         };
