Hold a misdirected leaf out of use; share the exporter; cache the carriers

Causes, from the last reading of the code: - A leaf that answered 421 came back into use with the next change of the catalog, and each call to it ended with another 421. It now stays out for 5 s while its record is the same; a new start under its id is used at once. - Meters and Telemetry each set up an exporter: both use telemetry::Exporter. - Each flush of notes, 25 a second, sorted all members for the carriers: it reads the addresses found at the last look (250 ms). - Members::count had no caller.

Ruled out: holding the leaf out for good; a spoilt answer may say 421 too.

Test: a_leaf_whose_address_another_has_stays_out_of_use.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -145,7 +145,7 @@
         }
         state.take_stall(self.leaf, stall);
         if outcome == Err(CallError::OtherLeaf) {
-            state.leaves.retire(self.leaf);
+            state.leaves.misdirected(self.leaf, now_us / 1_000);
         }
         state.leaves.tidy(self.leaf);
     }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -1,6 +1,7 @@
 //! Shared state of the gateway: routes in force, leaves and budgets.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -87,6 +88,7 @@
     /// Counters.
     pub meters: Meters,
     bounds: Mutex<ExtraCallBounds>,
+    carrying: Mutex<Arc<[SocketAddr]>>,
     watching: AtomicBool,
     platform_answers: AtomicBool,
     state: Mutex<State>,
@@ -116,6 +118,7 @@
             headers,
             meters,
             bounds: Mutex::new(bounds),
+            carrying: Mutex::new(Arc::from([])),
             watching: AtomicBool::new(true),
             platform_answers: AtomicBool::new(true),
             state: Mutex::new(state),
@@ -184,6 +187,20 @@
         state.divide_connections();
     }
 
+    /// Takes the internal addresses of the VMs that carry requests.
+    pub fn set_carriers(&self, carriers: &[Member]) {
+        let addresses = carriers.iter().map(|carrier| carrier.address);
+        let addresses: Arc<[SocketAddr]> = addresses.collect();
+        self.set_vms(u32::try_from(addresses.len()).unwrap_or(u32::MAX).max(1));
+        *self.carrying.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+
+    /// Returns the internal addresses of the VMs that carry requests, as of the last look.
+    pub fn carrier_addresses(&self) -> Arc<[SocketAddr]> {
+        let held = self.carrying.lock();
+        Arc::clone(&held.unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Takes the number of VMs among which connections and budgets are divided.
     pub fn set_vms(&self, vms: u32) {
         let state = &mut *self.state();
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -153,7 +153,7 @@
             Arc::clone(&notes_socket),
             Arc::clone(&engine),
         ));
-        let sending = notes::send(notes_socket, Arc::clone(&engine), Arc::clone(&members));
+        let sending = notes::send(notes_socket, Arc::clone(&engine), members.address());
         tokio::spawn(sending);
         tokio::spawn(exchange::serve(internal, Arc::clone(&engine)));
         let spreading = spread::run(Arc::clone(&engine), Arc::clone(&members), asks_peers);
@@ -243,7 +243,7 @@
     loop {
         sleep(Duration::from_millis(TIDY_MS)).await;
         let carriers = engine.carriers(&members.live());
-        engine.set_vms(u32::try_from(carriers.len()).unwrap_or(u32::MAX).max(1));
+        engine.set_carriers(&carriers);
         let changed = {
             let state = &mut *engine.state();
             state.leaves.close_expired(boot_ms());
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -23,6 +23,11 @@
 /// Connections to one leaf while the configuration doesn't name its limit.
 const DEFAULT_MAX_CONNECTIONS: u32 = 16;
 
+/// Time for which a leaf stays out of use after another process answered at its address, unless its
+/// record changes. The platform drops the record of a leaf that is silent for three of its intervals,
+/// some 4 s.
+const MISDIRECTED_HOLD_MS: u64 = 5_000;
+
 /// Share of a leaf's connections that is left to VMs which join or are seen late, as a divisor.
 const SPARE_DIVISOR: u32 = 8;
 
@@ -45,6 +50,8 @@
     pub warm_at_ms: u64,
     /// Whether it is no longer listed; its open calls may end.
     pub retired: bool,
+    /// Time until which another process is taken to have its address.
+    pub misdirected_until_ms: u64,
 }
 
 /// Arena of leaves. Keys are never used again.
@@ -147,6 +154,7 @@
             idle: Vec::new(),
             warm_at_ms: now_ms + record.warmup_left_ms,
             retired: false,
+            misdirected_until_ms: 0,
         };
         self.arena.insert(key, leaf);
         key
@@ -179,8 +187,17 @@
         }
     }
 
-    /// Takes a leaf out of use at once: another process answers at its address.
-    pub fn retire(&mut self, key: LeafKey) {
+    /// Takes a leaf out of use for a while: another process answers at its address.
+    pub fn misdirected(&mut self, key: LeafKey, now_ms: u64) {
+        let Some(leaf) = self.arena.get_mut(&key) else {
+            return;
+        };
+        leaf.misdirected_until_ms = now_ms + MISDIRECTED_HOLD_MS;
+        leaf.close_idle();
+    }
+
+    /// Takes a leaf out of use that is no longer listed.
+    fn retire(&mut self, key: LeafKey) {
         let Some(leaf) = self.arena.get_mut(&key) else {
             return;
         };
@@ -223,7 +240,7 @@
             let Some(leaf) = self.arena.get(key) else {
                 continue;
             };
-            if tried.contains(key) {
+            if tried.contains(key) || now_us / 1_000 < leaf.misdirected_until_ms {
                 continue;
             }
             if leaf.idle.is_empty() && leaf.connections >= limits.per_leaf(service) {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -138,12 +138,6 @@
         members
     }
 
-    /// Returns the number of live VMs, at least 1.
-    pub fn count(&self) -> u32 {
-        let live = self.state().gossip.live_vms().len();
-        u32::try_from(live).unwrap_or(u32::MAX).max(1)
-    }
-
     /// Returns the internal address of this VM.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/src/gateway/meters.rs
+++ b/src/gateway/meters.rs
@@ -1,19 +1,16 @@
 //! Counters and latency histograms of the gateway.
 
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Histogram};
 
 use super::connection::CallError;
-use crate::telemetry::TelemetryError;
+use crate::telemetry::{Exporter, TelemetryError};
 
 /// Counters of one process.
 #[derive(Debug)]
 pub struct Meters {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     answers: Counter<u64>,
     answer_us: Histogram<u64>,
     calls: Counter<u64>,
@@ -29,13 +26,8 @@
     ///
     /// Fails if the exporter can't be built.
     pub fn open() -> Result<Self, Report<TelemetryError>> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .change_context(TelemetryError::Exporter)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("cloverrack_gateway");
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter("cloverrack_gateway");
         Ok(Self {
             answers: meter.u64_counter("cloverrack_gateway_answers").build(),
             answer_us: meter.u64_histogram("cloverrack_gateway_answer_us").build(),
@@ -45,8 +37,7 @@
             platform_calls: meter
                 .u64_counter("cloverrack_gateway_platform_calls")
                 .build(),
-            registry,
-            _provider: provider,
+            exporter,
         })
     }
 
@@ -86,10 +77,6 @@
     ///
     /// Fails if a counter can't be encoded.
     pub fn text(&self) -> Result<Vec<u8>, Report<TelemetryError>> {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .change_context(TelemetryError::Encode)?;
-        Ok(text)
+        self.exporter.text()
     }
 }
--- a/src/gateway/notes.rs
+++ b/src/gateway/notes.rs
@@ -14,7 +14,6 @@
 use tracing::{debug, warn};
 
 use super::engine::Engine;
-use super::members::Members;
 use super::rhythm::Stall;
 use crate::clock::boot_us;
 use crate::wire::{decode, encode};
@@ -104,8 +103,8 @@
     }
 }
 
-/// Sends this VM's notes to the other carriers until the task is dropped.
-pub async fn send(socket: Arc<UdpSocket>, engine: Arc<Engine>, members: Arc<Members>) {
+/// Sends the notes of the VM with internal address `own` to the other carriers until the task is dropped.
+pub async fn send(socket: Arc<UdpSocket>, engine: Arc<Engine>, own: SocketAddr) {
     let port = socket.local_addr().map_or(0, |address| address.port());
     loop {
         sleep(Duration::from_millis(FLUSH_MS)).await;
@@ -113,7 +112,7 @@
         if notes.is_empty() {
             continue;
         }
-        let carriers = engine.carriers(&members.live());
+        let carriers = engine.carrier_addresses();
         for part in notes.chunks(MAX_NOTES) {
             let bytes = match encode(&part.to_vec()) {
                 Ok(bytes) => bytes,
@@ -122,11 +121,8 @@
                     continue;
                 }
             };
-            for carrier in &carriers {
-                if carrier.address == members.address() {
-                    continue;
-                }
-                let to = SocketAddr::new(carrier.address.ip(), port);
+            for carrier in carriers.iter().filter(|carrier| **carrier != own) {
+                let to = SocketAddr::new(carrier.ip(), port);
                 if let Err(error) = socket.send_to(&bytes, to).await {
                     debug!(event = "notes_not_sent", %to, %error);
                 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -4,7 +4,7 @@
 
 use error_stack::{Report, ResultExt};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use rustix::time::{ClockId, clock_gettime};
@@ -81,12 +81,53 @@
         .change_context(TelemetryError::Installed)
 }
 
+/// Exporter of meters in Prometheus text.
+#[derive(Debug)]
+pub struct Exporter {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Exporter {
+    /// Opens an exporter without meters.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be built.
+    pub fn open() -> Result<Self, Report<TelemetryError>> {
+        let registry = Registry::new();
+        let reader = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .change_context(TelemetryError::Exporter)?;
+        let provider = SdkMeterProvider::builder().with_reader(reader).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Returns a meter, whose counters are exported as long as the exporter lives.
+    pub fn meter(&self, name: &'static str) -> Meter {
+        self.provider.meter(name)
+    }
+
+    /// Returns all metrics as Prometheus text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric can't be encoded.
+    pub fn text(&self) -> Result<Vec<u8>, Report<TelemetryError>> {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .change_context(TelemetryError::Encode)?;
+        Ok(text)
+    }
+}
+
 /// Counters and histograms of one process.
 #[derive(Debug)]
 pub struct Telemetry {
-    registry: Registry,
+    exporter: Exporter,
     reports: Mutex<Reports>,
-    _provider: SdkMeterProvider,
     answers: Counter<u64>,
     answer_ms: Histogram<u64>,
     lacking_shards: Counter<u64>,
@@ -131,13 +172,8 @@
     ///
     /// Fails if the exporter can't be built.
     pub fn open() -> Result<Self, Report<TelemetryError>> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .change_context(TelemetryError::Exporter)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("cloverrack");
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter("cloverrack");
         Ok(Self {
             answers: meter.u64_counter("cloverrack_answers").build(),
             answer_ms: meter.u64_histogram("cloverrack_answer_ms").build(),
@@ -148,9 +184,8 @@
             platform_bytes: meter.u64_counter("cloverrack_platform_bytes").build(),
             control_bytes: meter.u64_counter("cloverrack_control_bytes").build(),
             control_cpu_us: meter.u64_counter("cloverrack_control_cpu_us").build(),
-            registry,
+            exporter,
             reports: Mutex::default(),
-            _provider: provider,
         })
     }
 
@@ -227,10 +262,6 @@
     ///
     /// Fails if a metric can't be encoded.
     pub fn text(&self) -> Result<Vec<u8>, Report<TelemetryError>> {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .change_context(TelemetryError::Encode)?;
-        Ok(text)
+        self.exporter.text()
     }
 }
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -4,9 +4,9 @@
 
 use cloverrack::ServiceKey;
 use cloverrack::gateway::{
-    CallTimes, CallerLimits, Catalog, CatalogImage, Change, Changes, Destination, Interval,
-    LeafRecord, Pace, Rhythm, RouteDocument, RouteSpec, RouteTable, Schedule, ServiceNames, Stall,
-    Step, Tally, Update, pick_weighted,
+    CallTimes, CallerLimits, Catalog, CatalogImage, Change, Changes, ConnectionLimits, Destination,
+    Interval, LeafRecord, Leaves, NoLeaf, Pace, Rhythm, RouteDocument, RouteSpec, RouteTable,
+    Schedule, ServiceNames, Stall, Step, Tally, Update, pick_weighted,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -324,3 +324,28 @@
     }
     assert_eq!(interval.believed_us(), None);
 }
+
+/// Guards against calls to a leaf whose address another process has, after each change of the
+/// catalog, and against a leaf that started anew and stays out of use.
+#[test]
+fn a_leaf_whose_address_another_has_stays_out_of_use() {
+    let mut names = ServiceNames::default();
+    let mut leaves = Leaves::new("a".into());
+    let held = record("i-1");
+    leaves.update([&held].into_iter(), &mut names, 0);
+    let service = names.intern("sheets");
+    let limits = ConnectionLimits::default();
+    let choose =
+        |leaves: &Leaves, now_ms: u64| leaves.choose(service, &[], &limits, now_ms * 1_000);
+    let key = choose(&leaves, 50).unwrap();
+    leaves.misdirected(key, 100);
+    assert_eq!(choose(&leaves, 150), Err(NoLeaf::None));
+    leaves.update([&held].into_iter(), &mut names, 200);
+    assert_eq!(choose(&leaves, 200), Err(NoLeaf::None), "the same record");
+    assert_eq!(choose(&leaves, 5_100), Ok(key), "one answer may be false");
+    leaves.misdirected(key, 6_000);
+    let mut reborn = held;
+    reborn.started_unix_ms += 1;
+    leaves.update([&reborn].into_iter(), &mut names, 6_100);
+    assert!(choose(&leaves, 6_100).is_ok(), "another process");
+}
