Split the place of a request, one shard and the leaf stand-in's options

Change: src/gateway/place.rs (taking in a request, giving its place back), src/gateway/shard.rs, standins/src/leaf_options.rs; the plan is shared.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -16,7 +16,7 @@
 use super::members::Member;
 use super::meters::Meters;
 use super::notes::{Note, Pending};
-use super::overload::{Ended, Overload};
+use super::overload::Overload;
 use super::policy::CallTimes;
 use super::rhythm::Stall;
 use super::routes::{RouteTable, ServiceNames};
@@ -74,7 +74,8 @@
     pub limits: ConnectionLimits,
     /// VMs among which connections and budgets are divided.
     pub vms: u32,
-    overload: Overload,
+    /// Limits on gathering requests.
+    pub overload: Overload,
     pending: Pending,
     budgets: HashMap<ServiceKey, Budget>,
     call_times: HashMap<Box<str>, CallTimes>,
@@ -228,23 +229,6 @@
         (slack / u64::from(vms.max(1))).max(1)
     }
 
-    /// Takes in a request to a set of shards, named by the first, or refuses it.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the limit and the pressure if the leaves' queues are too long.
-    pub fn admit(self: &Arc<Self>, shards: &[ServiceKey], rank: u32) -> Result<Place, (f64, f64)> {
-        let group = shards.first().copied().unwrap_or(ServiceKey::new(0));
-        let overload = &mut self.state().overload;
-        if !overload.admit(group, rank) {
-            return Err(overload.limit(group));
-        }
-        Ok(Place {
-            engine: Arc::clone(self),
-            group,
-        })
-    }
-
     /// Earns extra calls for one request to a service.
     pub fn earn_extra(&self, service: ServiceKey) {
         let state = &mut *self.state();
@@ -338,34 +322,6 @@
     }
 }
 
-/// Place of a request among those that run at a time; dropping it gives it back.
-#[derive(Debug)]
-pub struct Place {
-    engine: Arc<Engine>,
-    group: ServiceKey,
-}
-
-impl Place {
-    /// Ends the request: its usual call time adjusts the limit.
-    pub fn finish(self, route: &str, target_us: u64, shards: &[ServiceKey], usual_call_us: u64) {
-        let state = &mut *self.engine.state();
-        let ended = Ended {
-            route,
-            target_us,
-            usual_call_us,
-            least_limit: state.least_limit(shards),
-            now_ms: boot_ms(),
-        };
-        state.overload.learn(self.group, ended);
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.engine.state().overload.release(self.group);
-    }
-}
-
 /// Takes the connection that has waited longest: late bytes of an earlier answer show on it.
 fn take_idle(leaf: &mut Leaf, now_ms: u64) -> Option<Connection> {
     leaf.close_expired(now_ms);
@@ -389,7 +345,7 @@
     /// Returns the requests that this VM's share of the slots of the smallest shard serves at a time.
     ///
     /// The shards of a request do not end together, so that many requests leave some slots idle.
-    fn least_limit(&self, shards: &[ServiceKey]) -> u32 {
+    pub(super) fn least_limit(&self, shards: &[ServiceKey]) -> u32 {
         let slots = |shard: &ServiceKey| {
             let leaves = self.leaves.of_service(*shard).iter();
             let leaves = leaves.filter_map(|key| self.leaves.get(*key));
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -14,6 +14,7 @@
 use super::engine::Engine;
 use super::leaves::NoLeaf;
 use super::policy::{Schedule, Step, Tally};
+use super::shard::Shard;
 use crate::clock::boot_us;
 use crate::ids::{LeafKey, ServiceKey};
 
@@ -66,66 +67,13 @@
     pub usual_call_us: Option<u64>,
 }
 
-#[derive(Debug)]
-struct Shard {
-    service: ServiceKey,
-    tried: Vec<LeafKey>,
-    /// Leaves that the request was sent to; failed connections don't count.
-    sent: usize,
-    open_calls: usize,
-    last_sent_us: u64,
-    /// A call is wanted as soon as there is a leaf, a connection and, for a repeat, a budget.
-    wanting: bool,
-    reply: Option<Reply>,
-    /// Time that the call with the reply took.
-    latency_us: u64,
-    /// A leaf's own failure, which is the answer if no other leaf gives a better one.
-    fallback: Option<Reply>,
-    failed: bool,
-    hedged: bool,
-}
-
-impl Shard {
-    fn new(service: ServiceKey) -> Self {
-        Self {
-            service,
-            tried: Vec::new(),
-            sent: 0,
-            open_calls: 0,
-            last_sent_us: 0,
-            wanting: true,
-            reply: None,
-            latency_us: 0,
-            fallback: None,
-            failed: false,
-            hedged: false,
-        }
-    }
-
-    /// Returns whether a call is under way that was sent no longer ago than calls usually take.
-    fn is_on_time(&self, elapsed_us: u64, hedge_us: u64) -> bool {
-        let age_us = elapsed_us.saturating_sub(self.last_sent_us);
-        self.open_calls > 0 && age_us < hedge_us
-    }
-
-    /// Ends the shard with what it has: a leaf's own failure, or nothing.
-    fn settle(&mut self) {
-        self.reply = self.fallback.take();
-        self.failed = self.reply.is_none();
-    }
-
-    fn is_open(&self) -> bool {
-        self.reply.is_none() && !self.failed
-    }
-}
-
 type CallEnd = (usize, LeafKey, u64, Result<Reply, CallError>);
 type CallFuture = Pin<Box<dyn Future<Output = CallEnd> + Send>>;
 
 /// A request under way.
 pub struct Fanout {
     engine: Arc<Engine>,
-    plan: Plan,
+    plan: Arc<Plan>,
     spec: Arc<CallSpec>,
     shards: Vec<Shard>,
     calls: FuturesUnordered<CallFuture>,
@@ -137,7 +85,7 @@
 
 impl Fanout {
     /// Prepares a request that arrived at `started_us`.
-    pub fn new(engine: Arc<Engine>, plan: Plan, spec: CallSpec, started_us: u64) -> Self {
+    pub fn new(engine: Arc<Engine>, plan: Arc<Plan>, spec: CallSpec, started_us: u64) -> Self {
         let shards = plan.services.iter().copied().map(Shard::new).collect();
         Self {
             engine,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,10 +20,12 @@
 pub mod notes;
 pub mod overload;
 pub mod pace;
+pub mod place;
 pub mod policy;
 pub mod rhythm;
 pub mod routes;
 pub mod service;
+mod shard;
 pub mod spread;
 
 pub use call::{CallSpec, OpenCall};
@@ -41,6 +43,7 @@
 pub use notes::{Note, Pending};
 pub use overload::{Ended, Overload};
 pub use pace::Pace;
+pub use place::Place;
 pub use policy::{CallTimes, Schedule, Step, Tally};
 pub use rhythm::{Interval, Rhythm, Stall};
 pub use routes::{
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -6,6 +6,9 @@
 //! come in time, and the others know at once when to come back. The usual (median) leaf call of a
 //! request is the signal: pauses, slow leaves and lost answers hit a part of the shards and hardly
 //! move it, while queues move all.
+//!
+//! Callers that come back are not preferred: in a lasting overload they would take all places, and
+//! each caller would be refused once.
 
 use std::collections::HashMap;
 
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -14,9 +14,10 @@
 
 use super::call::CallSpec;
 use super::connection::Reply;
-use super::engine::{Engine, Place};
+use super::engine::Engine;
 use super::fanout::{Fanout, Gathered, Plan};
 use super::merge::merge_records;
+use super::place::Place;
 use super::policy::Schedule;
 use super::routes::{Route, RouteTable, Target, pick_weighted};
 use crate::clock::boot_us;
@@ -126,11 +127,16 @@
         } else {
             None
         };
-        let (target_us, shards) = (plan.target_us, plan.services.clone());
-        let fanout = Fanout::new(Arc::clone(&self.engine), plan, spec, started_us);
+        let plan = Arc::new(plan);
+        let fanout = Fanout::new(
+            Arc::clone(&self.engine),
+            Arc::clone(&plan),
+            spec,
+            started_us,
+        );
         let gathered = fanout.run().await;
         if let (Some(place), Some(usual_call_us)) = (place, gathered.usual_call_us) {
-            place.finish(&route.spec.name, target_us, &shards, usual_call_us);
+            place.finish(&plan, usual_call_us);
         }
         let outcome = Outcome {
             request_id: &request_id,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,9 +3,11 @@
 //! Each stand-in runs inside a test process or as a process of its own.
 
 pub mod leaf;
+pub mod leaf_options;
 pub mod load;
 pub mod platform;
 pub mod server;
 
-pub use leaf::{Execution, LeafOptions, LeafStandin, Misbehaviour};
+pub use leaf::LeafStandin;
+pub use leaf_options::{Execution, LeafCounts, LeafOptions, Misbehaviour};
 pub use platform::{Backup, PlatformStandin};
--- a/tests/gateway_serving.rs
+++ b/tests/gateway_serving.rs
@@ -277,3 +277,42 @@
         assert_eq!(idle(), before, "a refusal keeps its connection");
     }
 }
+
+/// Guards against callers that wait behind queues which are too long already, and against a refusal
+/// that does not say when to come back or that a leaf runs all the same.
+#[tokio::test]
+async fn callers_are_refused_at_once_while_queues_are_too_long() {
+    let served = Served::spawn().await;
+    let one = Leaf::spawn("one", 1, Conduct::Answer).await;
+    served.publish(1, vec![gather("/g/", &["s1"], 1_000_000)], &[("s1", &one)]);
+    for _ in 0..10 {
+        assert_eq!(served.ask("/g/x").await.status, StatusCode::OK);
+    }
+    // As if each call waited behind others: twice the third of the target that is bearable.
+    one.set(Conduct::Slow(200));
+    for _ in 0..4 {
+        let asked = (0..8).map(|_| served.ask("/g/x"));
+        futures_util::future::join_all(asked).await;
+    }
+    let before = one.ran();
+    let asked = (0..20).map(|_| async {
+        let started = Instant::now();
+        (served.ask("/g/x").await, started.elapsed())
+    });
+    let replies = futures_util::future::join_all(asked).await;
+    let refused: Vec<_> = replies
+        .iter()
+        .filter(|(reply, _)| reply.status == StatusCode::SERVICE_UNAVAILABLE)
+        .collect();
+    assert!(refused.len() >= 5, "{} of 20 refused", refused.len());
+    assert_eq!(one.ran() - before, 20 - refused.len(), "a refused one ran");
+    for (reply, elapsed) in refused {
+        assert!(*elapsed < Duration::from_millis(200), "{elapsed:?}");
+        let seconds: f64 = reply.headers["retry-after"]
+            .to_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        assert!((0.2..=0.7).contains(&seconds), "{seconds} of 2 s");
+    }
+}
