--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,7 @@
 //! Service that drives configuration and membership: sockets, timers and shared views.
 
 mod driver;
+mod exchange;
 mod freshness;
 mod reader;
 mod views;
@@ -21,7 +22,7 @@
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::document::{Content, DocumentStore, HistoryEntry, VM_LIST, Verdict, Version};
-use crate::fact::{Fact, FactKey, LeafState};
+use crate::fact::{Fact, LeafState};
 use crate::fleet::Fleet;
 use crate::gossip::{Gossip, Timing};
 use crate::ids::{Incarnation, Snapshot};
@@ -30,9 +31,7 @@
 use crate::platform::Platform;
 use crate::quarantine::Quarantine;
 use crate::settings::Settings;
-use crate::sync::encoded_bytes;
 use crate::telemetry::{CpuTime, Telemetry};
-use crate::wire::{DocumentBody, DocumentRequest, MAX_FRAME_BYTES};
 
 pub use freshness::Freshness;
 pub(crate) use reader::WatchPosition;
@@ -393,60 +392,6 @@
         self.state().next_compile_ms = now_ms + pause_ms;
         self.changed.send_modify(|count| *count += 1);
     }
-
-    /// Returns deflated bodies of the documents asked for.
-    pub fn document_bodies(&self, request: &DocumentRequest) -> Vec<DocumentBody> {
-        let store = self.state().store.clone();
-        let mut bodies: Vec<DocumentBody> = Vec::new();
-        let mut total_bytes = 0;
-        for (name, document) in store.iter() {
-            if !request.names.is_empty() && !request.names.iter().any(|wanted| &**wanted == name) {
-                continue;
-            }
-            bodies.push(DocumentBody {
-                name: name.into(),
-                revision: document.version.revision,
-                deflated: crate::sync::deflate(&document.body),
-            });
-            total_bytes += bodies.last().map_or(0, |body| body.deflated.len());
-            // The peer asks again for what it lacks, so one frame need not hold all.
-            if total_bytes > MAX_FRAME_BYTES / 2 {
-                break;
-            }
-        }
-        self.telemetry
-            .count_control_bytes("link", "sent", encoded_bytes(&bodies));
-        bodies
-    }
-
-    /// Returns the documents that a peer announced and this node lacks, with the peer.
-    pub(crate) fn missing_documents(&self) -> Vec<(Box<str>, Option<SocketAddr>)> {
-        let state = self.state();
-        let mut missing = Vec::new();
-        for entry in state.gossip.documents() {
-            let Fact::Document { name, version } = &entry.fact else {
-                continue;
-            };
-            let held = state.store.get(name).map(|document| document.version);
-            if held.is_none_or(|held| held < *version) && !state.store.is_rejected(name, *version) {
-                missing.push((name.clone(), entry.source));
-            }
-        }
-        missing
-    }
-
-    /// Returns the version of a document that gossip last announced.
-    pub fn announced(&self, name: &str) -> Option<Version> {
-        match &self
-            .state()
-            .gossip
-            .fact(&FactKey::Document(name.into()))?
-            .fact
-        {
-            Fact::Document { version, .. } => Some(*version),
-            _ => None,
-        }
-    }
 }
 
 fn spawn_until(
--- /dev/null
+++ b/src/query/ending.rs
@@ -0,0 +1,82 @@
+//! End of a run: calls that are no longer needed, and what was found of each shard.
+
+use super::Run;
+use crate::answer::{Lack, Reason, ShardResult};
+use crate::clock::boot_us;
+use crate::ids::CallId;
+use crate::measurements::Ended;
+use crate::work::RunResult;
+
+impl Run<'_> {
+    /// Cancels the losers of a shard that has its answer.
+    pub(super) fn cancel_shard(&mut self, shard: u32) {
+        let mut losers = Vec::new();
+        for (id, call) in &self.calls {
+            if call.shard == shard {
+                losers.push(*id);
+            }
+        }
+        for id in losers {
+            self.cancel(id);
+        }
+    }
+
+    /// Cancels all calls under way; what they did is uncertain.
+    pub(super) fn cancel_open(&mut self) {
+        let open: Vec<CallId> = self.calls.keys().copied().collect();
+        for id in open {
+            let shard = self.calls.get(&id).map(|call| call.shard);
+            if let Some(shard) = shard {
+                let state = &mut self.shards[shard as usize];
+                if state.body.is_none() {
+                    state.lack = Some(Reason::Timeout);
+                    self.uncertain = true;
+                }
+            }
+            self.cancel(id);
+        }
+    }
+
+    fn cancel(&mut self, id: CallId) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        self.batches[call.batch].cancel(id);
+        // A hedge that is cancelled soon after it was sent says nothing about its leaf.
+        let late = boot_us().saturating_sub(call.sent_us) >= self.hedge_delay_us;
+        let end = if late { Ended::Overtaken } else { Ended::Other };
+        self.measure(&call, end);
+        self.shards[call.shard as usize].open -= 1;
+    }
+
+    /// Returns what the run found of each shard.
+    pub(super) fn finish(mut self) -> RunResult {
+        let needed = self.shards.len() as u64;
+        self.root
+            .count_calls(&self.service().name, needed, self.calls_made);
+        crate::faults::step("request.merged");
+        let mut result = RunResult {
+            uncertain: self.uncertain,
+            vanished: self.vanished,
+            ..RunResult::default()
+        };
+        for (index, shard) in self.shards.iter_mut().enumerate() {
+            let number = index as u32;
+            match shard.body.take() {
+                Some(body) => result.results.push(ShardResult {
+                    shard: number,
+                    body,
+                }),
+                None if crate::faults::is_off("check.coverage") => {}
+                None => {
+                    let reason = shard.lack.unwrap_or(Reason::Unreachable);
+                    result.lacking.push(Lack {
+                        shard: number,
+                        reason,
+                    });
+                }
+            }
+        }
+        result
+    }
+}
