--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -39,7 +39,7 @@
 const IN_USE_SHARE: f64 = 0.8;
 
 /// Share of the limit that routes may use for each step in which they are less urgent than others.
-const LESS_URGENT_SHARE: f64 = 0.8;
+const LESS_URGENT_SHARE: f64 = 0.9;
 
 /// Usual call time of one route.
 #[derive(Clone, Copy, Debug)]
