Know a pause that two VMs saw at once, and prefer the longer interval

Single calls with five times the work, some two for each leaf in an interval, look like pauses; a phase needed two stalls that agree, so each leaf's second pause. Parts of the interval won by votes of chance.

Change: ends of stalls that VMs saw within 60 ms confirm each other. Two confirmed pauses have four votes for their distance; a phase counts each VM that saw a stall, so one confirmed pause is enough; unconfirmed ends are dropped first. Of intervals with 70 % of the most votes the longest is believed, and another interval has the phases of all leaves looked for anew.

Test: pauses_that_several_vms_saw_are_known_after_one_interval (fails before: 2.25 s is believed).

--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -172,18 +172,23 @@
         let Some(key) = self.by_address.get(&note.leaf).copied() else {
             return;
         };
-        let Some(leaf) = self.arena.get_mut(&key) else {
-            return;
-        };
         if let Some(stall) = note.stall(now_us) {
-            leaf.rhythm.observe(stall, &mut self.interval);
+            self.observe_stall(key, stall);
         }
     }
 
     /// Takes a stall of a leaf that has ended.
     pub fn observe_stall(&mut self, key: LeafKey, stall: Stall) {
-        if let Some(leaf) = self.arena.get_mut(&key) {
-            leaf.rhythm.observe(stall, &mut self.interval);
+        let Some(leaf) = self.arena.get_mut(&key) else {
+            return;
+        };
+        let before_us = self.interval.believed_us();
+        leaf.rhythm.observe(stall, &mut self.interval);
+        if !self.interval.has_changed(before_us) {
+            return;
+        }
+        for leaf in self.arena.values_mut() {
+            leaf.rhythm.find_phase(&self.interval);
         }
     }
 
@@ -217,6 +222,11 @@
         }
     }
 
+    /// Returns what is known of the interval between pauses.
+    pub fn interval(&self) -> &Interval {
+        &self.interval
+    }
+
     /// Returns the leaves of a service that take work.
     pub fn of_service(&self, service: ServiceKey) -> &[LeafKey] {
         self.by_service.get(&service).map_or(&[], Vec::as_slice)
--- a/src/gateway/rhythm.rs
+++ b/src/gateway/rhythm.rs
@@ -21,6 +21,20 @@
 /// Distance within which two stalls of one leaf are the same pause, seen by two VMs.
 const SAME_PAUSE_US: u64 = 150_000;
 
+/// Distance within which the ends that two VMs saw confirm each other: a pause ends for all calls at
+/// once, but for the queue behind it. A single call with much work is seen by one VM only.
+const CONFIRM_US: u64 = 60_000;
+
+/// Votes of two confirmed pauses of a leaf for their distance; any other two stalls have one.
+const CONFIRMED_VOTES: f64 = 4.0;
+
+/// Share of the most votes with which a longer interval is still preferred: parts of the true interval
+/// get all of its votes, and others by chance.
+const LONGER_SHARE: f64 = 0.7;
+
+/// Change of the interval from which the phases of all leaves are looked for anew, as a divisor.
+const CHANGE_DIVISOR: u64 = 100;
+
 /// Candidates for the interval that are kept.
 const MAX_CANDIDATES: usize = 48;
 
@@ -36,8 +50,8 @@
 /// Stalls of one leaf that are kept.
 const MAX_ENDS: usize = 6;
 
-/// Stalls of one leaf that have to agree, if it has as many.
-const MIN_AGREEING: usize = 2;
+/// Sights of stalls of one leaf that have to agree, if it has as many.
+const MIN_AGREEING: u32 = 2;
 
 /// Durations that are kept.
 const MAX_DURATIONS: usize = 64;
@@ -98,10 +112,23 @@
     duration_us: u64,
 }
 
+/// End of a stall, and how many VMs saw it.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    end_us: u64,
+    witnesses: u32,
+}
+
+impl End {
+    fn is_confirmed(&self) -> bool {
+        self.witnesses > 1
+    }
+}
+
 /// Phase of one leaf's pauses.
 #[derive(Clone, Debug, Default)]
 pub struct Rhythm {
-    ends_us: VecDeque<u64>,
+    ends: VecDeque<End>,
     anchor_us: Option<u64>,
 }
 
@@ -117,14 +144,14 @@
     }
 
     #[expect(clippy::cast_precision_loss)]
-    fn add_sample(&mut self, sample_us: u64) {
+    fn add_sample(&mut self, sample_us: u64, votes: f64) {
         if !INTERVAL_US.contains(&sample_us) {
             return;
         }
         let mut agreed = false;
         for candidate in &mut self.candidates {
             candidate.votes *= VOTE_DECAY;
-            candidate.samples = candidate.samples * VOTE_DECAY + 1.0;
+            candidate.samples = candidate.samples * VOTE_DECAY + votes;
             let mean_us = candidate.mean_us();
             let intervals = (sample_us + mean_us / 2) / mean_us;
             if intervals == 0 || sample_us.abs_diff(intervals * mean_us) > MATCH_US {
@@ -132,11 +159,11 @@
             }
             candidate.total_us += sample_us as f64;
             candidate.intervals += intervals as f64;
-            candidate.votes += 1.0;
+            candidate.votes += votes;
             agreed |= intervals == 1;
         }
         if !agreed {
-            self.add_candidate(sample_us);
+            self.add_candidate(sample_us, votes);
         }
         let Some(best_us) = self.best_us() else {
             return;
@@ -149,7 +176,7 @@
     }
 
     #[expect(clippy::cast_precision_loss)]
-    fn add_candidate(&mut self, sample_us: u64) {
+    fn add_candidate(&mut self, sample_us: u64, votes: f64) {
         if self.candidates.len() >= MAX_CANDIDATES {
             let weakest = self.candidates.iter().enumerate();
             let weakest = weakest.min_by(|(_, a), (_, b)| a.votes.total_cmp(&b.votes));
@@ -160,23 +187,31 @@
         self.candidates.push(Candidate {
             total_us: sample_us as f64,
             intervals: 1.0,
-            votes: 1.0,
-            samples: 1.0,
+            votes,
+            samples: votes,
         });
     }
 
-    /// Returns the interval that explains the most samples.
+    /// Returns the longest interval that explains about the most samples.
     fn best_us(&self) -> Option<u64> {
-        let mut best: Option<(f64, u64)> = None;
-        for candidate in &self.candidates {
-            let Some(votes) = candidate.excess_votes() else {
-                continue;
-            };
-            if best.is_none_or(|(most, _)| votes > most) {
-                best = Some((votes, candidate.mean_us()));
-            }
+        let voted = self.candidates.iter().filter_map(|candidate| {
+            let votes = candidate.excess_votes()?;
+            Some((votes, candidate.mean_us()))
+        });
+        let most = voted
+            .clone()
+            .map(|(votes, _)| votes)
+            .max_by(f64::total_cmp)?;
+        let close = voted.filter(|(votes, _)| *votes >= most * LONGER_SHARE);
+        close.map(|(_, mean_us)| mean_us).max()
+    }
+
+    /// Returns whether another interval is believed than `before`.
+    pub fn has_changed(&self, before_us: Option<u64>) -> bool {
+        match (before_us, self.believed_us) {
+            (Some(before_us), Some(now_us)) => before_us.abs_diff(now_us) > now_us / CHANGE_DIVISOR,
+            (before_us, now_us) => before_us != now_us,
         }
-        best.map(|(_, mean_us)| mean_us)
     }
 
     fn add_duration(&mut self, duration_us: u64) {
@@ -198,43 +233,79 @@
         if duration_us < MIN_STALL_US {
             return;
         }
-        if let Some(latest_us) = self.ends_us.back_mut()
-            && latest_us.abs_diff(stall.end_us) < SAME_PAUSE_US
+        self.add_end(stall, interval);
+        let Some(interval_us) = interval.believed_us() else {
+            return;
+        };
+        self.find_phase(interval);
+        let anchor_us = self.anchor_us.unwrap_or(0);
+        if offset_us(stall.end_us, anchor_us, interval_us) <= MATCH_US {
+            interval.add_duration(duration_us);
+        }
+    }
+
+    fn add_end(&mut self, stall: Stall, interval: &mut Interval) {
+        if let Some(latest) = self.ends.back_mut()
+            && latest.end_us.abs_diff(stall.end_us) < SAME_PAUSE_US
         {
             // Another VM saw the end of the same pause: the earliest is the truest.
-            *latest_us = stall.end_us.min(*latest_us);
+            let was_confirmed = latest.is_confirmed();
+            if latest.end_us.abs_diff(stall.end_us) <= CONFIRM_US {
+                latest.witnesses += 1;
+            }
+            latest.end_us = stall.end_us.min(latest.end_us);
+            if latest.is_confirmed() && !was_confirmed {
+                self.vote(interval, CONFIRMED_VOTES - 1.0, End::is_confirmed);
+            }
             return;
         }
-        for end_us in &self.ends_us {
-            interval.add_sample(stall.end_us.saturating_sub(*end_us));
-        }
-        self.ends_us.push_back(stall.end_us);
-        if self.ends_us.len() > MAX_ENDS {
-            self.ends_us.pop_front();
+        let end = End {
+            end_us: stall.end_us,
+            witnesses: 1,
+        };
+        self.ends.push_back(end);
+        self.vote(interval, 1.0, |_| true);
+        if self.ends.len() > MAX_ENDS {
+            let doubtful = self.ends.iter().position(|end| !end.is_confirmed());
+            let last = self.ends.len() - 1;
+            self.ends
+                .remove(doubtful.filter(|at| *at < last).unwrap_or(0));
         }
-        let Some(interval_us) = interval.believed_us() else {
+    }
+
+    /// Votes for the distances of the latest end from those before it that `counts`.
+    fn vote(&self, interval: &mut Interval, votes: f64, counts: impl Fn(&End) -> bool) {
+        let mut ends = self.ends.iter().rev();
+        let Some(latest) = ends.next() else {
             return;
         };
-        self.anchor_us = self.find_anchor(interval_us);
-        let anchor_us = self.anchor_us.unwrap_or(0);
-        if offset_us(stall.end_us, anchor_us, interval_us) <= MATCH_US {
-            interval.add_duration(duration_us);
+        for end in ends.filter(|end| counts(end)) {
+            interval.add_sample(latest.end_us.saturating_sub(end.end_us), votes);
+        }
+    }
+
+    /// Looks for the phase anew, if an interval is believed.
+    pub fn find_phase(&mut self, interval: &Interval) {
+        if let Some(interval_us) = interval.believed_us() {
+            self.anchor_us = self.find_anchor(interval_us);
         }
     }
 
-    /// Returns the latest end of the phase on which most stalls of the leaf agree; the only stall of a
-    /// leaf is enough, since a wrong phase only moves a few calls to other replicas.
+    /// Returns the latest end of the phase on which most stalls of the leaf agree, each counted once for
+    /// each VM that saw it; a single stall is enough if there is no other, since a wrong phase only
+    /// moves a few calls to other replicas.
     fn find_anchor(&self, interval_us: u64) -> Option<u64> {
-        let mut best: Option<(usize, u64)> = None;
-        for first_us in &self.ends_us {
-            let agrees = |end: &&u64| offset_us(**end, *first_us, interval_us) <= MATCH_US;
-            let agreeing: Vec<u64> = self.ends_us.iter().filter(agrees).copied().collect();
-            let latest_us = agreeing.last().copied().unwrap_or(*first_us);
+        let all: u32 = self.ends.iter().map(|end| end.witnesses).sum();
+        let mut best: Option<(u32, u64)> = None;
+        for first in &self.ends {
+            let agrees = |end: &&End| offset_us(end.end_us, first.end_us, interval_us) <= MATCH_US;
+            let agreeing: Vec<End> = self.ends.iter().filter(agrees).copied().collect();
+            let weight: u32 = agreeing.iter().map(|end| end.witnesses).sum();
+            let latest_us = agreeing.last().map_or(first.end_us, |end| end.end_us);
             // The earliest phase is the truest: an end is late by the rest of a call's work.
-            let late_us = offset_us(latest_us, *first_us, interval_us);
-            let candidate = (agreeing.len(), latest_us - late_us);
-            let enough = agreeing.len().min(MIN_AGREEING) == self.ends_us.len().min(MIN_AGREEING);
-            if enough && best.is_none_or(|best| candidate > best) {
+            let late_us = offset_us(latest_us, first.end_us, interval_us);
+            let candidate = (weight, latest_us - late_us);
+            if weight >= all.min(MIN_AGREEING) && best.is_none_or(|best| candidate > best) {
                 best = Some(candidate);
             }
         }
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -307,6 +307,72 @@
     }
 }
 
+/// Guards against a part of the interval that is believed first, and against phases that are known
+/// only after the second pause of each leaf, while single calls with much work look like pauses.
+#[test]
+fn pauses_that_several_vms_saw_are_known_after_one_interval() {
+    const LEAVES: usize = 108;
+    const LEARNED_US: u64 = 6_500_000;
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut stalls: Vec<(u64, usize, Stall)> = Vec::new();
+    for leaf in 0..LEAVES {
+        let mut end_us = phase_us(leaf) % PAUSE_EVERY_US + 200_000;
+        while end_us < LEARNED_US {
+            for _ in 0..rng.random_range(2..5) {
+                let seen_us = end_us + rng.random_range(0..30_000);
+                let start_us = end_us - rng.random_range(75_000..PAUSE_US);
+                stalls.push((
+                    seen_us,
+                    leaf,
+                    Stall {
+                        start_us,
+                        end_us: seen_us,
+                    },
+                ));
+            }
+            end_us += PAUSE_EVERY_US;
+        }
+        // One call in a hundred takes five times as long: some two in an interval.
+        for _ in 0..3 {
+            let end_us = rng.random_range(200_000..LEARNED_US);
+            let start_us = end_us - 90_000;
+            stalls.push((end_us, leaf, Stall { start_us, end_us }));
+        }
+    }
+    stalls.sort_by_key(|(end_us, leaf, _)| (*end_us, *leaf));
+    let mut names = ServiceNames::default();
+    let mut leaves = Leaves::new("a".into());
+    let records: Vec<LeafRecord> = (0..LEAVES)
+        .map(|leaf| LeafRecord {
+            address: ([127, 0, 0, 1], 7_000 + u16::try_from(leaf).unwrap()).into(),
+            ..record(&format!("i-{leaf}"))
+        })
+        .collect();
+    leaves.update(records.iter(), &mut names, 0);
+    let mut keys = std::collections::HashMap::new();
+    for (key, leaf) in leaves.iter() {
+        keys.insert(leaf.address().port(), key);
+    }
+    for (_, leaf, stall) in stalls {
+        leaves.observe_stall(keys[&(7_000 + u16::try_from(leaf).unwrap())], stall);
+        if let Some(believed_us) = leaves.interval().believed_us() {
+            let off_us = believed_us.abs_diff(PAUSE_EVERY_US);
+            assert!(off_us < 30_000, "{believed_us} is believed");
+        }
+    }
+    let mut right = 0;
+    for leaf in 0..LEAVES {
+        let key = keys[&(7_000 + u16::try_from(leaf).unwrap())];
+        let first_end_us = phase_us(leaf) % PAUSE_EVERY_US + 200_000;
+        let pauses = (LEARNED_US - first_end_us) / PAUSE_EVERY_US + 1;
+        let in_pause_us = first_end_us + pauses * PAUSE_EVERY_US - PAUSE_US / 2;
+        let rhythm = &leaves.get(key).unwrap().rhythm;
+        let predicted = rhythm.pause_left_us(in_pause_us, 10_000, leaves.interval());
+        right += usize::from(predicted.is_some());
+    }
+    assert!(right * 10 >= LEAVES * 9, "{right} of {LEAVES}");
+}
+
 /// Guards against predictions where stalls come by chance only.
 #[test]
 fn stalls_by_chance_predict_nothing() {
