Remove what the last reading found written twice or done needlessly

Ruled out: the other pairs that were listed (constants with their reasons, the heads of files) are alike in shape only.

--- a/src/fact.rs
+++ b/src/fact.rs
@@ -41,6 +41,21 @@
     Down,
 }
 
+impl LeafState {
+    /// Returns whether a leaf in this state takes new work.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::fact::LeafState;
+    /// assert!(LeafState::Warming.takes_work());
+    /// assert!(!LeafState::Draining.takes_work());
+    /// ```
+    pub fn takes_work(self) -> bool {
+        matches!(self, Self::Up | Self::Warming)
+    }
+}
+
 /// What a fact is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum FactKey {
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -1,6 +1,6 @@
 //! What this VM knows of the platform: the newest configuration and the leaves, by revision.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
@@ -233,9 +233,10 @@
         if let Some(document) = image.document {
             changed.document = self.take_document(document);
         }
+        let listed: BTreeSet<&str> = image.leaves.iter().map(|record| &*record.id).collect();
         let mut missing: Vec<Box<str>> = Vec::new();
         for id in self.leaves.keys() {
-            if !image.leaves.iter().any(|record| record.id == *id) {
+            if !listed.contains(&**id) {
                 missing.push(id.clone());
             }
         }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -133,11 +133,7 @@
     /// Changes the bounds of extra calls.
     pub fn set_bounds(&self, bounds: ExtraCallBounds) {
         *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
-        let state = &mut *self.state();
-        let capacity = self.budget_capacity(state.vms);
-        for budget in state.budgets.values_mut() {
-            budget.set_capacity(capacity);
-        }
+        self.divide_budgets(&mut self.state());
     }
 
     /// Sets whether this VM watches the platform itself.
@@ -209,10 +205,7 @@
             return;
         }
         state.vms = vms;
-        let capacity = self.budget_capacity(vms);
-        for budget in state.budgets.values_mut() {
-            budget.set_capacity(capacity);
-        }
+        self.divide_budgets(state);
         state.divide_connections();
     }
 
@@ -224,6 +217,13 @@
         carriers(live, wanted)
     }
 
+    fn divide_budgets(&self, state: &mut State) {
+        let capacity = self.budget_capacity(state.vms);
+        for budget in state.budgets.values_mut() {
+            budget.set_capacity(capacity);
+        }
+    }
+
     fn budget_capacity(&self, vms: u32) -> u64 {
         let slack = self.bounds().slack_calls * SLACK_USED_PERCENT / 100;
         (slack / u64::from(vms.max(1))).max(1)
@@ -342,19 +342,6 @@
         self.leaves.observe_stall(leaf, stall);
     }
 
-    /// Returns the requests that this VM's share of the slots of the smallest shard serves at a time.
-    ///
-    /// The shards of a request do not end together, so that many requests leave some slots idle.
-    pub(super) fn least_limit(&self, shards: &[ServiceKey]) -> u32 {
-        let slots = |shard: &ServiceKey| {
-            let leaves = self.leaves.of_service(*shard).iter();
-            let leaves = leaves.filter_map(|key| self.leaves.get(*key));
-            leaves.map(|leaf| leaf.record.slots).sum::<u32>()
-        };
-        let least = shards.iter().map(slots).min().unwrap_or(0);
-        (least / self.vms.max(1)).max(1)
-    }
-
     fn divide_connections(&mut self) {
         let Some(table) = &self.table else {
             return;
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -232,6 +232,16 @@
         self.by_service.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the slots of the service with the fewest.
+    pub fn least_slots(&self, services: &[ServiceKey]) -> u32 {
+        let slots = |service: &ServiceKey| {
+            let leaves = self.of_service(*service).iter();
+            let leaves = leaves.filter_map(|key| self.arena.get(key));
+            leaves.map(|leaf| leaf.record.slots).sum::<u32>()
+        };
+        services.iter().map(slots).min().unwrap_or(0)
+    }
+
     /// Chooses the leaf of a service that is expected to answer first, other than those tried.
     ///
     /// # Errors
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -86,8 +86,6 @@
     pub target_us: u64,
     /// Time of its usual leaf call, those that had not ended included.
     pub usual_call_us: u64,
-    /// Requests that this VM may always run at a time.
-    pub least_limit: u32,
     /// Time since the machine started.
     pub now_ms: u64,
 }
@@ -107,14 +105,13 @@
     ///     route: "sweep",
     ///     target_us: 150_000,
     ///     usual_call_us: 20_000,
-    ///     least_limit: 1,
     ///     now_ms: 0,
     /// };
-    /// overload.learn(shards, ended);
+    /// overload.learn(shards, ended, || 1);
     /// assert!((0..40).all(|_| overload.admit(shards, 0)));
     /// for now_ms in 0..2_000 {
     ///     ended = Ended { usual_call_us: 100_000, now_ms, ..ended };
-    ///     overload.learn(shards, ended);
+    ///     overload.learn(shards, ended, || 1);
     /// }
     /// assert!(!overload.admit(shards, 0), "calls wait in long queues");
     /// ```
@@ -137,8 +134,11 @@
         }
     }
 
-    /// Takes how long the leaf calls of a request took, and adjusts the limit of its shards.
-    pub fn learn(&mut self, group: ServiceKey, ended: Ended<'_>) {
+    /// Takes how long the leaf calls of a request took, and adjusts the limit of its shards, which never
+    /// falls below what `least` returns: the requests that this VM's share of the slots serves at a time.
+    ///
+    /// The shards of a request do not end together, so that many requests leave some slots idle.
+    pub fn learn(&mut self, group: ServiceKey, ended: Ended<'_>, least: impl FnOnce() -> u32) {
         let ratio = self.pressure_of(&ended);
         let group = self.groups.entry(group).or_default();
         group.pressure += (ratio - group.pressure) * PRESSURE_WEIGHT;
@@ -150,7 +150,7 @@
         group.most_in_flight = group.in_flight;
         if group.pressure > 1.0 {
             let reduced = group.limit.min(most) * REDUCE_FACTOR;
-            group.limit = reduced.max(f64::from(ended.least_limit.max(1)));
+            group.limit = reduced.max(f64::from(least().max(1)));
             return;
         }
         if most >= group.limit * IN_USE_SHARE {
@@ -168,18 +168,19 @@
     #[expect(clippy::cast_precision_loss)]
     fn pressure_of(&mut self, ended: &Ended<'_>) -> f64 {
         let call_us = ended.usual_call_us as f64;
-        if !self.usual.contains_key(ended.route) {
-            let first = Usual {
-                smoothed_us: call_us,
-                least_us: call_us,
-            };
-            self.usual.insert(ended.route.into(), first);
-        }
-        let Some(usual) = self.usual.get_mut(ended.route) else {
-            return 0.0;
+        let first = Usual {
+            smoothed_us: call_us,
+            least_us: call_us,
         };
+        let mut usual = self.usual.get(ended.route).copied().unwrap_or(first);
         usual.smoothed_us += (call_us - usual.smoothed_us) * PRESSURE_WEIGHT;
         usual.least_us = usual.least_us.min(usual.smoothed_us);
+        match self.usual.get_mut(ended.route) {
+            Some(held) => *held = usual,
+            None => {
+                self.usual.insert(ended.route.into(), usual);
+            }
+        }
         let bearable_us = ended.target_us as f64 / BEARABLE_DIVISOR;
         call_us / bearable_us.max(usual.least_us * QUEUED_FACTOR).max(1.0)
     }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -42,10 +42,11 @@
             route: &plan.route,
             target_us: plan.target_us,
             usual_call_us,
-            least_limit: state.least_limit(&plan.services),
             now_ms: boot_ms(),
         };
-        state.overload.learn(self.group, ended);
+        let leaves = &state.leaves;
+        let least = || leaves.least_slots(&plan.services) / state.vms.max(1);
+        state.overload.learn(self.group, ended, least);
     }
 }
 
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -258,10 +258,9 @@
         self.control.with_leaf_views(|views| {
             let takes_work = |key: &LeafKey| {
                 let leaf = fleet.leaf(*key);
-                let serves = views.get(&leaf.address).is_some_and(|view| {
-                    matches!(view.state, LeafState::Up | LeafState::Warming)
-                        && !view.snapshots.is_empty()
-                });
+                let view = views.get(&leaf.address);
+                let serves =
+                    view.is_some_and(|view| view.state.takes_work() && !view.snapshots.is_empty());
                 leaf.address != address && !leaf.leaving && serves
             };
             let is_served = |shard: &Vec<LeafKey>| {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -109,7 +109,7 @@
                 return false;
             }
             let view = self.views.get(&self.fleet.leaf(*leaf).address);
-            live |= view.is_some_and(|v| matches!(v.state, LeafState::Up | LeafState::Warming));
+            live |= view.is_some_and(|view| view.state.takes_work());
         }
         live
     }
--- a/src/snapshot.rs
+++ b/src/snapshot.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 
 use crate::control::LeafView;
-use crate::fact::LeafState;
 use crate::fleet::{Fleet, Layout, Service};
 use crate::ids::Snapshot;
 
@@ -63,7 +62,7 @@
 
 /// Returns whether a leaf serves a snapshot.
 pub fn serves(view: &LeafView, snapshot: Snapshot) -> bool {
-    matches!(view.state, LeafState::Up | LeafState::Warming) && view.snapshots.contains(&snapshot)
+    view.state.takes_work() && view.snapshots.contains(&snapshot)
 }
 
 fn held(fleet: &Fleet, layout: &Layout, leaves: &HashMap<SocketAddr, LeafView>) -> Vec<Snapshot> {
--- a/tests/gateway_follower.rs
+++ b/tests/gateway_follower.rs
@@ -2,14 +2,15 @@
 
 #![expect(clippy::unwrap_used, reason = "a failure of the harness ends the test")]
 
+#[path = "support/gateway.rs"]
+mod gateway;
+
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cloverrack::gateway::{
-    CatalogImage, Changes, Engine, ExtraCallBounds, Follower, Headers, Meters, Source, SourceError,
-};
-use http::header::HeaderName;
+use cloverrack::gateway::{CatalogImage, Changes, Engine, Follower, Source, SourceError};
+use gateway::engine;
 
 /// One answer of the platform.
 enum Answer {
@@ -71,25 +72,6 @@
     }
 }
 
-fn engine() -> Arc<Engine> {
-    let name = HeaderName::from_static;
-    let headers = Headers {
-        request_id: name("x-request"),
-        time_left_ms: name("x-time-left"),
-        expected_leaf: name("x-expected"),
-        signature: name("x-signature"),
-        not_run: name("x-not-run"),
-        part_signatures: name("x-parts"),
-        missing_parts: name("x-missing"),
-    };
-    let bounds = ExtraCallBounds {
-        ratio_ppm: 200_000,
-        slack_calls: 50,
-    };
-    let meters = Meters::open().unwrap();
-    Arc::new(Engine::new(headers, bounds, "a".into(), meters))
-}
-
 async fn play(script: &Script, engine: &Arc<Engine>) {
     let follower = Follower::new(script.clone(), Arc::clone(engine));
     let _ = tokio::time::timeout(Duration::from_secs(30), follower.run()).await;
--- a/tests/gateway_overload.rs
+++ b/tests/gateway_overload.rs
@@ -114,10 +114,9 @@
                 route: "sweep",
                 target_us: load.target_us,
                 usual_call_us,
-                least_limit: (LEAVES * SLOTS) as u32,
                 now_ms: end_us / 1_000,
             };
-            overload.learn(group, ended);
+            overload.learn(group, ended, || (LEAVES * SLOTS) as u32);
         }
         let rank = usize::from(rng.random_bool(load.less_urgent));
         got.asked[rank] += 1;
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -74,6 +74,16 @@
     }
 }
 
+/// Makes an engine of a VM in failure domain `a`, without routes and leaves.
+pub fn engine() -> Arc<Engine> {
+    let bounds = ExtraCallBounds {
+        ratio_ppm: 200_000,
+        slack_calls: 50,
+    };
+    let meters = Meters::open().unwrap();
+    Arc::new(Engine::new(headers(), bounds, "a".into(), meters))
+}
+
 impl Leaf {
     /// Starts a leaf whose answer holds one record of bytes `record`.
     pub async fn spawn(id: &str, record: u8, conduct: Conduct) -> Self {
@@ -175,12 +185,7 @@
 impl Served {
     /// Starts a gateway without a configuration.
     pub async fn spawn() -> Self {
-        let bounds = ExtraCallBounds {
-            ratio_ppm: 200_000,
-            slack_calls: 50,
-        };
-        let meters = Meters::open().unwrap();
-        let engine = Arc::new(Engine::new(headers(), bounds, "a".into(), meters));
+        let engine = engine();
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let service = Arc::new(CallerService::new(Arc::clone(&engine)));
