Ask for a whole service after random faults instead of one answer among them

Cause: the history holds two drains of all leaves, 0 to 313 ms and 1,193 to 1,311 ms, and a third at its end (2,520 to 2,950 ms). A refusal of a shard's last leaf is held for 1 s, so by the stated bound the leaves may serve only from about 2.31 s (1.31 s plus 1 s) to 2.52 s, and in that window another leaf is slow for 238 ms. The log shows the leaves back 0.8 to 1.0 s after each drain, as stated.

Ruled out: a refusal that is held longer than stated (logs of three runs: all lifts 0.77 to 1.03 s after the last refusal), and load (it failed on a quiet machine too).

The check is replaced by a stricter one, for both seeds: after the history all VMs must answer completely within 5 s (3 s for a restarted VM to settle, 1 s hold, two reads).

--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -4,12 +4,12 @@
 mod outcomes;
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cloverrack::answer::CallerRequest;
 use cloverrack::{Outcome, Reason};
 use outcomes::{FAULTS, Fault, Told, ask, judge, run, seed};
-use support::{Cluster, Shape, eventually, request};
+use support::{Cluster, Shape, eventually, eventually_within, request};
 
 /// Callers of a history test.
 const CALLERS: usize = 6;
@@ -17,6 +17,13 @@
 /// Faults injected in one history.
 const ROUNDS: usize = 12;
 
+/// Time after a history within which all VMs answer completely again; the history itself ends one
+/// second after its last fault.
+///
+/// A restarted VM waits up to 3 s for the state of the others, and a refusal that no status confirms
+/// holds a shard's last leaf for 1 s; two status reads of 0.25 s and their spread come on top.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(5);
+
 /// Guards against "not run" of what ran, a second run of what is not idempotent, and answers of
 /// another request, under random faults of all kinds.
 #[tokio::test(flavor = "multi_thread")]
@@ -34,12 +41,31 @@
     random_faults(ALL_DRAINED_SEED).await;
 }
 
+/// Judges a history of random faults, after which all VMs must answer completely again.
+///
+/// Completeness within the history is not asked: with [`ALL_DRAINED_SEED`], the leaves serve for some
+/// milliseconds between two drains only.
 async fn random_faults(seed: u64) {
     let mut cluster = Cluster::start(Shape::default()).await;
     let told = run(&mut cluster, CALLERS, FAULTS, ROUNDS, seed).await;
+    let healed = Instant::now();
+    for vm in 0..cluster.daemons.len() {
+        let left = RECOVERY_LIMIT.saturating_sub(healed.elapsed());
+        let is_whole = eventually_within(left, async || {
+            let request = request(&format!("after-{vm}-{:?}", healed.elapsed()));
+            let answer = cluster.query(vm, &request).await;
+            answer.is_some_and(|answer| answer.outcome == Outcome::Complete)
+        })
+        .await;
+        assert!(
+            is_whole,
+            "vm {vm} is not whole {:?} later",
+            healed.elapsed()
+        );
+    }
+    println!("whole after {} ms", healed.elapsed().as_millis());
     let outcomes = judge(&cluster, &told);
     println!("{} requests: {outcomes:?}", told.len());
-    assert!(outcomes.contains_key(&Outcome::Complete), "{outcomes:?}");
 }
 
 /// Runs one kind of fault again and again.
