Leave the platform's watch to others for 2.5 s after a start

Cause: at a start a VM knows few members, so it takes itself for one of the five that watch. Each call has a price.

Change: a VM that has a catalog leaves the watch to others until 2.5 s after its start; peers' announcements keep it level. A VM that got no catalog from its peers reads the platform as before.

--- a/src/gateway/spread.rs
+++ b/src/gateway/spread.rs
@@ -31,6 +31,11 @@
 /// Longest wait for a peer's catalog at the first start of a VM that is no seed.
 const JOIN_MS: u64 = 900;
 
+/// Time after a start in which a VM that has a catalog leaves the watch to others.
+///
+/// It knows only some of the members then, and would take itself for one of the few that watch.
+const SETTLE_MS: u64 = 2_500;
+
 /// Pause after a peer did not answer.
 const RETRY_MS: u64 = 200;
 
@@ -65,13 +70,14 @@
             fetch(engine, peer, 0).await;
         }
     }
-    engine.set_watching(true);
+    engine.set_watching(engine.table().is_none());
 }
 
 /// Keeps this VM's catalog level with the newest that a peer announces.
 ///
 /// With `asks_peers`, peers are asked before the platform at the start.
 pub async fn run(engine: Arc<Engine>, members: Arc<Members>, asks_peers: bool) {
+    let started_ms = boot_ms();
     if asks_peers {
         join(&engine, &members).await;
     }
@@ -83,7 +89,9 @@
             let catalog = &engine.state().catalog;
             (catalog.revision(), catalog.changed_at())
         };
-        let watches = watches_platform(&members.live(), members.address());
+        let age_ms = boot_ms().saturating_sub(started_ms);
+        let is_settling = age_ms < SETTLE_MS && engine.table().is_some();
+        let watches = !is_settling && watches_platform(&members.live(), members.address());
         engine.set_watching(watches);
         if changed_at > announced && engine.table().is_some() {
             announced = changed_at;
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -195,38 +195,7 @@
 
     /// Puts routes and leaves into force; each leaf is listed with its service.
     pub fn publish(&self, version: u64, routes: Vec<RouteSpec>, leaves: &[(&str, &Leaf)]) {
-        let services = leaves.iter().map(|(service, _)| ServiceSpec {
-            name: (*service).into(),
-            max_connections: 31,
-        });
-        let document = RouteDocument {
-            version,
-            routes,
-            services: services.collect(),
-            limits: CallerLimits {
-                max_body_bytes: 1_000,
-                idle_timeout_ms: 15_000,
-            },
-        };
-        let mut changes = vec![Change::Document(document)];
-        for (service, leaf) in leaves {
-            changes.push(Change::Leaf(LeafRecord {
-                id: leaf.id.as_str().into(),
-                service: (*service).into(),
-                address: leaf.address,
-                failure_domain: "a".into(),
-                slots: 3,
-                draining: false,
-                warmup_left_ms: 0,
-                started_unix_ms: 1,
-            }));
-        }
-        let found = Changes {
-            changes,
-            revision: version,
-        };
-        self.engine.state().catalog.apply(found, 0);
-        self.engine.refresh();
+        publish(&self.engine, version, routes, leaves);
     }
 
     /// Asks for a path and returns the whole answer.
@@ -236,6 +205,42 @@
     }
 }
 
+/// Puts routes and leaves into force at an engine; each leaf is listed with its service.
+pub fn publish(engine: &Engine, version: u64, routes: Vec<RouteSpec>, leaves: &[(&str, &Leaf)]) {
+    let services = leaves.iter().map(|(service, _)| ServiceSpec {
+        name: (*service).into(),
+        max_connections: 31,
+    });
+    let document = RouteDocument {
+        version,
+        routes,
+        services: services.collect(),
+        limits: CallerLimits {
+            max_body_bytes: 1_000,
+            idle_timeout_ms: 15_000,
+        },
+    };
+    let mut changes = vec![Change::Document(document)];
+    for (service, leaf) in leaves {
+        changes.push(Change::Leaf(LeafRecord {
+            id: leaf.id.as_str().into(),
+            service: (*service).into(),
+            address: leaf.address,
+            failure_domain: "a".into(),
+            slots: 3,
+            draining: false,
+            warmup_left_ms: 0,
+            started_unix_ms: 1,
+        }));
+    }
+    let found = Changes {
+        changes,
+        revision: version,
+    };
+    engine.state().catalog.apply(found, 0);
+    engine.refresh();
+}
+
 pub fn request(path: &str) -> Request<Full<Bytes>> {
     Request::get(path)
         .header("host", "desk.example")
