--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -302,10 +302,14 @@
         }
     }
     tasks.shuffle(&mut rng);
-    if let Ok(wanted) = std::env::var("MATRIX_CELL") {
-        tasks.retain(|task| task.name.contains(&wanted));
-    } else {
-        tasks.extend((0..seconds).map(|_| pair(&mut rng)));
+    let wanted = std::env::var("MATRIX_CELL").ok();
+    let pairs = (0..seconds).map(|_| pair(&mut rng));
+    match wanted {
+        Some(wanted) if wanted.contains('+') => {
+            tasks = pairs.filter(|task| task.name.contains(&wanted)).collect();
+        }
+        Some(wanted) => tasks.retain(|task| task.name.contains(&wanted)),
+        None => tasks.extend(pairs),
     }
     let end = start + Duration::from_secs(seconds);
     let cells = LocalSet::new().run_until(run_all(tasks, Some(end))).await;
--- a/tests/support/inject.rs
+++ b/tests/support/inject.rs
@@ -39,9 +39,13 @@
         self.order(place.vm, "/v1/faults/step", &order).await;
         let reached = self.reach(place.vm, step).await;
         let in_process = matches!(fault, Fault::Kill | Fault::Freeze | Fault::LongFreeze);
+        let release = json!({ "name": step, "action": "release" });
+        if in_process && !reached {
+            // The step may be reached after the VM has been healed, and would stop it again.
+            self.order(place.vm, "/v1/faults/step", &release).await;
+        }
         self.apply(fault, place, reached && in_process).await;
         if !in_process {
-            let release = json!({ "name": step, "action": "release" });
             self.order(place.vm, "/v1/faults/step", &release).await;
         }
         self.settle(fault, place).await;
@@ -87,12 +91,18 @@
                 self.cut(place.vm, &[peer]).await;
             }
             Fault::CutSide => self.cut_sides(place.vm).await,
-            Fault::PlatformDown => self.cluster.platform.set_down(true),
-            Fault::PlatformStale => self.go_stale().await,
+            Fault::PlatformDown => {
+                self.is_platform_hidden = true;
+                self.cluster.platform.set_down(true);
+            }
+            Fault::PlatformStale => {
+                self.is_platform_hidden = true;
+                self.go_stale().await;
+            }
             Fault::OperatorsRacing => self.race_operators(),
             Fault::PlannedStop => self.signal_stop(place.vm),
             Fault::LaggingVmList => {
-                let list = self.vm_list_without(place.vm);
+                let list = self.vm_list(Some(place.vm));
                 self.publish_vms(list);
             }
             _ => self.apply_to_leaf(fault, place).await,
@@ -111,8 +121,12 @@
                 self.note_leaving(place);
             }
             Fault::TargetListedLeaving => {
-                let list = self.vm_list_with_leaving(place);
+                self.listed_leaving.push(self.leaf(place).address());
+                let list = self.vm_list(None);
                 self.publish_vms(list);
+                if self.is_platform_hidden {
+                    self.unread_announcements.push(self.history.leaving.len());
+                }
                 self.note_leaving(place);
             }
             Fault::TargetCold => {
@@ -154,17 +168,24 @@
                     self.cut(vm, &[]).await;
                 }
             }
-            Fault::PlatformDown => self.cluster.platform.set_down(false),
-            Fault::PlatformStale => self.cluster.platform.set_stale(false),
+            Fault::PlatformDown => {
+                self.cluster.platform.set_down(false);
+                self.show_announcements();
+            }
+            Fault::PlatformStale => {
+                self.cluster.platform.set_stale(false);
+                self.show_announcements();
+            }
             Fault::LaggingVmList => {
-                let list = self.cluster.vm_list(&[]);
+                let list = self.vm_list(None);
                 self.publish_vms(list);
             }
             Fault::TargetListedLeaving => {
                 self.history.leaving.iter_mut().for_each(|l| {
                     l.returned_ms = l.returned_ms.min(unix_ms());
                 });
-                let list = self.cluster.vm_list(&[]);
+                self.listed_leaving.clear();
+                let list = self.vm_list(None);
                 self.publish_vms(list);
             }
             Fault::TargetDraining => self.end_draining(place),
@@ -248,20 +269,23 @@
         }
     }
 
-    fn vm_list_without(&self, vm: usize) -> String {
+    /// Returns the VM list of now, `without` a VM that lags behind on it.
+    fn vm_list(&self, without: Option<usize>) -> String {
         let mut list: serde_json::Value =
             serde_json::from_str(&self.cluster.vm_list(&[])).unwrap_or_default();
-        if let Some(vms) = list["vms"].as_array_mut() {
+        if let (Some(vm), Some(vms)) = (without, list["vms"].as_array_mut()) {
             vms.remove(vm);
         }
+        list["leaving_targets"] = json!(self.listed_leaving);
         list.to_string()
     }
 
-    fn vm_list_with_leaving(&self, place: Place) -> String {
-        let mut list: serde_json::Value =
-            serde_json::from_str(&self.cluster.vm_list(&[])).unwrap_or_default();
-        list["leaving_targets"] = json!([self.leaf(place).address()]);
-        list.to_string()
+    /// Counts announcements that no VM could read until now from now on.
+    fn show_announcements(&mut self) {
+        self.is_platform_hidden = false;
+        for announcement in self.unread_announcements.drain(..) {
+            self.history.leaving[announcement].announced_ms = unix_ms();
+        }
     }
 
     fn note_leaving(&mut self, place: Place) {
--- a/tests/support/trial.rs
+++ b/tests/support/trial.rs
@@ -50,6 +50,12 @@
     pub away: Vec<usize>,
     /// Platform's content at the start.
     pub first_image: Backup,
+    /// Leaves that the VM list announces as leaving.
+    pub listed_leaving: Vec<SocketAddr>,
+    /// Whether the platform is down or shows old content.
+    pub is_platform_hidden: bool,
+    /// Announcements in the history that no VM can read yet.
+    pub unread_announcements: Vec<usize>,
     /// Layout that the leaves hold.
     pub layout: u32,
     /// Index version that the leaves hold.
@@ -85,6 +91,9 @@
             retired: Vec::new(),
             away: Vec::new(),
             first_image: cluster.platform.backup(),
+            listed_leaving: Vec::new(),
+            is_platform_hidden: false,
+            unread_announcements: Vec::new(),
             layout: 1,
             version: 1,
             newest: BTreeMap::new(),
