Serve callers that came in time before a stopping node refuses requests

A node refused new requests as draining at the end of keep_ms, before it had served the connections that had come in time; on a busy machine requests sent in the last milliseconds were read after that and got 503, not_run, draining.

Ruled out: cut connections (all 350 requests not served, also those sent too late, got a whole 503 with reason draining, 2 to 18 ms after they were sent).

Change: the listener ends first, with what is in it, and then the node refuses requests, which only peers can still send.

Only cloverrackd is concerned; the gateway on the users' platform has a stop of its own.

--- a/src/node.rs
+++ b/src/node.rs
@@ -257,9 +257,10 @@
     }
 
     async fn finish(self) {
-        self.root.drain();
         self.phases.stop.cancel();
         let _ = self.state.callers.await;
+        // Callers that came in time are served first; only peers may still send requests.
+        self.root.drain();
         while self.root.in_flight() > 0 {
             tokio::time::sleep(Duration::from_millis(CHECK_MS)).await;
         }
