Earn most of the extra-call slack evenly over its window

A fault that lasts, or pauses that are not known yet, emptied it once; after that each window used 0.18 of the requests and nothing of its slack.

Now 50 % of the slack is earned evenly over the window and 30 % saved up.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -12,6 +12,7 @@
 use super::catalog::Catalog;
 use super::connection::Connection;
 use super::directory::{carriers, carriers_wanted};
+use super::extra::{ExtraCallBounds, ExtraCalls};
 use super::leaves::{ConnectionLimits, Leaf, Leaves, NoLeaf};
 use super::members::Member;
 use super::meters::Meters;
@@ -21,16 +22,8 @@
 use super::rhythm::Stall;
 use super::routes::{RouteTable, ServiceNames};
 use crate::clock::{boot_ms, boot_us};
-use crate::hedge::Budget;
 use crate::ids::{LeafKey, ServiceKey};
 
-/// Share of the extra calls allowed without requests that all VMs together use; the rest covers VMs
-/// that restart and requests that end in the next window.
-const SLACK_USED_PERCENT: u64 = 60;
-
-/// Share of the ratio of extra calls that is used, for the same reason.
-const RATIO_USED_PERCENT: u64 = 90;
-
 /// Names of the headers that callers, leaves and this system exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
@@ -50,15 +43,6 @@
     pub missing_parts: HeaderName,
 }
 
-/// Bounds of the extra calls that all VMs together may make to a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ExtraCallBounds {
-    /// Extra calls allowed for each million requests.
-    pub ratio_ppm: u32,
-    /// Extra calls allowed without any request.
-    pub slack_calls: u64,
-}
-
 /// State that changes with configuration, leaves and calls.
 #[derive(Debug)]
 pub struct State {
@@ -77,7 +61,7 @@
     /// Limits on gathering requests.
     pub overload: Overload,
     pending: Pending,
-    budgets: HashMap<ServiceKey, Budget>,
+    extra: ExtraCalls,
     call_times: HashMap<Box<str>, CallTimes>,
 }
 
@@ -88,7 +72,6 @@
     pub headers: Headers,
     /// Counters.
     pub meters: Meters,
-    bounds: Mutex<ExtraCallBounds>,
     carrying: Mutex<Arc<[SocketAddr]>>,
     watching: AtomicBool,
     platform_answers: AtomicBool,
@@ -112,13 +95,12 @@
             vms: 1,
             overload: Overload::default(),
             pending: Pending::default(),
-            budgets: HashMap::new(),
+            extra: ExtraCalls::new(bounds),
             call_times: HashMap::new(),
         };
         Self {
             headers,
             meters,
-            bounds: Mutex::new(bounds),
             carrying: Mutex::new(Arc::from([])),
             watching: AtomicBool::new(true),
             platform_answers: AtomicBool::new(true),
@@ -126,14 +108,9 @@
         }
     }
 
-    fn bounds(&self) -> ExtraCallBounds {
-        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Changes the bounds of extra calls.
     pub fn set_bounds(&self, bounds: ExtraCallBounds) {
-        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner) = bounds;
-        self.divide_budgets(&mut self.state());
+        self.state().extra.set_bounds(bounds);
     }
 
     /// Sets whether this VM watches the platform itself.
@@ -205,7 +182,7 @@
             return;
         }
         state.vms = vms;
-        self.divide_budgets(state);
+        state.extra.set_vms(vms);
         state.divide_connections();
     }
 
@@ -217,33 +194,14 @@
         carriers(live, wanted)
     }
 
-    fn divide_budgets(&self, state: &mut State) {
-        let capacity = self.budget_capacity(state.vms);
-        for budget in state.budgets.values_mut() {
-            budget.set_capacity(capacity);
-        }
-    }
-
-    fn budget_capacity(&self, vms: u32) -> u64 {
-        let slack = self.bounds().slack_calls * SLACK_USED_PERCENT / 100;
-        (slack / u64::from(vms.max(1))).max(1)
-    }
-
     /// Earns extra calls for one request to a service.
     pub fn earn_extra(&self, service: ServiceKey) {
-        let state = &mut *self.state();
-        let capacity = self.budget_capacity(state.vms);
-        let budget = state.budgets.entry(service);
-        let budget = budget.or_insert_with(|| Budget::with_capacity(capacity));
-        let ratio_ppm = u64::from(self.bounds().ratio_ppm) * RATIO_USED_PERCENT / 100;
-        budget.earn(1, u32::try_from(ratio_ppm).unwrap_or(u32::MAX));
+        self.state().extra.earn(service, boot_ms());
     }
 
     /// Returns whether an extra call is allowed; an urgent one may use the last.
     pub fn allows_extra(&self, service: ServiceKey, urgent: bool) -> bool {
-        let state = self.state();
-        let budget = state.budgets.get(&service);
-        let allowed = budget.is_some_and(|b| b.is_ample() || urgent && b.can_spend());
+        let allowed = self.state().extra.allows(service, urgent);
         if !allowed {
             self.meters.count_extra(false);
         }
@@ -252,11 +210,7 @@
 
     /// Takes the extra call that was allowed.
     pub fn spend_extra(&self, service: ServiceKey) {
-        let state = &mut *self.state();
-        let spent = state
-            .budgets
-            .get_mut(&service)
-            .is_some_and(Budget::try_spend);
+        let spent = self.state().extra.spend(service);
         self.meters.count_extra(spent);
     }
 
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -10,8 +10,9 @@
 use tokio::time::sleep;
 use tracing::info;
 
-use super::engine::{Engine, ExtraCallBounds, Headers};
+use super::engine::{Engine, Headers};
 use super::exchange;
+use super::extra::ExtraCallBounds;
 use super::follower::{Follower, Source};
 use super::members::Members;
 use super::meters::Meters;
--- /dev/null
+++ b/src/gateway/extra.rs
@@ -0,0 +1,136 @@
+//! Extra calls of this VM: repeats and second calls within the bound that all VMs share.
+//!
+//! Answers the load in which leaves fail, pause or are slow and each request would be served sooner by
+//! one more call. In any window the platform allows a ratio of the requests and a fixed number, the
+//! slack. The slack is mostly spent evenly over the window: a bucket that saved all of it would serve
+//! one burst and leave nothing for a fault that lasts.
+
+use std::collections::HashMap;
+
+use crate::hedge::Budget;
+use crate::ids::ServiceKey;
+
+/// Share of the ratio that all VMs together use; the rest covers requests that are still under way when
+/// a window ends.
+const RATIO_USED_PERCENT: u64 = 90;
+
+/// Share of the slack that is earned evenly over a window.
+const SLACK_EVEN_PERCENT: u64 = 50;
+
+/// Share of the slack that is saved up for a burst. What this and [`SLACK_EVEN_PERCENT`] leave covers
+/// VMs that don't know all others yet.
+const SLACK_BURST_PERCENT: u64 = 30;
+
+/// Parts per million in one call.
+const CALL_PPM: u64 = 1_000_000;
+
+/// Bounds of the extra calls that all VMs together may make to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExtraCallBounds {
+    /// Extra calls allowed for each million requests.
+    pub ratio_ppm: u32,
+    /// Extra calls allowed in a window without any request.
+    pub slack_calls: u64,
+    /// Length of the window.
+    pub window_ms: u64,
+}
+
+impl ExtraCallBounds {
+    /// Returns how many calls one of so many VMs saves up at most.
+    fn capacity(&self, vms: u32) -> u64 {
+        let burst = self.slack_calls * SLACK_BURST_PERCENT / 100;
+        (burst / u64::from(vms.max(1))).max(1)
+    }
+
+    /// Returns what one of so many VMs earns in a time, in millionths of a call.
+    fn earned_ppm(&self, vms: u32, elapsed_ms: u64) -> u64 {
+        let window_ppm = self.slack_calls * SLACK_EVEN_PERCENT * CALL_PPM / 100;
+        let elapsed_ms = elapsed_ms.min(self.window_ms);
+        window_ppm * elapsed_ms / self.window_ms.max(1) / u64::from(vms.max(1))
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Account {
+    budget: Budget,
+    earned_at_ms: u64,
+}
+
+/// Budgets of the services that this VM calls.
+#[derive(Debug)]
+pub struct ExtraCalls {
+    bounds: ExtraCallBounds,
+    vms: u32,
+    accounts: HashMap<ServiceKey, Account>,
+}
+
+impl ExtraCalls {
+    /// Makes empty budgets of a VM that knows no other.
+    pub fn new(bounds: ExtraCallBounds) -> Self {
+        Self {
+            bounds,
+            vms: 1,
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Changes the bounds.
+    pub fn set_bounds(&mut self, bounds: ExtraCallBounds) {
+        self.bounds = bounds;
+        self.set_capacities();
+    }
+
+    /// Changes the number of VMs that share the bounds.
+    pub fn set_vms(&mut self, vms: u32) {
+        self.vms = vms;
+        self.set_capacities();
+    }
+
+    fn set_capacities(&mut self) {
+        let capacity = self.bounds.capacity(self.vms);
+        for account in self.accounts.values_mut() {
+            account.budget.set_capacity(capacity);
+        }
+    }
+
+    /// Earns for one request to a service, and for the time since the request before it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::ids::ServiceKey;
+    /// use cloverrack::gateway::{ExtraCallBounds, ExtraCalls};
+    /// let bounds = ExtraCallBounds { ratio_ppm: 200_000, slack_calls: 100, window_ms: 10_000 };
+    /// let mut extra = ExtraCalls::new(bounds);
+    /// let service = ServiceKey::new(0);
+    /// extra.earn(service, 0);
+    /// assert!(!extra.allows(service, true));
+    /// extra.earn(service, 1_000);
+    /// assert!(extra.allows(service, true) && extra.spend(service));
+    /// ```
+    pub fn earn(&mut self, service: ServiceKey, now_ms: u64) {
+        let capacity = self.bounds.capacity(self.vms);
+        let account = self.accounts.entry(service).or_insert_with(|| Account {
+            budget: Budget::with_capacity(capacity),
+            earned_at_ms: now_ms,
+        });
+        let elapsed_ms = now_ms.saturating_sub(account.earned_at_ms);
+        account.earned_at_ms = now_ms;
+        let ratio_ppm = u64::from(self.bounds.ratio_ppm) * RATIO_USED_PERCENT / 100;
+        let earned_ppm = ratio_ppm + self.bounds.earned_ppm(self.vms, elapsed_ms);
+        let earned_ppm = u32::try_from(earned_ppm).unwrap_or(u32::MAX);
+        account.budget.earn(1, earned_ppm);
+    }
+
+    /// Returns whether an extra call is allowed; an urgent one may use the last.
+    pub fn allows(&self, service: ServiceKey, urgent: bool) -> bool {
+        let budget = self.accounts.get(&service).map(|account| account.budget);
+        budget.is_some_and(|b| b.is_ample() || urgent && b.can_spend())
+    }
+
+    /// Takes an extra call, if there is one.
+    pub fn spend(&mut self, service: ServiceKey) -> bool {
+        let account = self.accounts.get_mut(&service);
+        account.is_some_and(|account| account.budget.try_spend())
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //! answers, and the records of the shards are merged.
 //!
 //! Decisions stand in modules without a network: [`routes`], [`catalog`], [`pace`], [`policy`],
-//! [`merge`], [`directory`], [`overload`].
+//! [`merge`], [`directory`], [`overload`], [`extra`].
 
 pub mod call;
 pub mod catalog;
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod entry;
 pub mod exchange;
+pub mod extra;
 pub mod fanout;
 pub mod follower;
 pub mod leaves;
@@ -32,9 +33,10 @@
 pub use catalog::{Catalog, CatalogImage, Change, Changed, Changes, LeafRecord, Update};
 pub use connection::{CallError, Connection, Reply};
 pub use directory::{caller_addresses, carriers, carriers_wanted};
-pub use engine::{Engine, ExtraCallBounds, Headers};
+pub use engine::{Engine, Headers};
 pub use entry::{Gateway, GatewaySettings};
 pub use exchange::ExchangeError;
+pub use extra::{ExtraCallBounds, ExtraCalls};
 pub use follower::{Follower, Source, SourceError};
 pub use leaves::{ConnectionLimits, Leaves, NoLeaf, connection_share};
 pub use members::{Member, Members};
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -79,6 +79,7 @@
     let bounds = ExtraCallBounds {
         ratio_ppm: 200_000,
         slack_calls: 50,
+        window_ms: 10_000,
     };
     let meters = Meters::open().unwrap();
     Arc::new(Engine::new(headers(), bounds, "a".into(), meters))
