Tell the other carriers of stalls, failures and answers of suspect leaves

Cause: each carrier learned alone which leaves stall, shed or lose answers, at a few calls a second to each leaf.

Notes now carry stalls while they last, failures, and answers of leaves that failed lately. A VM that hears of no leaf, or finds a third of them stalled, tells nothing: the cause is then most likely its own.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,6 +9,7 @@
 
 use super::connection::{CallError, Connection, Reply};
 use super::engine::{Engine, Headers};
+use super::notes::Sight;
 use crate::clock::boot_us;
 use crate::ids::LeafKey;
 
@@ -126,12 +127,18 @@
         let now_us = boot_us();
         let connection = self.connection.take();
         let state = &mut *self.engine.state();
+        if reply.is_some() {
+            state.leaves.note_reply(now_us);
+        }
+        let paused_us = state.leaves.paused_us(self.leaf, self.started_us, now_us);
         let Some(leaf) = state.leaves.get_mut(self.leaf) else {
             return;
         };
         let mut stall = None;
         match outcome {
-            Ok(status) if status.is_success() => stall = leaf.pace.answered(self.number, now_us),
+            Ok(status) if status.is_success() => {
+                stall = leaf.pace.answered(self.number, now_us, paused_us);
+            }
             Ok(_) | Err(CallError::Refused) => leaf.pace.answered_badly(self.number, now_us),
             Err(CallError::Foreign) => leaf.pace.dropped(self.number),
             Err(_) => leaf.pace.failed(self.number, now_us),
@@ -144,6 +151,9 @@
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
         state.take_stall(self.leaf, stall);
+        if let Some(sight) = sight_of(outcome) {
+            state.tell_outcome(self.leaf, sight, now_us);
+        }
         if outcome == Err(CallError::OtherLeaf) {
             state.leaves.misdirected(self.leaf, now_us / 1_000);
         }
@@ -170,6 +180,20 @@
     }
 }
 
+/// Returns what an outcome tells of the leaf. Connections that can't be opened tell as much of the way
+/// there as of the leaf, so other VMs find out by themselves.
+fn sight_of(outcome: Result<StatusCode, CallError>) -> Option<Sight> {
+    match outcome {
+        Ok(status) if status.is_success() => Some(Sight::Answered),
+        Ok(_) | Err(CallError::Refused | CallError::Broken | CallError::Unsigned) => {
+            Some(Sight::Failed)
+        }
+        Err(CallError::Connect | CallError::Unsent | CallError::Foreign | CallError::OtherLeaf) => {
+            None
+        }
+    }
+}
+
 fn build_request(headers: &Headers, spec: &CallSpec, leaf: &HeaderValue) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(spec.body.clone()));
     *request.method_mut() = spec.method.clone();
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -16,7 +16,7 @@
 use super::leaves::{ConnectionLimits, Leaf, Leaves, NoLeaf};
 use super::members::Member;
 use super::meters::Meters;
-use super::notes::{Note, Pending};
+use super::notes::{Note, Pending, Sight};
 use super::overload::Overload;
 use super::policy::CallTimes;
 use super::rhythm::Stall;
@@ -24,6 +24,9 @@
 use crate::clock::{boot_ms, boot_us};
 use crate::ids::{LeafKey, ServiceKey};
 
+/// Share of failed calls of a leaf from which its answers are told to other VMs, in parts per million.
+const SUSPECT_SHARE_PPM: u64 = 30_000;
+
 /// Names of the headers that callers, leaves and this system exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
@@ -237,6 +240,12 @@
     pub fn take_notes(&self) -> Vec<Note> {
         let now_us = boot_us();
         let state = &mut *self.state();
+        for (leaf, silent_us) in state.leaves.newly_stalled(now_us) {
+            let silent_us = u32::try_from(silent_us).unwrap_or(u32::MAX);
+            state
+                .pending
+                .add(leaf, now_us, Sight::Stalled { silent_us });
+        }
         state.pending.take(now_us)
     }
 
@@ -286,13 +295,29 @@
 }
 
 impl State {
+    /// Tells the other carriers whether a leaf failed a call; of answers, those of leaves that failed
+    /// lately.
+    pub(super) fn tell_outcome(&mut self, leaf: LeafKey, sight: Sight, now_us: u64) {
+        let Some(leaf) = self.leaves.get(leaf) else {
+            return;
+        };
+        let is_suspect = leaf.pace.failure_share_ppm(now_us / 1_000) >= SUSPECT_SHARE_PPM;
+        if sight == Sight::Failed || is_suspect {
+            self.pending.add(leaf.address(), now_us, sight);
+        }
+    }
+
     /// Takes a stall of a leaf that has ended, for this VM and the other carriers.
     pub(super) fn take_stall(&mut self, leaf: LeafKey, stall: Option<Stall>) {
         let address = self.leaves.get(leaf).map(Leaf::address);
         let (Some(stall), Some(address)) = (stall, address) else {
             return;
         };
-        self.pending.add(address, stall);
+        let stall_us = stall.end_us.saturating_sub(stall.start_us);
+        let sight = Sight::Resumed {
+            stall_us: u32::try_from(stall_us).unwrap_or(u32::MAX),
+        };
+        self.pending.add(address, stall.end_us, sight);
         self.leaves.observe_stall(leaf, stall);
     }
 
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -5,7 +5,7 @@
 
 use super::catalog::LeafRecord;
 use super::connection::Idle;
-use super::notes::Note;
+use super::notes::{Note, Sight};
 use super::pace::Pace;
 use super::rhythm::{Interval, Rhythm, Stall};
 use super::routes::{RouteTable, ServiceNames};
@@ -28,6 +28,13 @@
 /// some 4 s.
 const MISDIRECTED_HOLD_MS: u64 = 5_000;
 
+/// Time without any leaf's reply from which a VM takes itself for the cause of stalls: at a few requests a
+/// second over tens of shards, replies come each few milliseconds.
+const OWN_SILENCE_US: u64 = 50_000;
+
+/// Part of all leaves that may stall at a time before a VM takes itself for the cause, as a divisor.
+const MAX_STALLED_DIVISOR: usize = 3;
+
 /// Share of a leaf's connections that is left to VMs which join or are seen late, as a divisor.
 const SPARE_DIVISOR: u32 = 8;
 
@@ -64,6 +71,7 @@
     by_service: BTreeMap<ServiceKey, Vec<LeafKey>>,
     own_domain: Box<str>,
     interval: Interval,
+    replied_us: u64,
 }
 
 /// Why no leaf of a service can take a call.
@@ -169,14 +177,66 @@
 
     /// Takes what another VM saw of a leaf.
     pub fn hear(&mut self, note: &Note, now_us: u64) {
-        let Some(key) = self.by_address.get(&note.leaf).copied() else {
+        let key = self.by_address.get(&note.leaf).copied();
+        let (Some(key), Some(seen_us)) = (key, note.seen_us(now_us)) else {
+            return;
+        };
+        let Some(leaf) = self.arena.get_mut(&key) else {
             return;
         };
-        if let Some(stall) = note.stall(now_us) {
-            self.observe_stall(key, stall);
+        match note.sight {
+            Sight::Stalled { silent_us } => {
+                let since_us = seen_us.saturating_sub(u64::from(silent_us));
+                leaf.pace.hear_stalled(since_us, seen_us);
+            }
+            Sight::Failed => leaf.pace.hear_outcome(true, now_us),
+            Sight::Answered => leaf.pace.hear_outcome(false, now_us),
+            Sight::Resumed { stall_us } => {
+                leaf.pace.hear_resumed();
+                let start_us = seen_us.saturating_sub(u64::from(stall_us));
+                let end_us = seen_us;
+                self.observe_stall(key, Stall { start_us, end_us });
+            }
         }
     }
 
+    /// Notes that a leaf gave a whole reply.
+    pub fn note_reply(&mut self, now_us: u64) {
+        self.replied_us = now_us;
+    }
+
+    /// Returns the leaves that have stopped answering and of which the other VMs have not been told, with
+    /// the time since their last answers.
+    ///
+    /// None if the cause is more likely this VM: no leaf has replied for a while, or many have stopped.
+    pub fn newly_stalled(&mut self, now_us: u64) -> Vec<(SocketAddr, u64)> {
+        let all = self.by_id.len();
+        let stalled = self
+            .arena
+            .values()
+            .filter(|leaf| leaf.pace.is_stalled(now_us));
+        let is_cut_off = now_us.saturating_sub(self.replied_us) > OWN_SILENCE_US;
+        if is_cut_off || stalled.count() * MAX_STALLED_DIVISOR > all {
+            return Vec::new();
+        }
+        let mut told = Vec::new();
+        for leaf in self.arena.values_mut() {
+            let Some(silent_us) = leaf.pace.tell_stalled(now_us) else {
+                continue;
+            };
+            told.push((leaf.address(), silent_us));
+        }
+        told
+    }
+
+    /// Returns how much of a time fell into regular pauses of a leaf.
+    pub fn paused_us(&self, key: LeafKey, from_us: u64, to_us: u64) -> u64 {
+        let leaf = self.arena.get(&key);
+        leaf.map_or(0, |leaf| {
+            leaf.rhythm.paused_us(from_us, to_us, &self.interval)
+        })
+    }
+
     /// Takes a stall of a leaf that has ended.
     pub fn observe_stall(&mut self, key: LeafKey, stall: Stall) {
         let Some(leaf) = self.arena.get_mut(&key) else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,7 +42,7 @@
 pub use members::{Member, Members};
 pub use merge::merge_records;
 pub use meters::Meters;
-pub use notes::{Note, Pending};
+pub use notes::{Note, Pending, Sight};
 pub use overload::{Ended, Overload};
 pub use pace::Pace;
 pub use place::Place;
--- a/src/gateway/notes.rs
+++ b/src/gateway/notes.rs
@@ -1,8 +1,9 @@
-//! What carriers tell each other about leaves: the ends of their pauses.
+//! What carriers tell each other about leaves: stalls, their ends, failures, and answers of leaves that
+//! failed lately.
 //!
-//! Each VM sees only its own calls, a few a second to each leaf of a large fleet; the pauses that all
-//! carriers see give the interval and the phases sooner. Ages travel instead of times, since the
-//! clocks of VMs differ.
+//! Answers the loads in which some leaves pause, are slow, shed or lose answers. Each VM sees only its own
+//! calls, a few a second to each leaf of a large fleet: alone, every VM would spend some calls on each bad
+//! leaf to find out. Ages travel instead of times, since the clocks of VMs differ.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,12 +15,15 @@
 use tracing::{debug, warn};
 
 use super::engine::Engine;
-use super::rhythm::Stall;
 use crate::clock::boot_us;
 use crate::wire::{decode, encode};
 
-/// Time between two looks at what there is to tell.
-const FLUSH_MS: u64 = 40;
+/// Time between two looks at what there is to tell: a tenth of a usual pause, so that most of it is left
+/// when the others hear of it.
+const FLUSH_MS: u64 = 20;
+
+/// Version of the datagram; others are dropped.
+const NOTES_VERSION: u8 = 2;
 
 /// Notes in one datagram, so that it fits an Ethernet frame: a note takes at most 20 bytes.
 const MAX_NOTES: usize = 60;
@@ -33,16 +37,43 @@
 /// Oldest note that is believed.
 const MAX_AGE_US: u32 = 2_000_000;
 
-/// A leaf answered again after a time without answers.
+/// What a VM saw of a leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub enum Sight {
+    /// It has stopped answering.
+    Stalled {
+        /// Time since its last answer to the VM, with calls open, in microseconds.
+        silent_us: u32,
+    },
+    /// It answered again after a time without answers.
+    Resumed {
+        /// Time without answers, in microseconds.
+        stall_us: u32,
+    },
+    /// It failed or refused a call.
+    Failed,
+    /// It answered a call, although it had failed some lately.
+    Answered,
+}
+
+/// What a VM saw of a leaf, and how long ago.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
 pub struct Note {
     /// Address of the leaf.
     pub leaf: SocketAddr,
-    /// Time since it answered again.
+    /// Time since then.
     pub age_us: u32,
-    /// Time without answers before.
-    pub duration_us: u32,
+    /// What was seen.
+    pub sight: Sight,
+}
+
+#[derive(Debug)]
+#[derive(Encode, Decode)]
+struct Datagram {
+    version: u8,
+    notes: Vec<Note>,
 }
 
 /// Notes that wait to be sent.
@@ -52,18 +83,17 @@
 }
 
 impl Pending {
-    /// Adds a stall that ends now.
-    pub fn add(&mut self, leaf: SocketAddr, stall: Stall) {
+    /// Adds what is seen of a leaf at `seen_us`.
+    pub fn add(&mut self, leaf: SocketAddr, seen_us: u64, sight: Sight) {
         if self.notes.len() >= MAX_PENDING {
             return;
         }
-        let duration_us = stall.end_us.saturating_sub(stall.start_us);
         let note = Note {
             leaf,
             age_us: 0,
-            duration_us: u32::try_from(duration_us).unwrap_or(u32::MAX),
+            sight,
         };
-        self.notes.push((stall.end_us, note));
+        self.notes.push((seen_us, note));
     }
 
     /// Takes all notes, with their ages at `now_us`.
@@ -71,17 +101,16 @@
     /// # Examples
     ///
     /// ```
-    /// use cloverrack::gateway::{Pending, Stall};
+    /// use cloverrack::gateway::{Pending, Sight};
     /// let mut pending = Pending::default();
-    /// let stall = Stall { start_us: 1_000, end_us: 201_000 };
-    /// pending.add(([127, 0, 0, 1], 7000).into(), stall);
+    /// pending.add(([127, 0, 0, 1], 7000).into(), 201_000, Sight::Failed);
     /// let notes = pending.take(201_500);
-    /// assert_eq!((notes[0].age_us, notes[0].duration_us), (500, 200_000));
+    /// assert_eq!((notes[0].age_us, notes[0].sight), (500, Sight::Failed));
     /// ```
     pub fn take(&mut self, now_us: u64) -> Vec<Note> {
         let mut notes = Vec::with_capacity(self.notes.len());
-        for (ended_us, mut note) in self.notes.drain(..) {
-            let waited_us = now_us.saturating_sub(ended_us);
+        for (seen_us, mut note) in self.notes.drain(..) {
+            let waited_us = now_us.saturating_sub(seen_us);
             note.age_us = u32::try_from(waited_us).unwrap_or(u32::MAX);
             notes.push(note);
         }
@@ -90,16 +119,12 @@
 }
 
 impl Note {
-    /// Returns the stall on this VM's clock; `None` for one that is too old to be told exactly.
-    pub fn stall(&self, now_us: u64) -> Option<Stall> {
+    /// Returns when it was seen on this VM's clock; `None` if that is too long ago to be told exactly.
+    pub fn seen_us(&self, now_us: u64) -> Option<u64> {
         if self.age_us > MAX_AGE_US {
             return None;
         }
-        let end_us = now_us.saturating_sub(u64::from(self.age_us));
-        Some(Stall {
-            start_us: end_us.saturating_sub(u64::from(self.duration_us)),
-            end_us,
-        })
+        Some(now_us.saturating_sub(u64::from(self.age_us)))
     }
 }
 
@@ -114,7 +139,11 @@
         }
         let carriers = engine.carrier_addresses();
         for part in notes.chunks(MAX_NOTES) {
-            let bytes = match encode(&part.to_vec()) {
+            let datagram = Datagram {
+                version: NOTES_VERSION,
+                notes: part.to_vec(),
+            };
+            let bytes = match encode(&datagram) {
                 Ok(bytes) => bytes,
                 Err(error) => {
                     warn!(event = "notes_not_encoded", %error);
@@ -143,8 +172,13 @@
                 continue;
             }
         };
-        match decode::<Vec<Note>>(&buffer[..length]) {
-            Ok(notes) => engine.take_hearsay(&notes, boot_us()),
+        match decode::<Datagram>(&buffer[..length]) {
+            Ok(datagram) if datagram.version == NOTES_VERSION => {
+                engine.take_hearsay(&datagram.notes, boot_us());
+            }
+            Ok(datagram) => {
+                debug!(event = "notes_of_other_version", %from, version = datagram.version);
+            }
             Err(error) => warn!(event = "notes_malformed", %from, %error),
         }
     }
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -48,6 +48,13 @@
 /// Time in which the excess of an average over the best replica's halves while the leaf is unused.
 const FORGET_HALF_MS: u64 = 1_500;
 
+/// Time for which another VM's word that a leaf stalls counts, unless it is repeated. An answer ends it
+/// sooner.
+const HEARD_STALL_US: u64 = 120_000;
+
+/// Time after which a stall that goes on is told again.
+const TELL_AGAIN_US: u64 = 100_000;
+
 /// Latency estimate and open calls of one leaf.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -60,6 +67,8 @@
     failed_until_ms: u64,
     failure_share_ppm: u64,
     judged_ms: u64,
+    heard_stall_until_us: u64,
+    told_us: u64,
 }
 
 impl Default for Pace {
@@ -74,6 +83,8 @@
             failed_until_ms: 0,
             failure_share_ppm: 0,
             judged_ms: 0,
+            heard_stall_until_us: 0,
+            told_us: 0,
         }
     }
 }
@@ -87,11 +98,14 @@
     }
 
     /// Closes a call that the leaf answered; returns the stall that the answer ended.
-    pub fn answered(&mut self, call: u64, now_us: u64) -> Option<Stall> {
+    ///
+    /// `paused_us` of the call's time fell into a regular pause, which says nothing of the next call.
+    pub fn answered(&mut self, call: u64, now_us: u64, paused_us: u64) -> Option<Stall> {
         let stall = self.ended_stall(now_us);
         self.last_answer_us = now_us;
+        self.heard_stall_until_us = 0;
         let started_us = self.open.remove(&call)?;
-        let latency_us = now_us.saturating_sub(started_us);
+        let latency_us = now_us.saturating_sub(started_us + paused_us);
         let old_us = self.average_us - (self.average_us >> AVERAGE_SHIFT);
         self.average_us = old_us + (latency_us >> AVERAGE_SHIFT);
         self.observed_ms = now_us / 1_000;
@@ -104,15 +118,24 @@
     /// Returns the stall that an answer ends now: calls were open all the while, and none was answered
     /// for much longer than usual.
     fn ended_stall(&self, now_us: u64) -> Option<Stall> {
-        let oldest_us = *self.open.first_key_value()?.1;
-        let start_us = oldest_us.max(self.last_answer_us);
-        let limit_us = self.average_us * STALL_FACTOR + STALL_FLOOR_US;
-        (now_us.saturating_sub(start_us) > limit_us).then_some(Stall {
+        let start_us = self.silent_since_us()?;
+        let is_long = now_us.saturating_sub(start_us) > self.stall_limit_us();
+        is_long.then_some(Stall {
             start_us,
             end_us: now_us,
         })
     }
 
+    /// Returns since when calls are open and none was answered.
+    fn silent_since_us(&self) -> Option<u64> {
+        let oldest_us = *self.open.first_key_value()?.1;
+        Some(oldest_us.max(self.last_answer_us))
+    }
+
+    fn stall_limit_us(&self) -> u64 {
+        self.average_us * STALL_FACTOR + STALL_FLOOR_US
+    }
+
     /// Closes a call that the leaf answered with a refusal or a failure of its own.
     ///
     /// Such answers come fast, so they say nothing of the latency.
@@ -148,6 +171,35 @@
         self.judge(PPM, now_us / 1_000);
     }
 
+    /// Takes another VM's word that the leaf has answered nothing since a time, unless this VM knows
+    /// better.
+    pub fn hear_stalled(&mut self, since_us: u64, seen_us: u64) {
+        if since_us >= self.last_answer_us {
+            self.heard_stall_until_us = seen_us + HEARD_STALL_US;
+        }
+    }
+
+    /// Takes another VM's word that the leaf answers again.
+    pub fn hear_resumed(&mut self) {
+        self.heard_stall_until_us = 0;
+    }
+
+    /// Takes another VM's word that the leaf failed a call or answered one.
+    pub fn hear_outcome(&mut self, failed: bool, now_us: u64) {
+        self.judge(if failed { PPM } else { 0 }, now_us / 1_000);
+    }
+
+    /// Returns for how long the leaf has stalled, if the other VMs should be told now.
+    pub fn tell_stalled(&mut self, now_us: u64) -> Option<u64> {
+        let since_us = self.silent_since_us()?;
+        let is_told = now_us.saturating_sub(self.told_us) < TELL_AGAIN_US;
+        if is_told || !self.is_stalled(now_us) {
+            return None;
+        }
+        self.told_us = now_us;
+        Some(now_us.saturating_sub(since_us))
+    }
+
     /// Returns the open calls.
     pub fn open_calls(&self) -> usize {
         self.open.len()
@@ -163,14 +215,13 @@
         now_us / 1_000 < self.failed_until_ms
     }
 
-    /// Returns whether the oldest open call waits for much longer than calls usually do.
+    /// Returns whether the leaf has answered no call for much longer than calls usually take, although
+    /// some are open. A single call with much work is no stall while others are answered.
     pub fn is_stalled(&self, now_us: u64) -> bool {
-        let oldest = self
-            .open
-            .first_key_value()
-            .map(|(_, started_us)| *started_us);
-        let limit_us = self.average_us * STALL_FACTOR + STALL_FLOOR_US;
-        oldest.is_some_and(|started_us| now_us.saturating_sub(started_us) > limit_us)
+        let silent_us = self
+            .silent_since_us()
+            .map(|since_us| now_us.saturating_sub(since_us));
+        silent_us.is_some_and(|silent_us| silent_us > self.stall_limit_us())
     }
 
     /// Returns the expected time of a further call, in microseconds.
@@ -195,7 +246,7 @@
         let mut expected_us = average_us + queue;
         let failure_share_ppm = self.failure_share_ppm(now_us / 1_000);
         expected_us += failure_share_ppm * FAILURE_SHARE_COST_US / PPM;
-        if self.is_stalled(now_us) {
+        if self.is_stalled(now_us) || now_us < self.heard_stall_until_us {
             expected_us += STALL_COST_US;
         }
         if self.is_failing(now_us) {
--- a/src/gateway/rhythm.rs
+++ b/src/gateway/rhythm.rs
@@ -312,6 +312,29 @@
         best.map(|(_, anchor_us)| anchor_us)
     }
 
+    /// Returns how much of a time fell into the latest predicted pause before its end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::{Interval, Rhythm};
+    /// let rhythm = Rhythm::default();
+    /// assert_eq!(rhythm.paused_us(0, 1_000_000, &Interval::default()), 0);
+    /// ```
+    pub fn paused_us(&self, from_us: u64, to_us: u64, interval: &Interval) -> u64 {
+        let (Some(interval_us), Some(anchor_us)) = (interval.believed_us(), self.anchor_us) else {
+            return 0;
+        };
+        // A call ends up to one service time after the pause; one that is open in it may end before.
+        let near_us = to_us + interval.duration_us();
+        if near_us < anchor_us || near_us - anchor_us > interval_us * MAX_AGE_INTERVALS {
+            return 0;
+        }
+        let end_us = near_us - (near_us - anchor_us) % interval_us;
+        let start_us = end_us.saturating_sub(interval.duration_us());
+        end_us.min(to_us).saturating_sub(start_us.max(from_us))
+    }
+
     /// Returns the time until the end of a pause that a call of `call_us` sent now would meet.
     ///
     /// # Examples
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -224,10 +224,10 @@
         if number % 2 == 0 {
             failing.answered_badly(call, now_us + 2_000);
         } else {
-            failing.answered(call, now_us + 20_000);
+            failing.answered(call, now_us + 20_000, 0);
         }
         let call = loaded.begin(now_us);
-        loaded.answered(call, now_us + 25_000);
+        loaded.answered(call, now_us + 25_000, 0);
     }
     loaded.begin(now_us);
     assert!(failing.expected_us(3, now_us) > loaded.expected_us(3, now_us));
@@ -245,7 +245,7 @@
     let mut pace = Pace::default();
     for number in 0..20 {
         let call = pace.begin(number * 30_000);
-        pace.answered(call, number * 30_000 + 20_000);
+        pace.answered(call, number * 30_000 + 20_000, 0);
     }
     pace.begin(1_000_000);
     assert!(!pace.is_stalled(1_030_000));
