Give scarce extra calls to requests that they complete

Cause: a request over 36 shards that lost several of them took extra calls one by one and failed at the first that was denied; the calls spent on it were lost.

A request now asks for as many as it needs, 4 ms after a failure, when refusals of the other shards are in; it gets the first only if that many and half as many again but one are there. Otherwise it fails at once.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -202,9 +202,9 @@
         self.state().extra.earn(service, boot_ms());
     }
 
-    /// Returns whether an extra call is allowed; an urgent one may use the last.
-    pub fn allows_extra(&self, service: ServiceKey, urgent: bool) -> bool {
-        let allowed = self.state().extra.allows(service, urgent);
+    /// Returns whether an extra call is allowed to a request that fails without so many of them.
+    pub fn allows_extra(&self, service: ServiceKey, needed: usize) -> bool {
+        let allowed = self.state().extra.allows(service, needed);
         if !allowed {
             self.meters.count_extra(false);
         }
--- a/src/gateway/extra.rs
+++ b/src/gateway/extra.rs
@@ -21,6 +21,10 @@
 /// VMs that don't know all others yet.
 const SLACK_BURST_PERCENT: u64 = 30;
 
+/// Extra calls that have to be left after a request took its second and further ones, as a divisor of
+/// their number.
+const RESERVE_DIVISOR: u64 = 2;
+
 /// Parts per million in one call.
 const CALL_PPM: u64 = 1_000_000;
 
@@ -104,9 +108,9 @@
     /// let mut extra = ExtraCalls::new(bounds);
     /// let service = ServiceKey::new(0);
     /// extra.earn(service, 0);
-    /// assert!(!extra.allows(service, true));
+    /// assert!(!extra.allows(service, 1));
     /// extra.earn(service, 1_000);
-    /// assert!(extra.allows(service, true) && extra.spend(service));
+    /// assert!(extra.allows(service, 1) && extra.spend(service));
     /// ```
     pub fn earn(&mut self, service: ServiceKey, now_ms: u64) {
         let capacity = self.bounds.capacity(self.vms);
@@ -122,10 +126,20 @@
         account.budget.earn(1, earned_ppm);
     }
 
-    /// Returns whether an extra call is allowed; an urgent one may use the last.
-    pub fn allows(&self, service: ServiceKey, urgent: bool) -> bool {
-        let budget = self.accounts.get(&service).map(|account| account.budget);
-        budget.is_some_and(|b| b.is_ample() || urgent && b.can_spend())
+    /// Returns whether an extra call is allowed to a request that fails without so many of them.
+    ///
+    /// A request that needs none takes one only while they are ample. One that needs several has to find
+    /// more than it needs: while they are scarce, they serve more requests that need one each, and those
+    /// spent on a request that runs out of them are lost.
+    pub fn allows(&self, service: ServiceKey, needed: usize) -> bool {
+        let Some(account) = self.accounts.get(&service) else {
+            return false;
+        };
+        if needed == 0 {
+            return account.budget.is_ample();
+        }
+        let needed = u64::try_from(needed).unwrap_or(u64::MAX);
+        account.budget.saved_calls() >= needed.saturating_add((needed - 1) / RESERVE_DIVISOR)
     }
 
     /// Takes an extra call, if there is one.
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -21,6 +21,10 @@
 /// Time between two looks for a free connection or an extra call.
 const RETRY_PAUSE_US: u64 = 4_000;
 
+/// Time after a failed call before its shard gets another, in requests over several shards: refusals come
+/// within it, so it is known then how many extra calls the request needs.
+const REPEAT_PAUSE_US: u64 = 4_000;
+
 /// Time for which calls that an answer no longer waits for may end, so that their connections stay
 /// open and a pause of a leaf is seen to its end.
 const LINGER_MS: u64 = 300;
@@ -154,14 +158,14 @@
                 continue;
             }
             if shard.wanting {
-                let urgent = shard.sent > 0 && self.tally(elapsed_us).needs_extra();
-                self.try_call(index, urgent);
+                if elapsed_us >= shard.wanting_from_us {
+                    self.try_call(index, elapsed_us);
+                }
                 continue;
             }
             if self.plan.idempotent && self.is_late(shard, elapsed_us) {
-                let urgent = self.tally(elapsed_us).needs_extra();
                 let before = self.sent_calls;
-                self.try_call(index, urgent);
+                self.try_call(index, elapsed_us);
                 self.shards[index].hedged = self.sent_calls > before;
             }
         }
@@ -175,14 +179,18 @@
     }
 
     /// Starts a call to a shard, if a leaf, a connection and the budget allow it.
-    fn try_call(&mut self, index: usize, urgent: bool) {
+    fn try_call(&mut self, index: usize, elapsed_us: u64) {
         let shard = &self.shards[index];
         let repeat = shard.sent > 0;
-        // Asked before a leaf is chosen: a call that is opened and dropped closes its connection.
-        if repeat && !self.engine.allows_extra(self.plan.budget, urgent) {
-            self.no_budget_left(index, urgent);
-            return;
+        if repeat {
+            let needed = self.tally(elapsed_us).extra_needed();
+            // Asked before a leaf is chosen: a call that is opened and dropped closes its connection.
+            if !self.engine.allows_extra(self.plan.budget, needed) {
+                self.no_budget_left(index, needed > 0);
+                return;
+            }
         }
+        let shard = &self.shards[index];
         let choice = self.engine.open_call(shard.service, &shard.tried);
         let call = match choice {
             Ok(call) => call,
@@ -270,7 +278,7 @@
             shard.fallback = Some(reply);
         }
         if self.plan.idempotent && shard.sent < self.plan.max_attempts {
-            shard.wanting = true;
+            self.want_repeat(index);
         } else if shard.open_calls == 0 {
             shard.settle();
         }
@@ -287,12 +295,21 @@
         }
         let may_repeat = self.plan.idempotent || error.has_not_run();
         if may_repeat && shard.sent < self.plan.max_attempts {
-            shard.wanting = true;
+            self.want_repeat(index);
         } else if shard.open_calls == 0 {
             shard.settle();
         }
     }
 
+    fn want_repeat(&mut self, index: usize) {
+        let is_alone = self.shards.len() == 1;
+        let pause_us = if is_alone { 0 } else { REPEAT_PAUSE_US };
+        let from_us = self.elapsed_us() + pause_us;
+        let shard = &mut self.shards[index];
+        shard.wanting = true;
+        shard.wanting_from_us = from_us;
+    }
+
     /// Returns when something may have to be done although no call ends, since the arrival.
     fn next_look_us(&self, elapsed_us: u64) -> u64 {
         let schedule = &self.plan.schedule;
@@ -305,7 +322,13 @@
                 continue;
             }
             if shard.wanting {
-                next_us = next_us.min(elapsed_us + RETRY_PAUSE_US);
+                let again_us = elapsed_us + RETRY_PAUSE_US;
+                let is_due = elapsed_us >= shard.wanting_from_us;
+                next_us = next_us.min(if is_due {
+                    again_us
+                } else {
+                    shard.wanting_from_us
+                });
                 continue;
             }
             if !self.plan.idempotent || shard.hedged || shard.sent >= self.plan.max_attempts {
--- a/src/gateway/policy.rs
+++ b/src/gateway/policy.rs
@@ -160,7 +160,7 @@
         Step::Wait
     }
 
-    /// Returns whether the answer fails unless a further call succeeds: the shards that answered and
+    /// Returns how many further calls have to succeed for an answer in time: the shards that answered and
     /// those that answer soon are too few.
     ///
     /// # Examples
@@ -168,10 +168,10 @@
     /// ```
     /// use cloverrack::gateway::Tally;
     /// let tally = Tally { parts: 33, open: 3, on_time: 1, min_parts: 35 };
-    /// assert!(tally.needs_extra(), "34 of 35 are in sight");
-    /// assert!(!Tally { on_time: 2, ..tally }.needs_extra());
+    /// assert_eq!(tally.extra_needed(), 1, "34 of 35 are in sight");
+    /// assert_eq!(Tally { on_time: 2, ..tally }.extra_needed(), 0);
     /// ```
-    pub fn needs_extra(&self) -> bool {
-        self.parts + self.on_time < self.min_parts
+    pub fn extra_needed(&self) -> usize {
+        self.min_parts.saturating_sub(self.parts + self.on_time)
     }
 }
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -99,14 +99,14 @@
         self.rate = (self.rate - self.rate / SHED_DIVISOR).max(LOWEST_RATE);
     }
 
-    /// Returns whether there is an extra call.
-    pub fn can_spend(&self) -> bool {
-        self.tokens_ppm >= CALL_PPM
+    /// Returns the extra calls that there are.
+    pub fn saved_calls(&self) -> u64 {
+        self.tokens_ppm / CALL_PPM
     }
 
     /// Takes one extra call from the budget, if it has one.
     pub fn try_spend(&mut self) -> bool {
-        if !self.can_spend() {
+        if self.saved_calls() == 0 {
             return false;
         }
         self.tokens_ppm -= CALL_PPM;
--- a/tests/gateway_extra.rs
+++ b/tests/gateway_extra.rs
@@ -43,7 +43,7 @@
             continue;
         }
         for _ in 0..wanted {
-            if sharer.allows(service, true) && sharer.spend(service) {
+            if sharer.allows(service, 1) && sharer.spend(service) {
                 played.extra_ms.push(now_ms);
             }
         }
@@ -102,3 +102,33 @@
         );
     }
 }
+
+/// Guards against scarce extra calls that go to requests which need more than there are: each request
+/// takes its calls one by one and fails when it is denied one.
+#[test]
+fn scarce_extra_calls_complete_the_most_requests() {
+    let service = ServiceKey::new(0);
+    let mut rng = StdRng::seed_from_u64(9);
+    let mut extra = ExtraCalls::new(BOUNDS);
+    extra.set_vms(7);
+    let (mut completed, mut spent, mut lost) = (0, 0, 0);
+    for request in 0..1_200 {
+        extra.earn(service, request * 50);
+        let needed = rng.random_range(1..=8);
+        let mut taken = 0;
+        while taken < needed && extra.allows(service, needed - taken) && extra.spend(service) {
+            taken += 1;
+        }
+        spent += taken;
+        if taken == needed {
+            completed += 1;
+        } else {
+            lost += taken;
+        }
+    }
+    assert_eq!(lost, 0, "calls spent on requests that failed");
+    assert!(
+        spent <= 3 * completed,
+        "{spent} calls for {completed} requests"
+    );
+}
--- a/tests/gateway_hearsay.rs
+++ b/tests/gateway_hearsay.rs
@@ -1,5 +1,7 @@
 //! What VMs tell each other of leaves, and what they make of it, without a network.
 
+#![expect(clippy::unwrap_used, reason = "helpers of tests")]
+
 use std::net::SocketAddr;
 
 use cloverrack::ServiceKey;
--- a/tests/gateway_serving.rs
+++ b/tests/gateway_serving.rs
@@ -316,3 +316,41 @@
         assert!((0.2..=0.7).contains(&seconds), "{seconds} of 2 s");
     }
 }
+
+/// Guards against scarce extra calls that are spent on a request which fails all the same.
+#[tokio::test]
+async fn a_request_that_lost_too_many_shards_spends_no_extra_call() {
+    const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
+    let served = Served::spawn().await;
+    let mut leaves = Vec::new();
+    for shard in SHARDS {
+        for replica in ["a", "b"] {
+            let id = format!("{shard}-{replica}");
+            leaves.push((shard, Leaf::spawn(&id, 1, Conduct::Answer).await));
+        }
+    }
+    let listed: Vec<(&str, &Leaf)> = leaves.iter().map(|(shard, leaf)| (*shard, leaf)).collect();
+    served.publish(1, vec![gather("/g/", &SHARDS, 1_000_000)], &listed);
+    // Earns two extra calls, at 0.18 a request.
+    for _ in 0..12 {
+        served.ask("/g/x").await;
+    }
+    let ran = |failing: usize| {
+        let failing = leaves.iter().take(2 * failing);
+        failing.map(|(_, leaf)| leaf.ran()).sum::<usize>()
+    };
+    let fail = |shards: usize| {
+        for (_, leaf) in leaves.iter().take(2 * shards) {
+            leaf.set(Conduct::Fail);
+        }
+    };
+    fail(1);
+    let before = ran(1);
+    served.ask("/g/x").await;
+    assert_eq!(ran(1) - before, 2, "one lost shard gets an extra call");
+    fail(3);
+    let before = ran(3);
+    let reply = served.ask("/g/x").await;
+    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(ran(3) - before, 3, "three lost shards get none");
+}
