Log leaves that peers report as failing and extra calls that were denied

Cause: notes of other VMs change what a VM believes of a leaf without a line, and a request that failed because no extra call was left looked like any other. New event leaf_suspect (only at the change) and field denied of request_ended.

Failed try, reverted: closing connections to a leaf beyond those in use at a time in the last 1 to 2 s, against resets over the leaves' limit after losses of power.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -24,9 +24,6 @@
 use crate::clock::{boot_ms, boot_us};
 use crate::ids::{LeafKey, ServiceKey};
 
-/// Share of failed calls of a leaf from which its answers are told to other VMs, in parts per million.
-const SUSPECT_SHARE_PPM: u64 = 30_000;
-
 /// Names of the headers that callers, leaves and this system exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
@@ -301,8 +298,7 @@
         let Some(leaf) = self.leaves.get(leaf) else {
             return;
         };
-        let is_suspect = leaf.pace.failure_share_ppm(now_us / 1_000) >= SUSPECT_SHARE_PPM;
-        if sight == Sight::Failed || is_suspect {
+        if sight == Sight::Failed || leaf.pace.is_suspect(now_us) {
             self.pending.add(leaf.address(), now_us, sight);
         }
     }
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -63,6 +63,8 @@
     pub may_have_run: bool,
     /// Calls that were sent.
     pub sent_calls: usize,
+    /// Shards for which an extra call was denied.
+    pub denied_calls: usize,
     /// Last reason for which a call failed.
     pub last_error: Option<CallError>,
     /// Whether the time of the request was over.
@@ -84,6 +86,7 @@
     started_us: u64,
     may_have_run: bool,
     sent_calls: usize,
+    denied_calls: usize,
     last_error: Option<CallError>,
 }
 
@@ -100,6 +103,7 @@
             started_us,
             may_have_run: false,
             sent_calls: 0,
+            denied_calls: 0,
             last_error: None,
         }
     }
@@ -224,6 +228,7 @@
         let last_hope = shard.open_calls == 0 && urgent;
         if shard.fallback.is_some() || last_hope {
             shard.settle();
+            self.denied_calls += 1;
         }
     }
 
@@ -369,6 +374,7 @@
             complete,
             may_have_run: self.may_have_run || any_open,
             sent_calls: self.sent_calls,
+            denied_calls: self.denied_calls,
             last_error: self.last_error,
             timed_out,
             usual_call_us,
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
+use tracing::info;
+
 use super::catalog::LeafRecord;
 use super::connection::Idle;
 use super::notes::{Note, Sight};
@@ -189,8 +191,15 @@
                 let since_us = seen_us.saturating_sub(u64::from(silent_us));
                 leaf.pace.hear_stalled(since_us, seen_us);
             }
-            Sight::Failed => leaf.pace.hear_outcome(true, now_us),
-            Sight::Answered => leaf.pace.hear_outcome(false, now_us),
+            Sight::Failed => {
+                let was_suspect = leaf.pace.is_suspect(now_us);
+                leaf.pace.hear_failure(now_us);
+                if !was_suspect && leaf.pace.is_suspect(now_us) {
+                    let share_ppm = leaf.pace.failure_share_ppm(now_us / 1_000);
+                    info!(event = "leaf_suspect", leaf = %note.leaf, share_ppm, age_us = note.age_us);
+                }
+            }
+            Sight::Answered => leaf.pace.hear_answer(now_us),
             Sight::Resumed { stall_us } => {
                 leaf.pace.hear_resumed();
                 let start_us = seen_us.saturating_sub(u64::from(stall_us));
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -42,6 +42,10 @@
 /// Time in which the share of failures halves while the leaf is unused.
 const FAILURE_HALF_MS: u64 = 2_500;
 
+/// Share of failed calls from which a leaf is suspect, in parts per million: about what is left of one
+/// failure after a dozen answers.
+const SUSPECT_SHARE_PPM: u64 = 30_000;
+
 /// Parts per million in one.
 const PPM: u64 = 1_000_000;
 
@@ -184,9 +188,19 @@
         self.heard_stall_until_us = 0;
     }
 
-    /// Takes another VM's word that the leaf failed a call or answered one.
-    pub fn hear_outcome(&mut self, failed: bool, now_us: u64) {
-        self.judge(if failed { PPM } else { 0 }, now_us / 1_000);
+    /// Takes another VM's word that the leaf failed a call.
+    pub fn hear_failure(&mut self, now_us: u64) {
+        self.judge(PPM, now_us / 1_000);
+    }
+
+    /// Takes another VM's word that the leaf answered a call.
+    pub fn hear_answer(&mut self, now_us: u64) {
+        self.judge(0, now_us / 1_000);
+    }
+
+    /// Returns whether the leaf failed so many calls lately that its answers are news to other VMs.
+    pub fn is_suspect(&self, now_us: u64) -> bool {
+        self.failure_share_ppm(now_us / 1_000) >= SUSPECT_SHARE_PPM
     }
 
     /// Returns for how long the leaf has stalled, if the other VMs should be told now.
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -286,6 +286,7 @@
             parts,
             all,
             calls = gathered.sent_calls,
+            denied = gathered.denied_calls,
             complete = gathered.complete,
             may_have_run = gathered.may_have_run,
             timed_out = gathered.timed_out,
