--- a/src/gateway/notes.rs
+++ b/src/gateway/notes.rs
@@ -22,6 +22,10 @@
 /// when the others hear of it.
 const FLUSH_MS: u64 = 20;
 
+/// The same on a VM that carries no requests: it has hardly anything to tell, and each look costs
+/// processor time.
+const IDLE_FLUSH_MS: u64 = 200;
+
 /// Version of the datagram; others are dropped.
 const NOTES_VERSION: u8 = 2;
 
@@ -128,16 +132,26 @@
     }
 }
 
+/// Returns the time until a VM looks for notes again.
+fn flush_pause_ms(carriers: &[SocketAddr], own: SocketAddr) -> u64 {
+    if carriers.contains(&own) {
+        FLUSH_MS
+    } else {
+        IDLE_FLUSH_MS
+    }
+}
+
 /// Sends the notes of the VM with internal address `own` to the other carriers until the task is dropped.
 pub async fn send(socket: Arc<UdpSocket>, engine: Arc<Engine>, own: SocketAddr) {
     let port = socket.local_addr().map_or(0, |address| address.port());
     loop {
-        sleep(Duration::from_millis(FLUSH_MS)).await;
+        let carriers = engine.carrier_addresses();
+        let pause_ms = flush_pause_ms(&carriers, own);
+        sleep(Duration::from_millis(pause_ms)).await;
         let notes = engine.take_notes();
         if notes.is_empty() {
             continue;
         }
-        let carriers = engine.carrier_addresses();
         for part in notes.chunks(MAX_NOTES) {
             let datagram = Datagram {
                 version: NOTES_VERSION,
