--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -105,6 +105,15 @@
         let Ok(Ok(stream)) = connecting else {
             return Err(CallError::Connect);
         };
+        Self::open_on(stream).await
+    }
+
+    /// Sets up HTTP on an open stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream has been closed.
+    pub async fn open_on(stream: TcpStream) -> Result<Self, CallError> {
         if stream.set_nodelay(true).is_err() {
             return Err(CallError::Connect);
         }
