Log the content of requests and the leaves that crash under them

Cause of the gap: request_ended named neither the content of a request nor the leaf, and `answer broke off` stood for a leaf whose process had ended as well as for a connection that was cut, so logs could not tell the hypotheses of the incident apart.

Requests carry a fingerprint of host, method, path, query and body, and the caller's address. After a broken answer the gateway connects to the leaf again, unless the leaf is leaving: a refused connection means that the process has ended. Otherwise the new connection replaces the broken one. No decision depends on the result yet; a retry after a broken answer starts some 4 ms later than before.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,14 +3,19 @@
 //! Handles leaves that fail, refuse the request or don't reply, and replies that come from another
 //! leaf or belong to another request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HeaderValue;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
+use tokio::time::{sleep, timeout};
+use tracing::warn;
 
 use super::connection::{CallError, Connection, Reply};
+use super::content::Content;
 use super::engine::{Engine, Headers};
 use super::leaf_reports::Observation;
 use crate::clock::boot_us;
@@ -19,6 +24,13 @@
 /// Age from which an abandoned call without a reply counts as a failure of the leaf.
 const UNANSWERED_FAILURE_AGE_US: u64 = 350_000;
 
+/// Delay before a leaf that broke off an exchange is connected to again. A process that ends may
+/// close its connections shortly before its listener.
+const RECONNECT_DELAY_MS: u64 = 2;
+
+/// Timeout for that connection. An address without a process refuses it within a round trip.
+const RECONNECT_TIMEOUT_MS: u64 = 30;
+
 /// Request that is sent to each leaf.
 #[derive(Clone, Debug)]
 pub struct CallSpec {
@@ -32,6 +44,8 @@
     pub body: Bytes,
     /// ID of the request, taken from the caller's header; leaves echo it.
     pub request_id: HeaderValue,
+    /// What the caller asks for, which is the same in all its attempts.
+    pub content: Content,
     /// Deadline of the request on the boot clock.
     pub deadline_us: u64,
 }
@@ -76,7 +90,10 @@
     ///
     /// Fails if the leaf doesn't send a complete and valid reply to this request, or refuses it.
     pub async fn run(mut self, spec: &CallSpec) -> Result<Reply, CallError> {
-        let exchange_result = self.send_request(spec).await;
+        let mut exchange_result = self.send_request(spec).await;
+        if exchange_result.as_ref().err() == Some(&CallError::Broken) {
+            exchange_result = Err(self.reconnect(spec).await);
+        }
         let result = exchange_result.and_then(|reply| match self.validate_reply(spec, &reply) {
             Some(error) => {
                 self.finish(Err(error), Some(&reply));
@@ -110,6 +127,58 @@
         connection.exchange(request).await
     }
 
+    /// Connects again to a leaf that broke off the exchange, and returns whether it crashed or only
+    /// the connection failed. The new connection replaces the broken one.
+    async fn reconnect(&mut self, spec: &CallSpec) -> CallError {
+        self.connection = None;
+        sleep(Duration::from_millis(RECONNECT_DELAY_MS)).await;
+        let Some(address) = self.address_unless_leaving() else {
+            return CallError::Broken;
+        };
+        let limit = Duration::from_millis(RECONNECT_TIMEOUT_MS);
+        match timeout(limit, Connection::open(address)).await {
+            Ok(Ok(connection)) => {
+                self.engine.metrics.count_connection();
+                self.connection = Some(connection);
+                CallError::Broken
+            }
+            Ok(Err(CallError::ConnectRefused)) => {
+                self.log_crash(spec, address);
+                CallError::LeafCrashed
+            }
+            _ => CallError::Broken,
+        }
+    }
+
+    /// Returns the address of the leaf, or `None` if it has announced its end.
+    fn address_unless_leaving(&self) -> Option<SocketAddr> {
+        let state = self.engine.state();
+        let leaf = state.leaves.get(self.leaf)?;
+        let is_leaving = leaf.retired || leaf.record.draining;
+        (!is_leaving).then(|| leaf.address())
+    }
+
+    fn log_crash(&self, spec: &CallSpec, address: SocketAddr) {
+        let state = self.engine.state();
+        let Some(leaf) = state.leaves.get(self.leaf) else {
+            return;
+        };
+        let request_id = spec.request_id.to_str().unwrap_or("");
+        let Content {
+            fingerprint,
+            caller,
+        } = spec.content;
+        warn!(
+            event = "leaf_crashed",
+            leaf = %address,
+            id = %leaf.record.id,
+            request_id,
+            fingerprint,
+            %caller,
+            open_calls = leaf.leaf_stats.open_calls()
+        );
+    }
+
     /// Returns the error if a complete reply is not a valid reply of this leaf to this request.
     fn validate_reply(&self, spec: &CallSpec, reply: &Reply) -> Option<CallError> {
         let headers = &self.engine.headers;
@@ -152,9 +221,15 @@
             Err(CallError::RequestIdMismatch) => leaf.leaf_stats.record_abandoned(self.call_number),
             Err(_) => leaf.leaf_stats.record_failure(self.call_number, now_us),
         }
-        let is_reusable = matches!(outcome, Ok(_) | Err(CallError::Refused));
-        let reusable = connection.zip(reply).filter(|_| is_reusable);
-        let idle = reusable.and_then(|(c, reply)| c.into_idle(&reply.headers, now_us / 1_000));
+        let no_headers = HeaderMap::new();
+        let reply_headers = match outcome {
+            Ok(_) | Err(CallError::Refused) => reply.map(|reply| &reply.headers),
+            // The connection was opened after the broken one and has not been used.
+            Err(CallError::Broken) => Some(&no_headers),
+            Err(_) => None,
+        };
+        let reusable = connection.zip(reply_headers);
+        let idle = reusable.and_then(|(c, headers)| c.into_idle(headers, now_us / 1_000));
         match idle {
             Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
             _ => leaf.connections = leaf.connections.saturating_sub(1),
@@ -196,11 +271,13 @@
 fn observation_of(outcome: Result<StatusCode, CallError>) -> Option<Observation> {
     match outcome {
         Ok(status) if status.is_success() => Some(Observation::Answered),
-        Ok(_) | Err(CallError::Refused | CallError::Broken | CallError::Unsigned) => {
-            Some(Observation::Failed)
-        }
+        Ok(_)
+        | Err(
+            CallError::Refused | CallError::Broken | CallError::LeafCrashed | CallError::Unsigned,
+        ) => Some(Observation::Failed),
         Err(
             CallError::Connect
+            | CallError::ConnectRefused
             | CallError::Unsent
             | CallError::RequestIdMismatch
             | CallError::WrongLeaf,
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -3,6 +3,7 @@
 //! Handles leaves that don't accept connections in time, close idle connections or send incomplete
 //! replies, and determines whether a failed request may have run.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -63,12 +64,18 @@
     /// No connection could be opened, so nothing was sent.
     #[error("connection could not be opened")]
     Connect,
+    /// No process listens at the address, so nothing was sent.
+    #[error("connection was refused")]
+    ConnectRefused,
     /// The connection was closed before the request was written, so nothing was sent.
     #[error("connection had ended")]
     Unsent,
     /// The connection was closed, or the reply was malformed, after the request was sent.
     #[error("answer broke off")]
     Broken,
+    /// The leaf's process ended after the request was sent.
+    #[error("leaf crashed")]
+    LeafCrashed,
     /// The reply echoes the ID of another request.
     #[error("answer belongs to another request")]
     RequestIdMismatch,
@@ -84,11 +91,20 @@
 }
 
 impl CallError {
+    /// Returns whether the request was written to a connection.
+    pub fn was_sent(self) -> bool {
+        !matches!(self, Self::Connect | Self::ConnectRefused | Self::Unsent)
+    }
+
     /// Returns whether the request is certain not to have run and not to run later.
     pub fn has_not_run(self) -> bool {
         match self {
-            Self::Connect | Self::Unsent | Self::WrongLeaf | Self::Refused => true,
-            Self::Broken | Self::RequestIdMismatch | Self::Unsigned => false,
+            Self::Connect
+            | Self::ConnectRefused
+            | Self::Unsent
+            | Self::WrongLeaf
+            | Self::Refused => true,
+            Self::Broken | Self::LeafCrashed | Self::RequestIdMismatch | Self::Unsigned => false,
         }
     }
 }
@@ -102,10 +118,13 @@
     pub async fn open(address: SocketAddr) -> Result<Self, CallError> {
         let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let connecting = timeout(limit, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = connecting else {
-            return Err(CallError::Connect);
-        };
-        Self::open_on(stream).await
+        match connecting {
+            Ok(Ok(stream)) => Self::open_on(stream).await,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                Err(CallError::ConnectRefused)
+            }
+            _ => Err(CallError::Connect),
+        }
     }
 
     /// Sets up HTTP on an open stream.
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -307,8 +307,7 @@
 
     fn handle_failure(&mut self, index: usize, error: CallError) {
         let shard = &mut self.shards[index];
-        let was_sent = !matches!(error, CallError::Connect | CallError::Unsent);
-        if !was_sent {
+        if !error.was_sent() {
             shard.sent -= 1;
         }
         if shard.reply.is_some() {
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -4,6 +4,7 @@
 //! Handles overload and failed leaves: rejects requests with a retry time, and distinguishes
 //! requests that no leaf has executed from those that may have been.
 
+use std::net::{IpAddr, Ipv4Addr};
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -19,13 +20,14 @@
 use super::call::CallSpec;
 use super::concurrency_permit::ConcurrencyPermit;
 use super::connection::Reply;
+use super::content::Content;
 use super::engine::Engine;
 use super::fanout::{Fanout, FanoutPlan, FanoutResult};
 use super::fanout_schedule::FanoutSchedule;
 use super::merge::merge_records;
 use super::routes::{ResolvedDestination, Route, RouteTable, pick_weighted};
 use crate::clock::boot_us;
-use crate::http_server::{BodyError, Handler, HttpResponse, read_body};
+use crate::http_server::{BodyError, CallerAddress, Handler, HttpResponse, read_body};
 use crate::ids::ServiceKey;
 
 /// Range of the retry time, in milliseconds, for requests that can't be served for reasons other
@@ -132,6 +134,7 @@
             spec.deadline_us.saturating_sub(started_us),
         );
         let request_id = spec.request_id.clone();
+        let content = spec.content;
         let is_merged = !plan.relays_errors;
         let concurrency_permit = if is_merged {
             Some(self.admit(&plan, route, &spec, started_us)?)
@@ -153,6 +156,7 @@
         }
         let request_log = RequestLog {
             request_id: &request_id,
+            content,
             route,
             elapsed_us: boot_us().saturating_sub(started_us),
         };
@@ -195,6 +199,9 @@
         started_us: u64,
     ) -> Result<CallSpec, Refusal> {
         let headers = &self.engine.headers;
+        let host = request_host(&request);
+        let caller = request.extensions().get::<CallerAddress>();
+        let caller = caller.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |caller| caller.0);
         let (head, body) = request.into_parts();
         let request_id = head.headers.get(&headers.request_id);
         let request_id = request_id.ok_or(Refusal::NoRequestId)?.clone();
@@ -208,7 +215,9 @@
             Err(BodyError::TooLarge) => return Err(Refusal::BodyTooLarge),
             Err(BodyError::Incomplete) => return Err(Refusal::BodyIncomplete),
         };
+        let content = Content::new(&host, &head.method, &head.uri, &body, caller);
         Ok(CallSpec {
+            content,
             method: head.method,
             uri: head.uri,
             headers: strip_hop_by_hop(head.headers),
@@ -275,6 +284,7 @@
 /// Fields of the log event for a completed request.
 struct RequestLog<'a> {
     request_id: &'a HeaderValue,
+    content: Content,
     route: &'a Route,
     elapsed_us: u64,
 }
@@ -294,6 +304,8 @@
             event = "request_ended",
             succeeded = succeeded,
             request_id,
+            fingerprint = self.content.fingerprint,
+            caller = %self.content.caller,
             route = %self.route.spec.name,
             version,
             elapsed_us = self.elapsed_us,
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -4,6 +4,7 @@
 //! shutdown, open connections close gracefully so that no request in transit is lost.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -57,6 +58,10 @@
 /// Response of a handler.
 pub type HttpResponse = Response<Full<Bytes>>;
 
+/// IP address of a caller, as an extension of its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
 /// Handles the requests of one listener.
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request.
@@ -93,10 +98,15 @@
             accepted = listener.accept() => accepted,
             () = shutdown_signals.stop.cancelled() => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, peer)) = accepted else {
             continue;
         };
-        let connection = serve_connection(stream, Arc::clone(&handler), shutdown_signals.clone());
+        let connection = serve_connection(
+            stream,
+            peer.ip(),
+            Arc::clone(&handler),
+            shutdown_signals.clone(),
+        );
         connections.spawn(async move {
             connection.await;
             drop(permit);
@@ -116,9 +126,13 @@
     connections: &TaskTracker,
 ) {
     let accepting = async {
-        while let Ok((stream, _)) = listener.accept().await {
-            let connection =
-                serve_connection(stream, Arc::clone(handler), shutdown_signals.clone());
+        while let Ok((stream, peer)) = listener.accept().await {
+            let connection = serve_connection(
+                stream,
+                peer.ip(),
+                Arc::clone(handler),
+                shutdown_signals.clone(),
+            );
             connections.spawn(connection);
         }
     };
@@ -127,6 +141,7 @@
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
+    caller: IpAddr,
     handler: Arc<H>,
     shutdown_signals: ShutdownSignals,
 ) {
@@ -146,7 +161,8 @@
     stream.set_write_timeout(Some(Duration::from_millis(WRITE_TIMEOUT_MS)));
     let seen_version = watch::Sender::new(None);
     let close_signal = wait_for_close(seen_version.subscribe(), shutdown_signals.clone());
-    let service = service_fn(move |request: Request<Incoming>| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(CallerAddress(caller));
         let version = request.version();
         seen_version.send_replace(Some(version));
         let handler = Arc::clone(&handler);
