Refuse content at the gateway after it has crashed three leaves

Cause: the gateway kept no evidence. Each attempt was a new request, at each VM; the quarantine of cloverrackd was never connected to it.

VMs now publish attempts under which leaf processes crashed and that no leaf answered. After three crashed processes under two or more attempts of a caller, all VMs refuse this content of this caller at once with 503 and the time left; after attempts of three callers, of all callers. One leaf's success discards the earlier crashes. Until there is enough evidence, an attempt under which two leaves crashed goes to no further leaf, and a content with evidence runs on one leaf before it is sent to others, so a scatter-gather request crashes one leaf of each shard once and not again. A VM that starts gets the newest evidence in the reply to its first probe. Evidence expires after 10 minutes and is bounded on each VM (1,000 contents of 16 attempts, 2,048 facts); expired crashes of cloverrackd's quarantine, which stayed in gossip until a file changed, are removed too.

Ruled out: two crashes as the limit (a healthy request beside a crashing one can lose two leaves), counting crashes of one attempt only, a limit for all callers at once, headers as part of the content (they differ between attempts).

--- a/src/control/leaf_views.rs
+++ b/src/control/leaf_views.rs
@@ -148,8 +148,8 @@
                     self.document_announced.notify_one();
                 }
                 Fact::DiscardedVersion(version) => state.store.record_discarded(version, unix_ms()),
-                // Profiles are published only by the gateway.
-                Fact::Profile { .. } => {}
+                // Published only by the gateway.
+                Fact::Profile { .. } | Fact::CrashedAttempt(_) | Fact::ContentSuccess(_) => {}
             }
         }
     }
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::document::Version;
+use crate::gateway::{Content, ContentSuccess, CrashedAttempt};
 use crate::ids::{Incarnation, Snapshot};
 use crate::quarantine::LeafCrash;
 
@@ -77,6 +78,10 @@
     DiscardedVersion(Box<str>, u8),
     /// Profile of a VM by internal address.
     Profile(SocketAddr),
+    /// Attempt under which leaves crashed, by content and hash of the request ID.
+    CrashedAttempt(Content, u64),
+    /// Success of a content.
+    ContentSuccess(Content),
 }
 
 /// Piece of state that one VM publishes and all VMs replicate.
@@ -136,6 +141,10 @@
         /// Profile that the process published.
         profile: Profile,
     },
+    /// Attempt of a caller of the gateway under which leaves crashed.
+    CrashedAttempt(CrashedAttempt),
+    /// Success of a content that had crashed attempts.
+    ContentSuccess(ContentSuccess),
 }
 
 /// Caller address, failure domain and capacity of a VM.
@@ -201,6 +210,10 @@
                 FactKey::DiscardedVersion(discarded.name.clone(), discarded.slot())
             }
             Self::Profile { address, .. } => FactKey::Profile(*address),
+            Self::CrashedAttempt(crashed) => {
+                FactKey::CrashedAttempt(crashed.content, crashed.attempt)
+            }
+            Self::ContentSuccess(success) => FactKey::ContentSuccess(success.content),
         }
     }
 
@@ -242,14 +255,29 @@
                 ]
             }
             Self::Profile { incarnation, .. } => [incarnation.bits(), 0, 0],
+            Self::CrashedAttempt(crashed) => [crashed.observed_unix_ms, 0, 0],
+            Self::ContentSuccess(success) => [success.until_unix_ms, 0, 0],
+        }
+    }
+
+    /// Returns the wall-clock time of an observation that is evidence on a request content, or `None`
+    /// for other facts.
+    pub fn evidence_unix_ms(&self) -> Option<u64> {
+        match self {
+            Self::LeafCrash(crash) => Some(crash.observed_unix_ms),
+            Self::CrashedAttempt(crashed) => Some(crashed.observed_unix_ms),
+            Self::ContentSuccess(success) => Some(success.until_unix_ms),
+            _ => None,
         }
     }
 
-    /// Returns whether a quarantine or a leaf crash has expired; other facts do not expire.
+    /// Returns whether a quarantine or evidence on a content has expired; other facts do not expire.
     pub fn is_expired(&self, now_unix_ms: u64) -> bool {
         match self {
             Self::Quarantine { until_unix_ms, .. } => *until_unix_ms <= now_unix_ms,
             Self::LeafCrash(crash) => crash.is_expired(now_unix_ms),
+            Self::CrashedAttempt(crashed) => crashed.is_expired(now_unix_ms),
+            Self::ContentSuccess(success) => success.is_expired(now_unix_ms),
             _ => false,
         }
     }
@@ -265,7 +293,7 @@
             Self::Leaf { state, .. } => *state == LeafState::Draining,
             Self::Document { .. } | Self::Quarantine { .. } | Self::LeafCrash(_) => true,
             Self::DiscardedVersion(_) => false,
-            Self::Profile { .. } => true,
+            Self::Profile { .. } | Self::CrashedAttempt(_) | Self::ContentSuccess(_) => true,
         }
     }
 }
--- a/src/gateway/content.rs
+++ b/src/gateway/content.rs
@@ -3,11 +3,13 @@
 
 use std::net::IpAddr;
 
+use bincode::{Decode, Encode};
 use http::{Method, Uri};
 use xxhash_rust::xxh3::Xxh3;
 
 /// Content of a request and the caller that sent it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Encode, Decode)]
 pub struct Content {
     /// Hash of host, method, path, query and body.
     pub fingerprint: u64,
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -10,12 +10,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::header::HeaderName;
+use tokio::sync::Notify;
 use tracing::info;
 
 use super::call::OpenCall;
 use super::catalog::Catalog;
 use super::concurrency_limiter::ConcurrencyLimiter;
 use super::connection::Connection;
+use super::content_quarantine::ContentQuarantine;
 use super::fanout_schedule::CallLatency;
 use super::leaf_reports::{LeafReport, Observation, ReportQueue};
 use super::leaves::{ConnectionLimits, Leaf, Leaves, NoLeafError};
@@ -26,6 +28,7 @@
 use super::routes::{RouteTable, ServiceNames};
 use super::vm_selection::{active_vms, desired_active_vms};
 use crate::clock::{boot_ms, boot_us};
+use crate::fact::Fact;
 use crate::ids::{LeafKey, ServiceKey};
 
 /// Names of the headers used between callers, the gateway and leaves.
@@ -64,6 +67,9 @@
     pub vms: u32,
     /// Concurrency limits of scatter-gather requests.
     pub concurrency_limiter: ConcurrencyLimiter,
+    /// Contents that crash leaves.
+    pub content_quarantine: ContentQuarantine,
+    pub(super) evidence_queue: Vec<Fact>,
     report_queue: ReportQueue,
     retry_budgets: RetryBudgets,
     call_latency: HashMap<Box<str>, CallLatency>,
@@ -79,6 +85,7 @@
     active_addresses: Mutex<Arc<[SocketAddr]>>,
     is_watcher: AtomicBool,
     platform_is_reachable: AtomicBool,
+    pub(super) evidence_queued: Notify,
     state: Mutex<State>,
 }
 
@@ -98,6 +105,8 @@
             limits: ConnectionLimits::default(),
             vms: 1,
             concurrency_limiter: ConcurrencyLimiter::default(),
+            content_quarantine: ContentQuarantine::default(),
+            evidence_queue: Vec::new(),
             report_queue: ReportQueue::default(),
             retry_budgets: RetryBudgets::new(limits),
             call_latency: HashMap::new(),
@@ -108,6 +117,7 @@
             active_addresses: Mutex::new(Arc::from([])),
             is_watcher: AtomicBool::new(true),
             platform_is_reachable: AtomicBool::new(true),
+            evidence_queued: Notify::new(),
             state: Mutex::new(state),
         }
     }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -16,19 +16,20 @@
 use super::catalog_rpc;
 use super::catalog_sync;
 use super::engine::{Engine, Headers};
+use super::evidence_sync;
 use super::follower::{CatalogSource, Follower};
 use super::leaf_reports;
 use super::membership::Membership;
 use super::metrics::Metrics;
 use super::retry_budgets::RetryBudgetLimits;
 use super::service::CallerService;
-use crate::clock::boot_ms;
+use crate::clock::{boot_ms, unix_ms};
 use crate::component_registry::{CONTROL, ComponentRegistry, ROOT, TELEMETRY};
 use crate::fact::Profile;
 use crate::http_server::{Handler, ShutdownSignals, serve};
 
-/// Interval between updates of the active VMs, idle connections and leaves kept for the grace
-/// period.
+/// Interval between updates of the active VMs, idle connections, leaves kept for the grace period
+/// and evidence on contents.
 const MAINTENANCE_INTERVAL_MS: u64 = 250;
 
 /// Time reserved at the end of the stop grace period for sending the last responses.
@@ -174,6 +175,10 @@
             bootstrap_from_peers,
         );
         tokio::spawn(catalog_updates);
+        tokio::spawn(evidence_sync::run(
+            Arc::clone(&engine),
+            Arc::clone(&membership),
+        ));
         tokio::spawn(run_maintenance(Arc::clone(&engine), membership));
         let shutdown_signals = ShutdownSignals::default();
         let service = Arc::new(CallerService::new(engine));
@@ -256,8 +261,8 @@
     }
 }
 
-/// Updates the active VMs, closes expired connections and removes leaves whose grace period has
-/// ended.
+/// Updates the active VMs, closes expired connections, and removes expired evidence and leaves
+/// whose grace period has ended.
 async fn run_maintenance(engine: Arc<Engine>, membership: Arc<Membership>) {
     loop {
         sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
@@ -266,6 +271,7 @@
         let changed = {
             let state = &mut *engine.state();
             state.leaves.close_expired(boot_ms());
+            state.content_quarantine.remove_expired(unix_ms());
             state.catalog.remove_expired(boot_ms())
         };
         if changed.leaves {
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -12,6 +12,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::{Instant, Sleep, sleep_until, timeout};
 
+use super::attempt::Attempt;
 use super::call::{CallSpec, OpenCall};
 use super::connection::{CallError, Reply};
 use super::engine::Engine;
@@ -86,6 +87,7 @@
     engine: Arc<Engine>,
     plan: Arc<FanoutPlan>,
     spec: Arc<CallSpec>,
+    attempt: Attempt,
     shards: Vec<Shard>,
     calls: FuturesUnordered<CallFuture>,
     started_us: u64,
@@ -104,8 +106,11 @@
         started_us: u64,
     ) -> Self {
         let shards = plan.services.iter().copied().map(Shard::new).collect();
+        let request_id = spec.request_id.as_bytes();
+        let attempt = Attempt::new(Arc::clone(&engine), spec.content, request_id);
         Self {
             engine,
+            attempt,
             plan,
             spec: Arc::new(spec),
             shards,
@@ -129,6 +134,7 @@
         loop {
             let elapsed_us = self.elapsed_us();
             self.start_calls(elapsed_us);
+            self.stop_pending_shards();
             match self
                 .shard_counts(elapsed_us)
                 .step(&self.plan.schedule, elapsed_us)
@@ -176,12 +182,13 @@
                 continue;
             }
             if shard.needs_call {
-                if elapsed_us >= shard.next_call_us {
+                if elapsed_us >= shard.next_call_us && self.may_call(index) {
                     self.try_call(index, elapsed_us);
                 }
                 continue;
             }
-            if self.plan.idempotent && self.is_hedge_due(shard, elapsed_us) {
+            if self.plan.idempotent && self.is_hedge_due(shard, elapsed_us) && self.may_call(index)
+            {
                 let before = self.sent_calls;
                 self.try_call(index, elapsed_us);
                 self.shards[index].hedged = self.sent_calls > before;
@@ -189,6 +196,28 @@
         }
     }
 
+    /// Returns whether the content may be sent to another leaf now.
+    fn may_call(&self, index: usize) -> bool {
+        let is_first_call = self.shards[index].sent == 0;
+        if is_first_call && self.attempt.allows_concurrent_calls() {
+            return true;
+        }
+        (self.calls.is_empty() || self.attempt.allows_concurrent_calls())
+            && !self.attempt.is_stopped()
+    }
+
+    /// Fails the shards that wait for a call if the content may be sent to no further leaf.
+    fn stop_pending_shards(&mut self) {
+        if !self.calls.is_empty() || !self.attempt.is_stopped() {
+            return;
+        }
+        for shard in &mut self.shards {
+            if shard.is_pending() {
+                shard.finish();
+            }
+        }
+    }
+
     fn is_hedge_due(&self, shard: &Shard, elapsed_us: u64) -> bool {
         let age_us = elapsed_us.saturating_sub(shard.last_sent_us);
         !shard.hedged
@@ -279,6 +308,9 @@
                 self.engine.metrics.count_failed_call(error);
                 self.last_error = Some(error);
                 self.may_have_run |= !error.has_not_run();
+                if error == CallError::LeafCrashed {
+                    self.attempt.record_crash(leaf);
+                }
                 tracing::debug!(event = "call_failed", ?leaf, %error);
                 self.handle_failure(index, error);
             }
@@ -291,6 +323,7 @@
             return;
         }
         if reply.status.is_success() {
+            self.attempt.record_success();
             shard.reply = Some(reply);
             shard.latency_us = latency_us;
             return;
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -11,6 +11,7 @@
 use rand::rngs::SmallRng;
 use thiserror::Error;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tracing::{info, warn};
 
 use crate::clock::{boot_ms, unix_ms};
@@ -23,7 +24,7 @@
 /// Interval between gossip ticks.
 const TICK_MS: u64 = 50;
 
-/// Number of ticks between updates of the gossip peers.
+/// Number of ticks between updates of the gossip peers and of the wall clock for expiry.
 const PEER_UPDATE_TICKS: u64 = 10;
 
 /// Size of the receive buffer.
@@ -63,6 +64,8 @@
     seeds: Mutex<Vec<SocketAddr>>,
     socket: UdpSocket,
     state: Mutex<State>,
+    evidence: Mutex<Vec<Fact>>,
+    evidence_received: Notify,
 }
 
 /// Failure to start membership.
@@ -108,6 +111,8 @@
             seeds: Mutex::new(seeds),
             socket,
             state: Mutex::new(state),
+            evidence: Mutex::default(),
+            evidence_received: Notify::new(),
         }))
     }
 
@@ -172,6 +177,25 @@
         Some((version.revision, entry.source?))
     }
 
+    /// Publishes a fact to all VMs.
+    pub fn publish(&self, fact: Fact) {
+        self.state().gossip.publish(fact, boot_ms());
+    }
+
+    /// Waits until evidence of other VMs on contents is received.
+    pub async fn evidence_received(&self) {
+        self.evidence_received.notified().await;
+    }
+
+    /// Removes and returns the evidence that was received.
+    pub fn take_evidence(&self) -> Vec<Fact> {
+        std::mem::take(&mut *self.evidence())
+    }
+
+    fn evidence(&self) -> MutexGuard<'_, Vec<Fact>> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Announces that this VM is stopping.
     pub fn leave(&self) {
         self.state().gossip.leave(boot_ms());
@@ -193,6 +217,7 @@
                 let state = &mut *self.state();
                 if ticks.is_multiple_of(PEER_UPDATE_TICKS) {
                     self.update_peers(&mut state.gossip);
+                    state.gossip.set_wall_clock(unix_ms());
                 }
                 state.gossip.tick(boot_ms(), &mut state.rng)
             };
@@ -236,12 +261,21 @@
                         .gossip
                         .receive(from, message, boot_ms(), &mut state.rng);
                 self.log_changes(&changes);
+                self.keep_evidence(changes);
                 outgoing
             };
             self.send(outgoing).await;
         }
     }
 
+    fn keep_evidence(&self, mut changes: Vec<Fact>) {
+        changes.retain(|fact| fact.evidence_unix_ms().is_some());
+        if !changes.is_empty() {
+            self.evidence().extend(changes);
+            self.evidence_received.notify_one();
+        }
+    }
+
     fn log_changes(&self, changes: &[Fact]) {
         for fact in changes {
             let Fact::Vm { address, state, .. } = fact else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,9 @@
 //!
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
-//! [`retry_budgets`].
+//! [`retry_budgets`], [`content_quarantine`].
 
+mod attempt;
 pub mod call;
 pub mod catalog;
 pub mod catalog_rpc;
@@ -13,8 +14,10 @@
 pub mod concurrency_permit;
 pub mod connection;
 pub mod content;
+pub mod content_quarantine;
 pub mod engine;
 pub mod entry;
+pub mod evidence_sync;
 pub mod fanout;
 pub mod fanout_schedule;
 pub mod follower;
@@ -41,6 +44,7 @@
 pub use concurrency_permit::ConcurrencyPermit;
 pub use connection::{CallError, Connection, Reply};
 pub use content::Content;
+pub use content_quarantine::{ContentQuarantine, ContentSuccess, ContentVerdict, CrashedAttempt};
 pub use engine::{Engine, Headers};
 pub use entry::{Gateway, GatewaySettings};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -21,12 +21,13 @@
 use super::concurrency_permit::ConcurrencyPermit;
 use super::connection::Reply;
 use super::content::Content;
+use super::content_quarantine::ContentVerdict;
 use super::engine::Engine;
 use super::fanout::{Fanout, FanoutPlan, FanoutResult};
 use super::fanout_schedule::FanoutSchedule;
 use super::merge::merge_records;
 use super::routes::{ResolvedDestination, Route, RouteTable, pick_weighted};
-use crate::clock::boot_us;
+use crate::clock::{boot_us, unix_ms};
 use crate::http_server::{BodyError, CallerAddress, Handler, HttpResponse, read_body};
 use crate::ids::ServiceKey;
 
@@ -78,6 +79,8 @@
     BodyTooLarge,
     #[error("request body is incomplete")]
     BodyIncomplete,
+    #[error("content is quarantined, since it crashed leaves")]
+    Quarantined { until_unix_ms: u64 },
     /// `pressure` is the smoothed ratio of the median call latency to the acceptable one.
     #[error("leaf queues are too long: limit {limit:.1}, pressure {pressure:.2}")]
     Overloaded {
@@ -90,7 +93,9 @@
 impl Refusal {
     fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfiguration | Self::Overloaded { .. } | Self::Quarantined { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoRequestId => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -108,6 +113,10 @@
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
                 max_wait_ms / 2..max_wait_ms.max(MIN_RETRY_WAIT_MS)
             }
+            Self::Quarantined { until_unix_ms } => {
+                let remaining_ms = until_unix_ms.saturating_sub(unix_ms());
+                remaining_ms..remaining_ms + RETRY_WAIT_MS.end
+            }
             _ => RETRY_WAIT_MS,
         }
     }
@@ -128,6 +137,11 @@
         let spec = self
             .call_spec(request, &route_table, route, started_us)
             .await?;
+        if let ContentVerdict::Quarantined { until_unix_ms } =
+            self.engine.content_verdict(&spec.content)
+        {
+            return Err(Refusal::Quarantined { until_unix_ms });
+        }
         let plan = build_plan(
             &self.engine,
             route,
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -6,6 +6,7 @@
 //! the datagrams that are returned.
 
 mod anti_entropy;
+mod evidence;
 mod fact_filter;
 mod fact_table;
 mod message;
@@ -22,6 +23,7 @@
 use crate::ids::{Incarnation, Snapshot};
 use crate::wire::PROTOCOL_VERSION;
 
+use evidence::announces_vm;
 use fact_filter::FactFilter;
 pub use fact_table::{DIGEST_BUCKETS, StoredFact};
 use fact_table::{Dissemination, FactTable};
@@ -281,11 +283,12 @@
         self.fact_filter.is_leaf_listed(address)
     }
 
-    /// Sets the wall-clock time for expiry and removes the quarantines that have expired.
+    /// Sets the wall-clock time for expiry and removes the quarantines and evidence that have
+    /// expired.
     pub fn set_wall_clock(&mut self, now_unix_ms: u64) {
         self.fact_filter.set_wall_clock(now_unix_ms);
         let mut expired = Vec::new();
-        for (key, entry) in self.fact_table.quarantines() {
+        for (key, entry) in self.fact_table.expiring() {
             if !self.fact_filter.accepts(&entry.fact) {
                 expired.push(key.clone());
             }
@@ -390,6 +393,9 @@
         let new_facts = self.apply_facts(message.facts, from, dissemination, now_ms);
         match message.kind {
             MessageKind::Probe { sequence } => {
+                if announces_vm(&new_facts, from) {
+                    self.send_evidence(from, &mut out);
+                }
                 self.queue_state_of(from, message.incarnation);
                 out.push((
                     from,
--- a/src/gossip/fact_table.rs
+++ b/src/gossip/fact_table.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fact::{Fact, FactKey, VmState};
+use crate::gateway::Content;
 use crate::wire::encode;
 
 use super::MAX_DATAGRAM_BYTES;
@@ -17,6 +18,10 @@
 /// so the hashes of one bucket easily fit in one datagram.
 pub const DIGEST_BUCKETS: usize = 128;
 
+/// Maximum number of facts that are evidence on request contents; the oldest are dropped. Bounds
+/// memory and traffic while many leaves crash.
+const MAX_EVIDENCE_FACTS: usize = 2_048;
+
 /// Fact with the local metadata of its receipt and dissemination.
 #[derive(Clone, Debug)]
 pub struct StoredFact {
@@ -89,12 +94,36 @@
             .map_while(|(key, entry)| matches!(key, FactKey::Document(_)).then_some(entry))
     }
 
-    /// Returns the facts about quarantines; their keys sort after those of leaves.
-    pub(super) fn quarantines(&self) -> impl Iterator<Item = (&FactKey, &StoredFact)> {
+    /// Returns the facts about quarantines and the evidence on contents; their keys sort after those
+    /// of leaves.
+    pub(super) fn expiring(&self) -> impl Iterator<Item = (&FactKey, &StoredFact)> {
+        let expires = |entry: &StoredFact| {
+            let fact = &entry.fact;
+            matches!(fact, Fact::Quarantine { .. }) || fact.evidence_unix_ms().is_some()
+        };
         let first = FactKey::Quarantine(0);
-        self.facts
-            .range(first..)
-            .take_while(|(key, _)| matches!(key, FactKey::Quarantine(_)))
+        let facts = self.facts.range(first..);
+        facts.filter(move |(_, entry)| expires(entry))
+    }
+
+    /// Removes the oldest evidence if there is too much; returns its key.
+    ///
+    /// All nodes drop the same evidence, whatever the order in which they receive it.
+    fn drop_oldest_evidence(&mut self) -> Option<FactKey> {
+        let mut count = 0;
+        let mut oldest: Option<(u64, &FactKey)> = None;
+        for (key, entry) in self.expiring() {
+            let Some(observed_unix_ms) = entry.fact.evidence_unix_ms() else {
+                continue;
+            };
+            count += 1;
+            let candidate = (observed_unix_ms, key);
+            oldest = Some(oldest.map_or(candidate, |oldest| oldest.min(candidate)));
+        }
+        let (_, oldest) = oldest.filter(|_| count > MAX_EVIDENCE_FACTS)?;
+        let oldest = oldest.clone();
+        self.remove(&oldest);
+        Some(oldest)
     }
 
     /// Returns the number of changes to facts about VMs so far.
@@ -150,6 +179,7 @@
         let (bucket, hash) = bucket_and_hash(&key, &precedence);
         self.buckets[usize::from(bucket)] ^= hash;
         self.vm_changes += u64::from(matches!(key, FactKey::Vm(_)));
+        let is_evidence = fact.evidence_unix_ms().is_some();
         let entry = StoredFact {
             encoded_bytes: encoded_bytes(&fact),
             fact,
@@ -160,6 +190,9 @@
             queue_position: None,
         };
         self.facts.insert(key.clone(), entry);
+        if is_evidence && self.drop_oldest_evidence().as_ref() == Some(&key) {
+            return false;
+        }
         if dissemination == Dissemination::Enqueue {
             self.enqueue(&key);
         }
@@ -249,6 +282,11 @@
             bytes.extend_from_slice(name.as_bytes());
         }
         FactKey::Profile(address) => push_address(&mut bytes, b'p', *address),
+        FactKey::CrashedAttempt(content, attempt) => {
+            push_content(&mut bytes, b'a', content);
+            bytes.extend_from_slice(&attempt.to_le_bytes());
+        }
+        FactKey::ContentSuccess(content) => push_content(&mut bytes, b's', content),
     }
     let bucket = xxh3_64(&bytes) % DIGEST_BUCKETS as u64;
     for part in precedence {
@@ -270,6 +308,11 @@
     bytes.extend_from_slice(&address.port().to_le_bytes());
 }
 
+fn push_content(bytes: &mut Vec<u8>, kind: u8, content: &Content) {
+    push_address(bytes, kind, SocketAddr::new(content.caller, 0));
+    bytes.extend_from_slice(&content.fingerprint.to_le_bytes());
+}
+
 fn encoded_bytes(fact: &Fact) -> u16 {
     let bytes = encode(fact).map_or(MAX_DATAGRAM_BYTES, |bytes| bytes.len());
     u16::try_from(bytes).unwrap_or(u16::MAX)
--- /dev/null
+++ b/tests/gateway_crashing_content.rs
@@ -0,0 +1,341 @@
+//! Requests that crash the leaves of a gateway: how far they spread, and which requests are refused.
+//!
+//! Leaves that end for another reason, and connections that break while the leaf lives, must not
+//! make a gateway refuse content.
+
+#![allow(clippy::unwrap_used, reason = "an unexpected error fails the test")]
+
+#[path = "support/gateway.rs"]
+mod gateway;
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cloverrack::clock::unix_ms;
+use cloverrack::fact::Fact;
+use cloverrack::gateway::{Catalog, CatalogImage, Content, ContentVerdict, CrashedAttempt, Reply};
+use gateway::{
+    Leaf, LeafBehaviour, TARGET_LATENCY_MS, TestGateway, gather_route, request, single_route,
+};
+use http::{Method, Request, StatusCode, Uri};
+use http_body_util::Full;
+
+const CALLER: [u8; 4] = [127, 0, 0, 1];
+const OTHER_CALLER: [u8; 4] = [127, 0, 0, 2];
+
+/// Longest time that the refusal of a quarantined content may take.
+const REFUSAL_TIME_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time after which a request has reached its leaf, below the delay of a hedge.
+const IN_FLIGHT_DELAY: Duration = Duration::from_millis(100);
+
+async fn crashing_leaves(count: usize) -> Vec<Leaf> {
+    let mut leaves = Vec::new();
+    for number in 0..count {
+        leaves.push(Leaf::spawn(&format!("leaf-{number}"), 1, LeafBehaviour::Crash).await);
+    }
+    leaves
+}
+
+fn executed(leaves: &[Leaf]) -> usize {
+    leaves.iter().map(Leaf::executed).sum()
+}
+
+fn order(body: &'static str) -> Request<Full<Bytes>> {
+    let mut order = request("/o/order");
+    *order.method_mut() = Method::POST;
+    *order.body_mut() = Full::new(Bytes::from_static(body.as_bytes()));
+    order
+}
+
+fn assert_quarantined(reply: &Reply) {
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    let retry_after = reply.headers["retry-after"].to_str().unwrap();
+    let retry_after_s: f64 = retry_after.parse().unwrap();
+    assert!(retry_after_s > 1.0, "{retry_after_s} s");
+}
+
+/// Publishes a route with all leaves to one service.
+fn publish(gateway: &TestGateway, path: &str, idempotent: bool, attempts: u32, leaves: &[Leaf]) {
+    let listed: Vec<(&str, &Leaf)> = leaves.iter().map(|leaf| ("s", leaf)).collect();
+    gateway.publish(
+        1,
+        vec![single_route(path, "s", idempotent, attempts)],
+        &listed,
+    );
+}
+
+/// Sends healthy requests, which earn the budget for four extra calls, at 0.18 per request.
+async fn earn_retries(gateway: &TestGateway, leaves: &[Leaf], path: &str) {
+    for leaf in leaves {
+        leaf.set(LeafBehaviour::Answer);
+    }
+    for _ in 0..30 {
+        assert_eq!(gateway.get(path).await.status, StatusCode::OK);
+    }
+}
+
+/// Guards against an idempotent request that reaches further leaves by retries, within an attempt
+/// of the caller and when the caller sends it again.
+#[tokio::test]
+async fn retries_stop_after_the_third_crash() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = crashing_leaves(8).await;
+    publish(&test_gateway, "/a/", true, 5, &leaves);
+    earn_retries(&test_gateway, &leaves, "/a/healthy").await;
+    let before = executed(&leaves);
+    for leaf in &leaves {
+        leaf.set(LeafBehaviour::Crash);
+    }
+    assert_eq!(
+        test_gateway.get("/a/x").await.status,
+        StatusCode::BAD_GATEWAY
+    );
+    assert_eq!(executed(&leaves), before + 2, "one attempt of the caller");
+    assert_eq!(
+        test_gateway.get("/a/x").await.status,
+        StatusCode::BAD_GATEWAY
+    );
+    assert_eq!(
+        executed(&leaves),
+        before + 3,
+        "a suspect content crashes one more leaf"
+    );
+    let started = Instant::now();
+    for _ in 0..5 {
+        assert_quarantined(&test_gateway.get("/a/x").await);
+    }
+    assert!(started.elapsed() < REFUSAL_TIME_LIMIT);
+    assert_eq!(executed(&leaves), before + 3);
+    for leaf in &leaves {
+        leaf.set(LeafBehaviour::Answer);
+    }
+    assert_eq!(test_gateway.get("/a/healthy").await.status, StatusCode::OK);
+}
+
+/// Guards against a request that isn't idempotent and crashes a leaf with each attempt, and against
+/// refusing the orders of other callers and other orders of the same caller.
+#[tokio::test]
+async fn a_crashing_order_stops_and_other_orders_are_served() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = crashing_leaves(5).await;
+    publish(&test_gateway, "/o/", false, 3, &leaves);
+    for crashes in 1..=3 {
+        let reply = test_gateway.send_from(CALLER, order("crash")).await;
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(executed(&leaves), crashes);
+    }
+    assert_quarantined(&test_gateway.send_from(CALLER, order("crash")).await);
+    assert_eq!(executed(&leaves), 3);
+    for leaf in &leaves {
+        leaf.set(LeafBehaviour::Answer);
+    }
+    let others = [
+        (OTHER_CALLER, order("crash")),
+        (CALLER, order("healthy")),
+        (CALLER, request("/o/order")),
+    ];
+    for (caller, other) in others {
+        let reply = test_gateway.send_from(caller, other).await;
+        assert_eq!(reply.status, StatusCode::OK);
+    }
+    assert_quarantined(&test_gateway.send_from(CALLER, order("crash")).await);
+}
+
+/// Guards against a scatter-gather request that crashes a leaf of each shard with each attempt, and
+/// against retries on the replicas of the shards.
+#[tokio::test]
+async fn a_crashing_fan_out_reaches_each_shard_once() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = crashing_leaves(9).await;
+    let services = ["s0", "s1", "s2"];
+    let listed: Vec<(&str, &Leaf)> = (0..)
+        .zip(&leaves)
+        .map(|(n, leaf)| (services[n % 3], leaf))
+        .collect();
+    test_gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+    assert_eq!(
+        test_gateway.get("/g/x").await.status,
+        StatusCode::BAD_GATEWAY
+    );
+    assert_eq!(executed(&leaves), 3, "the first calls");
+    assert_eq!(
+        test_gateway.get("/g/x").await.status,
+        StatusCode::BAD_GATEWAY
+    );
+    assert_eq!(
+        executed(&leaves),
+        4,
+        "a suspect content runs on one leaf first"
+    );
+    assert_quarantined(&test_gateway.get("/g/x").await);
+    assert_eq!(executed(&leaves), 4);
+}
+
+/// Guards against a suspect scatter-gather request that is not answered although it is healthy.
+#[tokio::test]
+async fn a_healthy_suspect_is_answered_and_cleared() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = crashing_leaves(6).await;
+    let services = ["s0", "s1", "s2"];
+    let listed: Vec<(&str, &Leaf)> = (0..)
+        .zip(&leaves)
+        .map(|(n, leaf)| (services[n % 3], leaf))
+        .collect();
+    test_gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+    assert_eq!(
+        test_gateway.get("/g/x").await.status,
+        StatusCode::BAD_GATEWAY
+    );
+    for leaf in &leaves {
+        leaf.set(LeafBehaviour::Answer);
+    }
+    let reply = test_gateway.get("/g/x").await;
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(reply.headers["x-missing"], "0");
+    assert!(test_gateway.engine.state().content_quarantine.len() == 1);
+    let evidence = test_gateway.engine.take_evidence();
+    assert_eq!(
+        evidence.len(),
+        2,
+        "a crashed attempt and a success: {evidence:?}"
+    );
+}
+
+/// Guards against healthy content that is refused because leaves crashed while they ran it, for
+/// another reason: it is answered by a replica each time.
+#[tokio::test]
+async fn content_that_a_replica_answers_is_never_suspect() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = crashing_leaves(2).await;
+    publish(&test_gateway, "/a/", true, 2, &leaves);
+    earn_retries(&test_gateway, &leaves, "/a/x").await;
+    leaves[0].set(LeafBehaviour::Crash);
+    leaves[1].set(LeafBehaviour::Slow(20));
+    for _ in 0..30 {
+        assert_eq!(test_gateway.get("/a/x").await.status, StatusCode::OK);
+    }
+    assert!(
+        !leaves[0].is_serving(),
+        "no request reached the crashing leaf"
+    );
+    assert!(test_gateway.engine.take_evidence().is_empty());
+}
+
+/// Guards against refusing content because connections break, replies are invalid or leaves fail,
+/// refuse or hang while their processes live.
+#[tokio::test]
+async fn failures_of_live_leaves_are_no_crashes() {
+    for behaviour in [
+        LeafBehaviour::Break,
+        LeafBehaviour::Fail,
+        LeafBehaviour::Refuse,
+        LeafBehaviour::Unsigned,
+        LeafBehaviour::WrongRequestId,
+        LeafBehaviour::Misdirected,
+    ] {
+        let test_gateway = TestGateway::spawn().await;
+        let leaves = [
+            Leaf::spawn("one", 1, behaviour).await,
+            Leaf::spawn("two", 1, behaviour).await,
+        ];
+        publish(&test_gateway, "/o/", false, 2, &leaves);
+        for _ in 0..6 {
+            test_gateway.send_from(CALLER, order("same")).await;
+        }
+        assert!(
+            test_gateway.engine.state().content_quarantine.is_empty(),
+            "{behaviour:?}"
+        );
+    }
+}
+
+/// Guards against refusing content whose leaves ended after they had announced it.
+#[tokio::test]
+async fn the_end_of_a_draining_leaf_is_no_crash() {
+    let test_gateway = TestGateway::spawn().await;
+    let mut leaves = Vec::new();
+    for number in 0..3 {
+        let name = format!("leaf-{number}");
+        leaves.push(Leaf::spawn(&name, 1, LeafBehaviour::Hang).await);
+    }
+    for leaf in &leaves {
+        publish(&test_gateway, "/o/", false, 2, std::slice::from_ref(leaf));
+        let ending = async {
+            tokio::time::sleep(IN_FLIGHT_DELAY).await;
+            assert_eq!(leaf.executed(), 1);
+            // Removes the record of the leaf.
+            let image = CatalogImage {
+                revision: 2,
+                document: None,
+                leaves: Vec::new(),
+            };
+            test_gateway.engine.state().catalog.replace(image, 0);
+            test_gateway.engine.refresh();
+            leaf.end();
+        };
+        let (reply, ()) = tokio::join!(test_gateway.send_from(CALLER, order("same")), ending);
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+        test_gateway.engine.state().catalog = Catalog::default();
+    }
+    assert!(test_gateway.engine.state().content_quarantine.is_empty());
+}
+
+/// Returns evidence of other VMs that suffices to quarantine a GET request of a caller.
+fn evidence_against(path: &'static str) -> (Content, Vec<Fact>) {
+    let uri = Uri::from_static(path);
+    let content = Content::new("desk.example", &Method::GET, &uri, b"", CALLER.into());
+    let evidence = |attempt, leaves: &[u64]| {
+        Fact::CrashedAttempt(CrashedAttempt {
+            content,
+            attempt,
+            leaves: leaves.to_vec(),
+            observed_unix_ms: unix_ms(),
+        })
+    };
+    (content, vec![evidence(1, &[1, 2]), evidence(2, &[3])])
+}
+
+/// Guards against hedges of a request in flight after other VMs have quarantined its content.
+#[tokio::test]
+async fn a_quarantine_stops_the_hedges_of_requests_in_flight() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = crashing_leaves(2).await;
+    publish(&test_gateway, "/a/", true, 2, &leaves);
+    earn_retries(&test_gateway, &leaves, "/a/healthy").await;
+    for leaf in &leaves {
+        leaf.set(LeafBehaviour::Slow(2 * TARGET_LATENCY_MS));
+    }
+    let before = executed(&leaves);
+    assert_eq!(test_gateway.get("/a/healthy").await.status, StatusCode::OK);
+    assert_eq!(executed(&leaves) - before, 2, "without evidence");
+    let before = executed(&leaves);
+    let quarantining = async {
+        tokio::time::sleep(IN_FLIGHT_DELAY).await;
+        let (_, evidence) = evidence_against("/a/x");
+        test_gateway.engine.apply_evidence(evidence);
+    };
+    let (reply, ()) = tokio::join!(test_gateway.get("/a/x"), quarantining);
+    assert_eq!(reply.status, StatusCode::OK);
+    assert_eq!(executed(&leaves) - before, 1);
+}
+
+/// Guards against a gateway that sends content which others have quarantined.
+#[tokio::test]
+async fn evidence_of_other_vms_is_applied() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = [
+        Leaf::spawn("one", 1, LeafBehaviour::Slow(100)).await,
+        Leaf::spawn("two", 1, LeafBehaviour::Slow(100)).await,
+    ];
+    publish(&test_gateway, "/a/", true, 2, &leaves);
+    let (content, evidence) = evidence_against("/a/x");
+    test_gateway.engine.apply_evidence(evidence);
+    assert!(matches!(
+        test_gateway.engine.content_verdict(&content),
+        ContentVerdict::Quarantined { .. }
+    ));
+    assert_quarantined(&test_gateway.get("/a/x").await);
+    assert_eq!(executed(&leaves), 0);
+    assert_eq!(test_gateway.get("/a/y").await.status, StatusCode::OK);
+}
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -8,9 +8,12 @@
 
 use cloverrack::document::Version;
 use cloverrack::fact::{Fact, FactKey, LeafState, VmState};
+use cloverrack::gateway::content_quarantine::EVIDENCE_RETENTION_MS;
+use cloverrack::gateway::{Content, CrashedAttempt};
 use cloverrack::gossip::{
     Datagram, Gossip, GossipTiming, MAX_DATAGRAM_BYTES, MessageKind, Outgoing,
 };
+use cloverrack::quarantine::LeafCrash;
 use cloverrack::wire::{PROTOCOL_VERSION, encode};
 use cloverrack::{Incarnation, Snapshot};
 use rand::SeedableRng;
@@ -233,6 +236,83 @@
     assert!(network.all(|node| node.digest() == digest));
 }
 
+fn crashed_attempt(attempt: u64, observed_unix_ms: u64) -> Fact {
+    let content = Content {
+        fingerprint: 7,
+        caller: [10, 1, 0, 1].into(),
+    };
+    Fact::CrashedAttempt(CrashedAttempt {
+        content,
+        attempt,
+        leaves: vec![1, 2, 3],
+        observed_unix_ms,
+    })
+}
+
+fn evidence_count(gossip: &Gossip) -> usize {
+    let facts = gossip.facts();
+    let evidence = facts.filter(|entry| entry.fact.evidence_unix_ms().is_some());
+    evidence.count()
+}
+
+/// Guards against evidence that is kept for ever, by nodes that never list leaves as well.
+#[test]
+fn expired_evidence_is_forgotten() {
+    let mut network = SimulatedNetwork::new(4);
+    let crash = LeafCrash {
+        fingerprint: 1,
+        leaf: leaf(0),
+        shared: false,
+        crashes: 1,
+        observed_unix_ms: NOW_UNIX_MS,
+    };
+    network.nodes[0].publish(Fact::LeafCrash(crash), 0);
+    network.nodes[0].publish(crashed_attempt(1, NOW_UNIX_MS), 0);
+    network.run(3_000);
+    assert!(network.all(|node| evidence_count(node) == 2));
+    for node in &mut network.nodes {
+        node.set_wall_clock(NOW_UNIX_MS + EVIDENCE_RETENTION_MS);
+    }
+    network.run(5_000);
+    assert!(network.all(|node| evidence_count(node) == 0));
+}
+
+/// Guards against memory and traffic that grow with the number of crashes, and against nodes that
+/// keep different evidence and compare it again and again.
+#[test]
+fn the_amount_of_evidence_is_bounded() {
+    let mut network = SimulatedNetwork::new(2);
+    for attempt in 0..5_000 {
+        let from = usize::from(attempt % 3 == 0);
+        network.nodes[from].publish(crashed_attempt(attempt, NOW_UNIX_MS + attempt), 0);
+    }
+    network.run(120_000);
+    assert!(network.all(|node| evidence_count(node) == 2_048));
+    let digest = network.nodes[0].digest();
+    assert!(network.all(|node| node.digest() == digest));
+}
+
+/// Guards against a restarted process that sends content to leaves which others have quarantined:
+/// it must have the evidence with its first probe, before anti-entropy.
+#[test]
+fn a_starting_process_gets_the_evidence_with_its_first_probe() {
+    let mut network = SimulatedNetwork::new(4);
+    network.nodes[0].publish(crashed_attempt(1, NOW_UNIX_MS), 0);
+    network.nodes[1].publish(crashed_attempt(2, NOW_UNIX_MS + 1), 0);
+    network.run(5_000);
+    let start = NOW_UNIX_MS + 10_000;
+    let mut node = Gossip::new(
+        vm(3),
+        incarnation(start),
+        GossipTiming::default(),
+        network.now_ms,
+    );
+    node.set_peers((0..4).map(vm));
+    network.nodes[3] = node;
+    network.run(50);
+    assert_eq!(evidence_count(&network.nodes[3]), 2);
+}
+
 /// Guards against a leaf state that is lost because it arrives before the file that lists the leaf.
 #[test]
 fn a_fact_that_precedes_its_file_is_kept() {
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -26,7 +26,8 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{AbortHandle, JoinSet};
 
 /// Target latency of the routes that this module makes.
 pub const TARGET_LATENCY_MS: u64 = 300;
@@ -51,6 +52,8 @@
     Misdirected,
     /// Runs the request and replies with an internal error.
     Fail,
+    /// Ends while it runs the request: its connections close and its address refuses new ones.
+    Crash,
 }
 
 /// An HTTP server that acts as a leaf and records the requests that it runs.
@@ -61,6 +64,7 @@
     behaviour: Arc<Mutex<LeafBehaviour>>,
     executed: Arc<Mutex<Vec<String>>>,
     record: u8,
+    serving: Arc<Mutex<Option<AbortHandle>>>,
 }
 
 pub fn headers() -> Headers {
@@ -97,13 +101,32 @@
             behaviour: Arc::new(Mutex::new(behaviour)),
             executed: Arc::default(),
             record,
+            serving: Arc::default(),
         };
-        let serving = leaf.clone();
-        tokio::spawn(async move {
+        leaf.serve(listener);
+        leaf
+    }
+
+    /// Ends the leaf as a crash does, without a request that causes it.
+    pub fn end(&self) {
+        if let Some(serving) = self.serving.lock().unwrap().take() {
+            serving.abort();
+        }
+    }
+
+    /// Returns whether the leaf has not ended.
+    pub fn is_serving(&self) -> bool {
+        self.serving.lock().unwrap().is_some()
+    }
+
+    fn serve(&self, listener: TcpListener) {
+        let serving = self.clone();
+        let task = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 let leaf = serving.clone();
-                tokio::spawn(async move {
+                connections.spawn(async move {
                     let service = service_fn(move |request| leaf.clone().answer(request));
                     let builder = hyper::server::conn::http1::Builder::new();
                     let _ = builder
@@ -112,7 +135,7 @@
                 });
             }
         });
-        leaf
+        *self.serving.lock().unwrap() = Some(task.abort_handle());
     }
 
     pub fn set(&self, behaviour: LeafBehaviour) {
@@ -154,6 +177,10 @@
             LeafBehaviour::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
             LeafBehaviour::Hang => std::future::pending().await,
             LeafBehaviour::Break => return Err(ConnectionAborted),
+            LeafBehaviour::Crash => {
+                self.end();
+                std::future::pending().await
+            }
             LeafBehaviour::WrongRequestId => {
                 fields.insert("x-request", "another".parse().unwrap());
             }
@@ -204,6 +231,15 @@
         publish(&self.engine, version, routes, leaves);
     }
 
+    /// Sends a request from a loopback address over a new connection and returns the reply.
+    pub async fn send_from(&self, source: [u8; 4], request: Request<Full<Bytes>>) -> Reply {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind((source, 0).into()).unwrap();
+        let stream = socket.connect(self.address).await.unwrap();
+        let mut connection = Connection::open_on(stream).await.unwrap();
+        connection.exchange(request).await.unwrap()
+    }
+
     /// Sends a request for a path over a new connection and returns the reply.
     pub async fn get(&self, path: &str) -> Reply {
         let mut connection = Connection::open(self.address).await.unwrap();
