Send evidence to a restarted VM with any first datagram

Cause: a VM that starts got the evidence only if its new process was learned from a probe of its own. If a peer probed it first, its acknowledgement announced the process, and the evidence waited for anti-entropy. Found when the mechanism was disabled: the test of it passed all the same, with two facts that anti-entropy delivers at once. With 60 facts it failed even with the mechanism (24 of 60 after 50 ms); any datagram that announces its sender's process now counts.

Two tests are made stricter. The end of a draining leaf was hidden by a second guard (the leaf's record was gone), so the test passed with the check disabled; now the leaf is marked as draining, and the same end without that mark must be evidence. The test of a replica's answers did not make sure that a request reached the crashing leaf.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -391,11 +391,11 @@
             _ => Dissemination::Enqueue,
         };
         let new_facts = self.apply_facts(message.facts, from, dissemination, now_ms);
+        if announces_vm(&new_facts, from) {
+            self.send_evidence(from, &mut out);
+        }
         match message.kind {
             MessageKind::Probe { sequence } => {
-                if announces_vm(&new_facts, from) {
-                    self.send_evidence(from, &mut out);
-                }
                 self.queue_state_of(from, message.incarnation);
                 out.push((
                     from,
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -13,7 +13,9 @@
 use bytes::Bytes;
 use cloverrack::clock::unix_ms;
 use cloverrack::fact::Fact;
-use cloverrack::gateway::{Catalog, CatalogImage, Content, ContentVerdict, CrashedAttempt, Reply};
+use cloverrack::gateway::{
+    Change, ChangeSet, Content, ContentVerdict, CrashedAttempt, LeafRecord, Reply,
+};
 use gateway::{
     Leaf, LeafBehaviour, TARGET_LATENCY_MS, TestGateway, gather_route, request, single_route,
 };
@@ -211,7 +213,7 @@
     publish(&test_gateway, "/a/", true, 2, &leaves);
     earn_retries(&test_gateway, &leaves, "/a/x").await;
     leaves[0].set(LeafBehaviour::Crash);
-    leaves[1].set(LeafBehaviour::Slow(20));
+    leaves[1].set(LeafBehaviour::Slow(80));
     for _ in 0..30 {
         assert_eq!(test_gateway.get("/a/x").await.status, StatusCode::OK);
     }
@@ -253,32 +255,32 @@
 /// Guards against refusing content whose leaves ended after they had announced it.
 #[tokio::test]
 async fn the_end_of_a_draining_leaf_is_no_crash() {
-    let test_gateway = TestGateway::spawn().await;
-    let mut leaves = Vec::new();
-    for number in 0..3 {
-        let name = format!("leaf-{number}");
-        leaves.push(Leaf::spawn(&name, 1, LeafBehaviour::Hang).await);
-    }
-    for leaf in &leaves {
-        publish(&test_gateway, "/o/", false, 2, std::slice::from_ref(leaf));
+    for is_draining in [true, false] {
+        let test_gateway = TestGateway::spawn().await;
+        let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Hang).await;
+        publish(&test_gateway, "/o/", false, 2, std::slice::from_ref(&leaf));
         let ending = async {
             tokio::time::sleep(IN_FLIGHT_DELAY).await;
             assert_eq!(leaf.executed(), 1);
-            // Removes the record of the leaf.
-            let image = CatalogImage {
-                revision: 2,
-                document: None,
-                leaves: Vec::new(),
-            };
-            test_gateway.engine.state().catalog.replace(image, 0);
-            test_gateway.engine.refresh();
+            if is_draining {
+                let draining = LeafRecord {
+                    draining: true,
+                    ..leaf.record("s")
+                };
+                let change_set = ChangeSet {
+                    changes: vec![Change::Leaf(draining)],
+                    revision: 2,
+                };
+                test_gateway.engine.state().catalog.apply(change_set, 0);
+                test_gateway.engine.refresh();
+            }
             leaf.end();
         };
         let (reply, ()) = tokio::join!(test_gateway.send_from(CALLER, order("same")), ending);
         assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
-        test_gateway.engine.state().catalog = Catalog::default();
+        let evidence = test_gateway.engine.take_evidence();
+        assert_eq!(evidence.is_empty(), is_draining, "{evidence:?}");
     }
-    assert!(test_gateway.engine.state().content_quarantine.is_empty());
 }
 
 /// Returns evidence of other VMs that suffices to quarantine a GET request of a caller.
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -293,13 +293,16 @@
 }
 
 /// Guards against a restarted process that sends content to leaves which others have quarantined:
-/// it must have the evidence with its first probe, before anti-entropy.
+/// it must have the evidence with its first datagrams, before anti-entropy.
 #[test]
-fn a_starting_process_gets_the_evidence_with_its_first_probe() {
+fn a_starting_process_gets_the_evidence_at_once() {
+    const COUNT: usize = 60;
     let mut network = SimulatedNetwork::new(4);
-    network.nodes[0].publish(crashed_attempt(1, NOW_UNIX_MS), 0);
-    network.nodes[1].publish(crashed_attempt(2, NOW_UNIX_MS + 1), 0);
-    network.run(5_000);
+    for attempt in 0..COUNT as u64 {
+        network.nodes[0].publish(crashed_attempt(attempt, NOW_UNIX_MS + attempt), 0);
+    }
+    // Long enough for the evidence to leave the queues of facts to send.
+    network.run(60_000);
     let start = NOW_UNIX_MS + 10_000;
     let mut node = Gossip::new(
         vm(3),
@@ -310,7 +313,7 @@
     node.set_peers((0..4).map(vm));
     network.nodes[3] = node;
     network.run(50);
-    assert_eq!(evidence_count(&network.nodes[3]), 2);
+    assert_eq!(evidence_count(&network.nodes[3]), COUNT);
 }
 
 /// Guards against a leaf state that is lost because it arrives before the file that lists the leaf.
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -114,6 +114,20 @@
         }
     }
 
+    /// Returns the record that the leaf publishes.
+    pub fn record(&self, service: &str) -> LeafRecord {
+        LeafRecord {
+            id: self.id.as_str().into(),
+            service: service.into(),
+            address: self.address,
+            failure_domain: "a".into(),
+            slots: 3,
+            draining: false,
+            warmup_left_ms: 0,
+            started_unix_ms: 1,
+        }
+    }
+
     /// Returns whether the leaf has not ended.
     pub fn is_serving(&self) -> bool {
         self.serving.lock().unwrap().is_some()
@@ -264,16 +278,7 @@
     };
     let mut changes = vec![Change::Document(document)];
     for (service, leaf) in leaves {
-        changes.push(Change::Leaf(LeafRecord {
-            id: leaf.id.as_str().into(),
-            service: (*service).into(),
-            address: leaf.address,
-            failure_domain: "a".into(),
-            slots: 3,
-            draining: false,
-            warmup_left_ms: 0,
-            started_unix_ms: 1,
-        }));
+        changes.push(Change::Leaf(leaf.record(service)));
     }
     let change_set = ChangeSet {
         changes,
