Stop content that crashes the leaves of one shard only

Cause: an attempt counted as a success of the content as soon as any leaf answered it.

An attempt now counts as crashed if a shard lost leaves and got no answer, and discards evidence only if there is no such shard. If a call to such a shard is still in flight when the request ends, the attempt counts for neither. Under a suspect content a shard whose leaf crashed is not called again.

Ruled out: evidence for each service, which needs three crashes of each shard before a request that crashes all of them is stopped.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,9 +26,11 @@
     number: u64,
     is_suspect: bool,
     has_succeeded: bool,
-    /// Hashes of the processes that crashed.
-    crashed_leaves: Vec<u64>,
+    /// Whether calls that may still succeed were abandoned.
+    is_inconclusive: bool,
     crashes: usize,
+    /// Shard index and process hash of each crash, for shards without an answer.
+    crashed_leaves: Vec<(usize, u64)>,
 }
 
 impl Attempt {
@@ -40,23 +42,38 @@
             number: xxh3_64(request_id),
             is_suspect,
             has_succeeded: false,
-            crashed_leaves: Vec::new(),
+            is_inconclusive: false,
             crashes: 0,
+            crashed_leaves: Vec::new(),
         }
     }
 
-    pub(super) fn record_success(&mut self) {
+    /// Records that a leaf of a shard answered: the other leaves of the shard crashed for another
+    /// reason.
+    pub(super) fn record_success(&mut self, shard: usize) {
         self.has_succeeded = true;
+        self.crashed_leaves.retain(|(crashed, _)| *crashed != shard);
     }
 
-    pub(super) fn record_crash(&mut self, leaf: LeafKey) {
+    pub(super) fn record_crash(&mut self, shard: usize, leaf: LeafKey) {
         self.crashes += 1;
-        let process = self.engine.process_hash(leaf);
-        if self.crashed_leaves.len() < MAX_LEAVES_PER_ATTEMPT {
-            self.crashed_leaves.extend(process);
+        if let Some(process) = self.engine.process_hash(leaf) {
+            self.crashed_leaves.push((shard, process));
         }
     }
 
+    /// Records that the request ends while a call to a shard is in flight.
+    pub(super) fn record_abandoned(&mut self, shard: usize) {
+        self.is_inconclusive = true;
+        self.crashed_leaves.retain(|(crashed, _)| *crashed != shard);
+    }
+
+    /// Returns whether a shard must not be called again: under a suspect content, one crash suffices.
+    pub(super) fn is_shard_stopped(&self, shard: usize) -> bool {
+        let mut crashed = self.crashed_leaves.iter();
+        self.is_suspect && crashed.any(|(crashed, _)| *crashed == shard)
+    }
+
     /// Returns whether the request must not be sent to further leaves.
     pub(super) fn is_stopped(&self) -> bool {
         if self.has_succeeded {
@@ -83,12 +100,13 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        if self.has_succeeded {
-            self.engine.record_content_success(&self.content);
-        } else if !self.crashed_leaves.is_empty() {
-            let leaves = std::mem::take(&mut self.crashed_leaves);
+        let crashed = self.crashed_leaves.iter().map(|(_, process)| *process);
+        let leaves: Vec<u64> = crashed.take(MAX_LEAVES_PER_ATTEMPT).collect();
+        if !leaves.is_empty() {
             self.engine
                 .record_crashed_attempt(self.content, self.number, leaves);
+        } else if self.has_succeeded && !self.is_inconclusive {
+            self.engine.record_content_success(&self.content);
         }
     }
 }
--- a/src/gateway/content_quarantine.rs
+++ b/src/gateway/content_quarantine.rs
@@ -4,8 +4,8 @@
 //! Handles requests that crash each leaf and are sent again, to any VM: VMs exchange the attempts
 //! under which leaves crashed, so that all refuse the content after the third crash. Leaves also
 //! crash for other reasons, and take the healthy requests with them that they run at that time. An
-//! attempt therefore counts only if no leaf answered it, a later success of the content discards
-//! it, and a single attempt never suffices.
+//! attempt therefore counts only if no leaf of the same shard answered it, a later success of the
+//! content discards it, and a single attempt never suffices.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
@@ -40,7 +40,7 @@
 /// Maximum number of crashed leaves in a record of an attempt.
 pub const MAX_LEAVES_PER_ATTEMPT: usize = CRASHES_TO_QUARANTINE;
 
-/// Attempt of a caller under which leaves crashed and that no leaf answered.
+/// Attempt of a caller under which leaves of a shard crashed and no leaf of this shard answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
 pub struct CrashedAttempt {
@@ -65,7 +65,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
 pub struct ContentSuccess {
-    /// Content that a leaf answered.
+    /// Content that leaves answered.
     pub content: Content,
     /// Wall-clock time up to which crashed attempts are discarded.
     pub until_unix_ms: u64,
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -58,7 +58,7 @@
         self.queue_evidence(state, Fact::ContentSuccess(success));
     }
 
-    /// Records an attempt under which leaf processes crashed and that no leaf answered, for all VMs.
+    /// Records an attempt under which leaf processes crashed, for all VMs.
     pub fn record_crashed_attempt(&self, content: Content, attempt: u64, leaves: Vec<u64>) {
         let state = &mut *self.state();
         let crashed = CrashedAttempt {
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -196,23 +196,23 @@
         }
     }
 
-    /// Returns whether the content may be sent to another leaf now.
+    /// Returns whether the content may be sent to another leaf of a shard now.
     fn may_call(&self, index: usize) -> bool {
-        let is_first_call = self.shards[index].sent == 0;
-        if is_first_call && self.attempt.allows_concurrent_calls() {
+        let allows_concurrent_calls = self.attempt.allows_concurrent_calls();
+        if self.shards[index].sent == 0 && allows_concurrent_calls {
             return true;
         }
-        (self.calls.is_empty() || self.attempt.allows_concurrent_calls())
+        (self.calls.is_empty() || allows_concurrent_calls)
+            && !self.attempt.is_shard_stopped(index)
             && !self.attempt.is_stopped()
     }
 
     /// Fails the shards that wait for a call if the content may be sent to no further leaf.
     fn stop_pending_shards(&mut self) {
-        if !self.calls.is_empty() || !self.attempt.is_stopped() {
-            return;
-        }
-        for shard in &mut self.shards {
-            if shard.is_pending() {
+        let is_stopped = self.calls.is_empty() && self.attempt.is_stopped();
+        for (index, shard) in self.shards.iter_mut().enumerate() {
+            let is_shard_stopped = shard.open_calls == 0 && self.attempt.is_shard_stopped(index);
+            if shard.is_pending() && (is_stopped || is_shard_stopped) {
                 shard.finish();
             }
         }
@@ -308,8 +308,8 @@
                 self.engine.metrics.count_failed_call(error);
                 self.last_error = Some(error);
                 self.may_have_run |= !error.has_not_run();
-                if error == CallError::LeafCrashed {
-                    self.attempt.record_crash(leaf);
+                if error == CallError::LeafCrashed && self.shards[index].reply.is_none() {
+                    self.attempt.record_crash(index, leaf);
                 }
                 tracing::debug!(event = "call_failed", ?leaf, %error);
                 self.handle_failure(index, error);
@@ -323,7 +323,7 @@
             return;
         }
         if reply.status.is_success() {
-            self.attempt.record_success();
+            self.attempt.record_success(index);
             shard.reply = Some(reply);
             shard.latency_us = latency_us;
             return;
@@ -406,7 +406,12 @@
         times_us.get(times_us.len() / 2).copied()
     }
 
-    fn finish(self, complete: bool) -> FanoutResult {
+    fn finish(mut self, complete: bool) -> FanoutResult {
+        for (index, shard) in self.shards.iter().enumerate() {
+            if shard.is_pending() && shard.open_calls > 0 {
+                self.attempt.record_abandoned(index);
+            }
+        }
         let elapsed_us = self.elapsed_us();
         let timed_out = elapsed_us >= self.plan.schedule.timeout_us;
         let median_call_us = self.median_call_us(elapsed_us);
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -174,6 +174,35 @@
     assert_eq!(executed(&leaves), 4);
 }
 
+/// Guards against a scatter-gather request that crashes the leaves of one shard with each attempt
+/// and is never stopped because the other shards answer.
+#[tokio::test]
+async fn content_that_crashes_one_shard_stops() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaves = crashing_leaves(7).await;
+    let services = ["s0", "s1"];
+    let listed: Vec<(&str, &Leaf)> = (0..)
+        .zip(&leaves)
+        .map(|(number, leaf)| (services[usize::from(number > 0)], leaf))
+        .collect();
+    test_gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+    earn_retries(&test_gateway, &leaves, "/g/healthy").await;
+    let before = executed(&leaves[1..]);
+    for leaf in &leaves[1..] {
+        leaf.set(LeafBehaviour::Crash);
+    }
+    let mut replies = Vec::new();
+    for _ in 0..5 {
+        replies.push(test_gateway.get("/g/x").await);
+    }
+    assert_eq!(
+        replies[0].headers["x-missing"], "1",
+        "the other shard answers"
+    );
+    assert_quarantined(&replies[4]);
+    assert_eq!(executed(&leaves[1..]), before + 3);
+}
+
 /// Guards against a suspect scatter-gather request that is not answered although it is healthy.
 #[tokio::test]
 async fn a_healthy_suspect_is_answered_and_cleared() {
