Name the request hash of a crashed attempt and saturate its expiry

Cause: CrashedAttempt::attempt and Attempt::number did not say that they hold the hash of a request's ID. A record with a time near the end of its range, from a faulty peer, would overflow when its expiry is computed, which ends a debug build and makes the record expire at once in a release build.

--- a/src/fact.rs
+++ b/src/fact.rs
@@ -211,7 +211,7 @@
             }
             Self::Profile { address, .. } => FactKey::Profile(*address),
             Self::CrashedAttempt(crashed) => {
-                FactKey::CrashedAttempt(crashed.content, crashed.attempt)
+                FactKey::CrashedAttempt(crashed.content, crashed.request_hash)
             }
             Self::ContentSuccess(success) => FactKey::ContentSuccess(success.content),
         }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,7 +23,7 @@
 pub(super) struct Attempt {
     engine: Arc<Engine>,
     content: Content,
-    number: u64,
+    request_hash: u64,
     is_suspect: bool,
     has_succeeded: bool,
     /// Whether calls that may still succeed were abandoned.
@@ -39,7 +39,7 @@
         Self {
             engine,
             content,
-            number: xxh3_64(request_id),
+            request_hash: xxh3_64(request_id),
             is_suspect,
             has_succeeded: false,
             is_inconclusive: false,
@@ -104,7 +104,7 @@
         let leaves: Vec<u64> = crashed.take(MAX_LEAVES_PER_ATTEMPT).collect();
         if !leaves.is_empty() {
             self.engine
-                .record_crashed_attempt(self.content, self.number, leaves);
+                .record_crashed_attempt(self.content, self.request_hash, leaves);
         } else if self.has_succeeded && !self.is_inconclusive {
             self.engine.record_content_success(&self.content);
         }
--- a/src/gateway/content_quarantine.rs
+++ b/src/gateway/content_quarantine.rs
@@ -46,8 +46,8 @@
 pub struct CrashedAttempt {
     /// Content that the caller asked for.
     pub content: Content,
-    /// Hash of the request ID.
-    pub attempt: u64,
+    /// Hash of the request ID, which differs in each attempt.
+    pub request_hash: u64,
     /// Hashes of the crashed processes, at most [`MAX_LEAVES_PER_ATTEMPT`].
     pub leaves: Vec<u64>,
     /// Wall-clock time of the observation.
@@ -57,7 +57,7 @@
 impl CrashedAttempt {
     /// Returns whether the attempt is too old to count as evidence.
     pub fn is_expired(&self, now_unix_ms: u64) -> bool {
-        self.observed_unix_ms + EVIDENCE_RETENTION_MS <= now_unix_ms
+        self.observed_unix_ms.saturating_add(EVIDENCE_RETENTION_MS) <= now_unix_ms
     }
 }
 
@@ -74,7 +74,7 @@
 impl ContentSuccess {
     /// Returns whether all attempts that the success discards have expired.
     pub fn is_expired(&self, now_unix_ms: u64) -> bool {
-        self.until_unix_ms + EVIDENCE_RETENTION_MS <= now_unix_ms
+        self.until_unix_ms.saturating_add(EVIDENCE_RETENTION_MS) <= now_unix_ms
     }
 }
 
@@ -115,7 +115,9 @@
     /// ```
     /// use cloverrack::gateway::{Content, ContentQuarantine, ContentVerdict, CrashedAttempt};
     /// let content = Content { fingerprint: 7, caller: [127, 0, 0, 1].into() };
-    /// let crashed = |attempt, leaves| CrashedAttempt { content, attempt, leaves, observed_unix_ms: 0 };
+    /// let crashed = |request_hash, leaves| {
+    ///     CrashedAttempt { content, request_hash, leaves, observed_unix_ms: 0 }
+    /// };
     /// let mut quarantine = ContentQuarantine::default();
     /// quarantine.add_attempt(crashed(1, vec![10, 11]), 0);
     /// assert_eq!(quarantine.verdict(&content, 0), ContentVerdict::Suspect);
@@ -164,7 +166,7 @@
         );
         let attempts = &mut self.entry(content.fingerprint, now_unix_ms).attempts;
         attempts.retain(|known| {
-            (known.content, known.attempt) != (content, attempt.attempt)
+            (known.content, known.request_hash) != (content, attempt.request_hash)
                 && !known.is_expired(now_unix_ms)
         });
         if attempts.len() >= MAX_RECORDS_PER_CONTENT {
@@ -199,8 +201,12 @@
 
     /// Removes expired evidence.
     pub fn remove_expired(&mut self, now_unix_ms: u64) {
-        self.contents
-            .retain(|_, evidence| evidence.latest_unix_ms() + EVIDENCE_RETENTION_MS > now_unix_ms);
+        self.contents.retain(|_, evidence| {
+            let expires_ms = evidence
+                .latest_unix_ms()
+                .saturating_add(EVIDENCE_RETENTION_MS);
+            expires_ms > now_unix_ms
+        });
     }
 
     /// Returns the number of contents with evidence.
@@ -287,7 +293,7 @@
         .iter()
         .map(|attempt| attempt.observed_unix_ms)
         .max()?;
-    Some(latest_ms + QUARANTINE_MS)
+    Some(latest_ms.saturating_add(QUARANTINE_MS))
 }
 
 fn caller_count(attempts: &[&CrashedAttempt]) -> usize {
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -59,11 +59,11 @@
     }
 
     /// Records an attempt under which leaf processes crashed, for all VMs.
-    pub fn record_crashed_attempt(&self, content: Content, attempt: u64, leaves: Vec<u64>) {
+    pub fn record_crashed_attempt(&self, content: Content, request_hash: u64, leaves: Vec<u64>) {
         let state = &mut *self.state();
         let crashed = CrashedAttempt {
             content,
-            attempt,
+            request_hash,
             leaves,
             observed_unix_ms: unix_ms(),
         };
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -115,7 +115,7 @@
             }
             Self::Quarantined { until_unix_ms } => {
                 let remaining_ms = until_unix_ms.saturating_sub(unix_ms());
-                remaining_ms..remaining_ms + RETRY_WAIT_MS.end
+                remaining_ms..remaining_ms.saturating_add(RETRY_WAIT_MS.end)
             }
             _ => RETRY_WAIT_MS,
         }
--- a/src/gossip/fact_table.rs
+++ b/src/gossip/fact_table.rs
@@ -282,9 +282,9 @@
             bytes.extend_from_slice(name.as_bytes());
         }
         FactKey::Profile(address) => push_address(&mut bytes, b'p', *address),
-        FactKey::CrashedAttempt(content, attempt) => {
+        FactKey::CrashedAttempt(content, request_hash) => {
             push_content(&mut bytes, b'a', content);
-            bytes.extend_from_slice(&attempt.to_le_bytes());
+            bytes.extend_from_slice(&request_hash.to_le_bytes());
         }
         FactKey::ContentSuccess(content) => push_content(&mut bytes, b's', content),
     }
--- a/tests/content_quarantine.rs
+++ b/tests/content_quarantine.rs
@@ -27,13 +27,13 @@
 
 fn crashed(
     content: Content,
-    attempt: u64,
+    request_hash: u64,
     leaves: &[u64],
     observed_unix_ms: u64,
 ) -> CrashedAttempt {
     CrashedAttempt {
         content,
-        attempt,
+        request_hash,
         leaves: leaves.to_vec(),
         observed_unix_ms,
     }
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -316,10 +316,10 @@
 fn evidence_against(path: &'static str) -> (Content, Vec<Fact>) {
     let uri = Uri::from_static(path);
     let content = Content::new("desk.example", &Method::GET, &uri, b"", CALLER.into());
-    let evidence = |attempt, leaves: &[u64]| {
+    let evidence = |request_hash, leaves: &[u64]| {
         Fact::CrashedAttempt(CrashedAttempt {
             content,
-            attempt,
+            request_hash,
             leaves: leaves.to_vec(),
             observed_unix_ms: unix_ms(),
         })
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -236,14 +236,14 @@
     assert!(network.all(|node| node.digest() == digest));
 }
 
-fn crashed_attempt(attempt: u64, observed_unix_ms: u64) -> Fact {
+fn crashed_attempt(request_hash: u64, observed_unix_ms: u64) -> Fact {
     let content = Content {
         fingerprint: 7,
         caller: [10, 1, 0, 1].into(),
     };
     Fact::CrashedAttempt(CrashedAttempt {
         content,
-        attempt,
+        request_hash,
         leaves: vec![1, 2, 3],
         observed_unix_ms,
     })
