Test that evidence reaches VMs that were cut off

Cause: the soak can't cut links between VMs, so nothing showed that a VM which was cut off refuses quarantined content 4 s after it is connected again. The timing constant becomes public for the test.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -35,7 +35,7 @@
 
 /// Gossip timing: a crashed VM disappears from the resolved addresses after the suspicion timeout
 /// and one round of probes, about the time for which callers cache these addresses.
-const TIMING: GossipTiming = GossipTiming {
+pub const TIMING: GossipTiming = GossipTiming {
     probe_interval_ms: 300,
     ack_timeout_ms: 100,
     suspicion_ms: 900,
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -9,6 +9,7 @@
 use cloverrack::document::Version;
 use cloverrack::fact::{Fact, FactKey, LeafState, VmState};
 use cloverrack::gateway::content_quarantine::EVIDENCE_RETENTION_MS;
+use cloverrack::gateway::membership::TIMING;
 use cloverrack::gateway::{Content, CrashedAttempt};
 use cloverrack::gossip::{
     Datagram, Gossip, GossipTiming, MAX_DATAGRAM_BYTES, MessageKind, Outgoing,
@@ -66,10 +67,14 @@
 
 impl SimulatedNetwork {
     fn new(size: usize) -> Self {
+        Self::with_timing(size, GossipTiming::default())
+    }
+
+    fn with_timing(size: usize, timing: GossipTiming) -> Self {
         let mut nodes = Vec::new();
         for number in 0..size {
             let start = NOW_UNIX_MS + number as u64;
-            let mut node = Gossip::new(vm(number), incarnation(start), GossipTiming::default(), 0);
+            let mut node = Gossip::new(vm(number), incarnation(start), timing, 0);
             node.set_peers((0..size).map(vm));
             node.confirm_address();
             nodes.push(node);
@@ -316,6 +321,25 @@
     assert_eq!(evidence_count(&network.nodes[3]), COUNT);
 }
 
+/// Guards against VMs that were cut off and still send content to leaves, which others have
+/// quarantined, 4 s after they are connected again.
+#[test]
+fn evidence_crosses_a_healed_partition() {
+    const COUNT: usize = 6;
+    let mut network = SimulatedNetwork::with_timing(8, TIMING);
+    network.run(5_000);
+    network.is_partitioned = true;
+    network.run(20_000);
+    for request_hash in 0..COUNT as u64 {
+        network.nodes[0].publish(crashed_attempt(request_hash, NOW_UNIX_MS), network.now_ms);
+    }
+    network.run(20_000);
+    assert_eq!(evidence_count(&network.nodes[7]), 0);
+    network.is_partitioned = false;
+    network.run(4_000);
+    assert!(network.all(|node| evidence_count(node) == COUNT));
+}
+
 /// Guards against a leaf state that is lost because it arrives before the file that lists the leaf.
 #[test]
 fn a_fact_that_precedes_its_file_is_kept() {
