--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -283,21 +283,6 @@
         self.fact_filter.is_leaf_listed(address)
     }
 
-    /// Sets the wall-clock time for expiry and removes the quarantines and evidence that have
-    /// expired.
-    pub fn set_wall_clock(&mut self, now_unix_ms: u64) {
-        self.fact_filter.set_wall_clock(now_unix_ms);
-        let mut expired = Vec::new();
-        for (key, entry) in self.fact_table.expiring() {
-            if !self.fact_filter.accepts(&entry.fact) {
-                expired.push(key.clone());
-            }
-        }
-        for key in expired {
-            self.fact_table.remove(&key);
-        }
-    }
-
     /// Removes the facts that the filter no longer accepts.
     fn remove_rejected(&mut self) {
         let mut rejected = Vec::new();
--- a/src/gossip/evidence.rs
+++ b/src/gossip/evidence.rs
@@ -1,4 +1,4 @@
-//! Sends evidence on request contents to VMs that may have missed it.
+//! Expires evidence on request contents, and sends it to VMs that may have missed it.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -12,6 +12,21 @@
 const MAX_PUSHED_EVIDENCE: usize = 64;
 
 impl Gossip {
+    /// Sets the wall-clock time for expiry and removes the quarantines and evidence that have
+    /// expired.
+    pub fn set_wall_clock(&mut self, now_unix_ms: u64) {
+        self.fact_filter.set_wall_clock(now_unix_ms);
+        let mut expired = Vec::new();
+        for (key, entry) in self.fact_table.expiring() {
+            if !self.fact_filter.accepts(&entry.fact) {
+                expired.push(key.clone());
+            }
+        }
+        for key in expired {
+            self.fact_table.remove(&key);
+        }
+    }
+
     /// Sends the newest evidence on contents to a VM that has just started or was cut off. It would
     /// send a content that others have quarantined to leaves until anti-entropy delivers the
     /// evidence.
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -67,6 +67,13 @@
     );
 }
 
+/// Publishes a scatter-gather route with the leaves as replicas of three shards.
+fn publish_shards(gateway: &TestGateway, leaves: &[Leaf]) {
+    let services = ["s0", "s1", "s2"];
+    let listed: Vec<(&str, &Leaf)> = services.into_iter().cycle().zip(leaves).collect();
+    gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+}
+
 /// Sends healthy requests, which earn the budget for four extra calls, at 0.18 per request.
 async fn earn_retries(gateway: &TestGateway, leaves: &[Leaf], path: &str) {
     for leaf in leaves {
@@ -150,12 +157,7 @@
 async fn a_crashing_fan_out_reaches_each_shard_once() {
     let test_gateway = TestGateway::spawn().await;
     let leaves = crashing_leaves(9).await;
-    let services = ["s0", "s1", "s2"];
-    let listed: Vec<(&str, &Leaf)> = (0..)
-        .zip(&leaves)
-        .map(|(n, leaf)| (services[n % 3], leaf))
-        .collect();
-    test_gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+    publish_shards(&test_gateway, &leaves);
     assert_eq!(
         test_gateway.get("/g/x").await.status,
         StatusCode::BAD_GATEWAY
@@ -208,12 +210,7 @@
 async fn a_healthy_suspect_is_answered_and_cleared() {
     let test_gateway = TestGateway::spawn().await;
     let leaves = crashing_leaves(6).await;
-    let services = ["s0", "s1", "s2"];
-    let listed: Vec<(&str, &Leaf)> = (0..)
-        .zip(&leaves)
-        .map(|(n, leaf)| (services[n % 3], leaf))
-        .collect();
-    test_gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+    publish_shards(&test_gateway, &leaves);
     assert_eq!(
         test_gateway.get("/g/x").await.status,
         StatusCode::BAD_GATEWAY
