--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -28,8 +28,19 @@
 /// Longest time that the refusal of a quarantined content may take.
 const REFUSAL_TIME_LIMIT: Duration = Duration::from_millis(500);
 
-/// Time after which a request has reached its leaf, below the delay of a hedge.
-const IN_FLIGHT_DELAY: Duration = Duration::from_millis(100);
+/// Limit for a request to reach a leaf.
+const EXECUTION_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Waits until leaves have executed more than `before` requests.
+async fn wait_for_execution(leaves: &[Leaf], before: usize) {
+    let waiting = async {
+        while executed(leaves) <= before {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let waited = tokio::time::timeout(EXECUTION_TIMEOUT, waiting).await;
+    waited.expect("the request reaches a leaf");
+}
 
 async fn crashing_leaves(count: usize) -> Vec<Leaf> {
     let mut leaves = Vec::new();
@@ -286,8 +297,7 @@
         let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Hang).await;
         publish(&test_gateway, "/o/", false, 2, std::slice::from_ref(&leaf));
         let ending = async {
-            tokio::time::sleep(IN_FLIGHT_DELAY).await;
-            assert_eq!(leaf.executed(), 1);
+            wait_for_execution(std::slice::from_ref(&leaf), 0).await;
             if is_draining {
                 let draining = LeafRecord {
                     draining: true,
@@ -339,7 +349,7 @@
     assert_eq!(executed(&leaves) - before, 2, "without evidence");
     let before = executed(&leaves);
     let quarantining = async {
-        tokio::time::sleep(IN_FLIGHT_DELAY).await;
+        wait_for_execution(&leaves, before).await;
         let (_, evidence) = evidence_against("/a/x");
         test_gateway.engine.apply_evidence(evidence);
     };
