Hedge content that no leaf has answered to one other leaf only

Cause: the number of replicas of a shard that run a request at the same time had no limit. Content that crashes its leaves, after a while or on a busy machine, reaches one more with each hedge delay. A request that no leaf has answered now runs on two replicas of a shard at most; once a leaf of any shard has answered, hedges go on as before.

Ruled out: the same limit after an answer.

The new test of a healthy request beside a crash at another VM guards the sharing of crashes between owners.

--- a/src/query.rs
+++ b/src/query.rs
@@ -36,6 +36,11 @@
 /// far. One hedge and one retry have had time to complete by then.
 const EARLY_ANSWER_HEDGE_DELAYS: u64 = 4;
 
+/// Maximum number of replicas of a shard that run a request at the same time before any leaf has
+/// answered it. Content that crashes leaves may do so after some time, and must not have reached
+/// more of them by then.
+const MAX_UNANSWERED_CALLS: u32 = 2;
+
 /// A call that was sent and has no reply yet.
 #[derive(Debug)]
 struct InFlightCall {
@@ -257,14 +262,26 @@
         early || boot_ms() >= self.query_context.answer_by_ms()
     }
 
+    /// Returns the maximum number of replicas of a shard that run the request at the same time.
+    fn max_concurrent_calls(&self) -> u32 {
+        if !self.query_context.idempotent {
+            return 1;
+        }
+        if self.shards.iter().any(|shard| shard.body.is_some()) {
+            return u32::MAX;
+        }
+        MAX_UNANSWERED_CALLS
+    }
+
     /// Returns the time at which the next hedge or retry is due or the run ends.
     fn next_event_us(&self) -> u64 {
         let mut next_us = self.query_context.answer_by_ms() * 1_000;
         if self.early_answer_us > boot_us() {
             next_us = next_us.min(self.early_answer_us);
         }
+        let max_concurrent_calls = self.max_concurrent_calls();
         for shard in &self.shards {
-            next_us = next_us.min(shard.next_event_us(self.query_context.idempotent));
+            next_us = next_us.min(shard.next_event_us(max_concurrent_calls));
         }
         next_us
     }
@@ -276,6 +293,7 @@
         let has_crashed_leaf = self.root.has_crashed_leaf(self.query_context);
         let quarantined = has_crashed_leaf && self.root.is_quarantined(self.query_context);
         let now_us = boot_us();
+        let max_concurrent_calls = self.max_concurrent_calls();
         let mut due = Vec::new();
         let mut hedges = 0;
         for index in 0..self.shards.len() {
@@ -297,7 +315,7 @@
                     continue;
                 }
                 due.push(index as u32);
-            } else if self.query_context.idempotent && shard.is_hedge_due(now_us) {
+            } else if shard.is_hedge_due(now_us, max_concurrent_calls) {
                 self.shards[index].defer_hedge(now_us + self.hedge_delay_us.max(1_000));
                 if !has_crashed_leaf && self.has_untried_replica(index) && self.try_spend() {
                     hedges += 1;
--- a/src/shard_attempts.rs
+++ b/src/shard_attempts.rs
@@ -76,20 +76,27 @@
     }
 
     /// Returns the time of the next hedge or retry, or `u64::MAX` if none is scheduled.
-    pub fn next_event_us(&self, may_hedge: bool) -> u64 {
+    /// `max_concurrent_calls` limits the hedges.
+    pub fn next_event_us(&self, max_concurrent_calls: u32) -> u64 {
         if self.body.is_some() {
             return u64::MAX;
         }
         match self.pending {
             Some(pending) => pending.at_us,
-            None if self.in_flight > 0 && may_hedge => self.hedge_at_us,
+            None if self.can_be_hedged(max_concurrent_calls) => self.hedge_at_us,
             None => u64::MAX,
         }
     }
 
-    /// Returns whether a hedge is due.
-    pub fn is_hedge_due(&self, now_us: u64) -> bool {
-        self.body.is_none() && self.in_flight > 0 && self.hedge_at_us <= now_us
+    /// Returns whether a hedge is due and would not exceed `max_concurrent_calls`.
+    pub fn is_hedge_due(&self, now_us: u64, max_concurrent_calls: u32) -> bool {
+        self.body.is_none()
+            && self.can_be_hedged(max_concurrent_calls)
+            && self.hedge_at_us <= now_us
+    }
+
+    fn can_be_hedged(&self, max_concurrent_calls: u32) -> bool {
+        (1..max_concurrent_calls).contains(&self.in_flight)
     }
 
     /// Postpones a hedge that the budget denied or for which no replica was available.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -17,6 +17,7 @@
 use cloverrack::answer::{Answer, CallerRequest};
 use cloverrack::quarantine::{CRASH_RETENTION_MS, LeafCrash, Quarantine};
 use cloverrack::{Outcome, Reason};
+use cloverrack_standins::Misbehaviour;
 use proptest::prelude::*;
 use support::{Cluster, ClusterSpec, eventually, request};
 
@@ -95,6 +96,23 @@
     assert_eq!(leaves_that_executed(&cluster, CRASH_PAYLOAD), 2);
 }
 
+/// Guards against hedges that spread content over more than two leaves before the first of them can
+/// be seen to crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn content_without_an_answer_is_hedged_to_one_other_leaf() {
+    let cluster = Cluster::start(spec(1)).await;
+    for leaf in &cluster.leaves[0] {
+        leaf.set(|options| options.misbehaviour = Some(Misbehaviour::Silent));
+    }
+    let sent = CallerRequest {
+        deadline_ms: 500,
+        ..request_with_payload("hedged", "never answered")
+    };
+    let answer = cluster.query(0, &sent).await.unwrap();
+    assert_eq!(answer.outcome, Outcome::Unknown, "{answer:?}");
+    assert_eq!(leaves_that_executed(&cluster, "never answered"), 2);
+}
+
 /// Guards against crash evidence that isn't shared between VMs. Two VMs lose one leaf each, which
 /// only together is enough to quarantine the content.
 #[tokio::test(flavor = "multi_thread")]
@@ -147,6 +165,29 @@
     }
 }
 
+/// Guards against quarantining a healthy request whose two calls ran on the leaves that a request at
+/// another VM crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_healthy_request_beside_a_crash_at_another_vm_is_not_quarantined() {
+    let cluster = Cluster::start(ClusterSpec {
+        replicas: 2,
+        ..spec(400)
+    })
+    .await;
+    let healthy = request_with_payload("healthy", "healthy content");
+    let crashing = request_with_payload("crashing", CRASH_PAYLOAD);
+    let crash = async {
+        eventually("the healthy request runs on both leaves", async || {
+            leaves_that_executed(&cluster, "healthy content") == 2
+        })
+        .await;
+        cluster.query(0, &crashing).await
+    };
+    let (answer, _) = tokio::join!(cluster.query(1, &healthy), crash);
+    assert_eq!(leaves_that_executed(&cluster, CRASH_PAYLOAD), 2);
+    assert_ne!(answer.unwrap().outcome, Outcome::Refused);
+}
+
 /// Guards against quarantining the requests that were in flight on leaves which were killed from
 /// outside: each content was lost with one leaf only.
 #[tokio::test(flavor = "multi_thread")]
