Keep evidence on crashing content until all shards answer it

What callers could do: content that crashes leaves was never stopped if its requests ended while a retry was in flight (at the deadline), or if other shards answered.

Cause: the evidence of an attempt followed from how the request ended. A crash was forgotten if another call to the shard was in flight at the deadline. An answer of some shards discarded the evidence of all VMs if the caller left before the others replied, or if the rest had no leaf, for instance since the content had crashed them before.

A crash now counts unless a leaf of the same shard answers, however the request ends, and a success is recorded only if a leaf of each shard answered. Healthy content is still safe: three processes have to crash under two attempts with no complete answer in between.

a_crash_counts_although_the_request_ends_during_a_retry (deadline) and an_incomplete_answer_is_no_success (caller leaves) failed before and pass; the cases of the caller that leaves during a retry and of the shard that refuses passed before.

Ruled out: forgetting the crash in both cases, as content whose callers have little patience would never be stopped.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -26,8 +26,8 @@
     request_hash: u64,
     is_suspect: bool,
     has_succeeded: bool,
-    /// Whether calls that may still succeed were abandoned.
-    is_inconclusive: bool,
+    /// Whether a leaf of each shard answered.
+    is_complete: bool,
     crashes: usize,
     /// Shard index and process hash of each crash, for shards without an answer.
     crashed_leaves: Vec<(usize, u64)>,
@@ -42,7 +42,7 @@
             request_hash: xxh3_64(request_id),
             is_suspect,
             has_succeeded: false,
-            is_inconclusive: false,
+            is_complete: false,
             crashes: 0,
             crashed_leaves: Vec::new(),
         }
@@ -62,10 +62,10 @@
         }
     }
 
-    /// Records that the request ends while a call to a shard is in flight.
-    pub(super) fn record_abandoned(&mut self, shard: usize) {
-        self.is_inconclusive = true;
-        self.crashed_leaves.retain(|(crashed, _)| *crashed != shard);
+    /// Records that a leaf of each shard answered. Content that crashes the leaves of one shard gets
+    /// incomplete answers while these leaves are down, which are no success.
+    pub(super) fn record_complete(&mut self) {
+        self.is_complete = true;
     }
 
     /// Returns whether a shard must not be called again: under a suspect content, one crash suffices.
@@ -105,7 +105,7 @@
         if !leaves.is_empty() {
             self.engine
                 .record_crashed_attempt(self.content, self.request_hash, leaves);
-        } else if self.has_succeeded && !self.is_inconclusive {
+        } else if self.has_succeeded && self.is_complete {
             self.engine.record_content_success(&self.content);
         }
     }
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -407,10 +407,8 @@
     }
 
     fn finish(mut self, complete: bool) -> FanoutResult {
-        for (index, shard) in self.shards.iter().enumerate() {
-            if shard.is_pending() && shard.open_calls > 0 {
-                self.attempt.record_abandoned(index);
-            }
+        if self.shards.iter().all(|shard| shard.reply.is_some()) {
+            self.attempt.record_complete();
         }
         let elapsed_us = self.elapsed_us();
         let timed_out = elapsed_us >= self.plan.schedule.timeout_us;
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -8,6 +8,7 @@
 #[path = "support/gateway.rs"]
 mod gateway;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -42,6 +43,17 @@
     waited.expect("the request reaches a leaf");
 }
 
+/// Waits until a gateway has ended all requests, which use its engine.
+async fn wait_for_end(gateway: &TestGateway, engine_users: usize) {
+    let waiting = async {
+        while Arc::strong_count(&gateway.engine) > engine_users {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let waited = tokio::time::timeout(EXECUTION_TIMEOUT, waiting).await;
+    waited.expect("the request ends");
+}
+
 async fn crashing_leaves(count: usize) -> Vec<Leaf> {
     let mut leaves = Vec::new();
     for number in 0..count {
@@ -289,6 +301,80 @@
     }
 }
 
+/// Guards against content that is never stopped because its crashes are forgotten when the request
+/// ends during a retry, at its deadline or since the caller leaves.
+#[tokio::test]
+async fn a_crash_counts_although_the_request_ends_during_a_retry() {
+    for caller_leaves in [false, true] {
+        let test_gateway = TestGateway::spawn().await;
+        let engine_users = Arc::strong_count(&test_gateway.engine);
+        let leaves = crashing_leaves(2).await;
+        publish(&test_gateway, "/a/", true, 2, &leaves);
+        earn_retries(&test_gateway, &leaves, "/a/healthy").await;
+        let before = executed(&leaves);
+        leaves[0].set(LeafBehaviour::Crash);
+        leaves[1].set(LeafBehaviour::Hang);
+        let mut request = request("/a/x");
+        request
+            .headers_mut()
+            .insert("x-time-left", "600".parse().unwrap());
+        let sending = test_gateway.send_from(CALLER, request);
+        if caller_leaves {
+            tokio::select! {
+                _ = sending => panic!("the request ended before both leaves ran it"),
+                () = wait_for_execution(&leaves, before + 1) => {}
+            }
+        } else {
+            assert_eq!(sending.await.status, StatusCode::GATEWAY_TIMEOUT);
+        }
+        wait_for_end(&test_gateway, engine_users).await;
+        let evidence = test_gateway.engine.take_evidence();
+        assert!(
+            matches!(evidence[..], [Fact::CrashedAttempt(_)]),
+            "caller_leaves={caller_leaves}: {evidence:?}"
+        );
+    }
+}
+
+/// Guards against evidence that is discarded by an answer which lacks shards: they may have crashed,
+/// or be down since the content crashed them before.
+#[tokio::test]
+async fn an_incomplete_answer_is_no_success() {
+    for (behaviour, caller_leaves) in [
+        (LeafBehaviour::Hang, false),
+        (LeafBehaviour::Hang, true),
+        (LeafBehaviour::Refuse, false),
+    ] {
+        let test_gateway = TestGateway::spawn().await;
+        let engine_users = Arc::strong_count(&test_gateway.engine);
+        let leaves = [
+            Leaf::spawn("one", 1, LeafBehaviour::Answer).await,
+            Leaf::spawn("two", 1, behaviour).await,
+        ];
+        let services = ["s0", "s1"];
+        let listed: Vec<(&str, &Leaf)> = services.into_iter().zip(&leaves).collect();
+        test_gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+        let (content, mut evidence) = evidence_against("/g/x");
+        evidence.truncate(1);
+        test_gateway.engine.apply_evidence(evidence);
+        let sending = test_gateway.get("/g/x");
+        if caller_leaves {
+            tokio::select! {
+                _ = sending => panic!("the request ended before both leaves ran it"),
+                () = wait_for_execution(&leaves, 1) => {}
+            }
+        } else {
+            assert_eq!(sending.await.headers["x-missing"], "1");
+        }
+        wait_for_end(&test_gateway, engine_users).await;
+        assert_eq!(
+            test_gateway.engine.content_verdict(&content),
+            ContentVerdict::Suspect,
+            "{behaviour:?}, caller_leaves={caller_leaves}"
+        );
+    }
+}
+
 /// Guards against refusing content whose leaves ended after they had announced it.
 #[tokio::test]
 async fn the_end_of_a_draining_leaf_is_no_crash() {
