Test that hanging and cut-off leaves do not count as crashed

The doc comment of failures_of_live_leaves_are_no_crashes named hanging leaves, which the test did not have.

The test gets both behaviours, and asserts for each that requests reached leaves, unless these refuse them.

--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -273,8 +273,8 @@
     assert!(test_gateway.engine.take_evidence().is_empty());
 }
 
-/// Guards against refusing content because connections break, replies are invalid or leaves fail,
-/// refuse or hang while their processes live.
+/// Guards against refusing content because connections break, replies are invalid, leaves fail,
+/// refuse or hang while their processes live, or their hosts are cut off.
 #[tokio::test]
 async fn failures_of_live_leaves_are_no_crashes() {
     for behaviour in [
@@ -284,6 +284,8 @@
         LeafBehaviour::Unsigned,
         LeafBehaviour::WrongRequestId,
         LeafBehaviour::Misdirected,
+        LeafBehaviour::Hang,
+        LeafBehaviour::CutOff,
     ] {
         let test_gateway = TestGateway::spawn().await;
         let leaves = [
@@ -292,8 +294,17 @@
         ];
         publish(&test_gateway, "/o/", false, 2, &leaves);
         for _ in 0..6 {
-            test_gateway.send_from(CALLER, order("same")).await;
+            let mut order = order("same");
+            order
+                .headers_mut()
+                .insert("x-time-left", "300".parse().unwrap());
+            test_gateway.send_from(CALLER, order).await;
         }
+        let is_refused = matches!(
+            behaviour,
+            LeafBehaviour::Refuse | LeafBehaviour::Misdirected
+        );
+        assert_eq!(executed(&leaves) > 0, !is_refused, "{behaviour:?}");
         assert!(
             test_gateway.engine.state().content_quarantine.is_empty(),
             "{behaviour:?}"
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -26,12 +26,19 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{AbortHandle, JoinSet};
 
 /// Target latency of the routes that this module makes.
 pub const TARGET_LATENCY_MS: u64 = 300;
 
+/// Backlog of a leaf's address. One that is cut off has a short one, which is soon full.
+const BACKLOG: u32 = 1_024;
+const CUT_OFF_BACKLOG: u32 = 1;
+
+/// Time after which a connection counts as unanswered.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How a leaf handles a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeafBehaviour {
@@ -54,6 +61,8 @@
     Fail,
     /// Ends while it runs the request: its connections close and its address refuses new ones.
     Crash,
+    /// Closes the connection after it has run the request, and leaves new ones unanswered.
+    CutOff,
 }
 
 /// An HTTP server that acts as a leaf and records the requests that it runs.
@@ -65,6 +74,8 @@
     executed: Arc<Mutex<Vec<String>>>,
     record: u8,
     serving: Arc<Mutex<Option<AbortHandle>>>,
+    /// Connections that fill the backlog of a leaf that was cut off.
+    unanswered: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 pub fn headers() -> Headers {
@@ -94,7 +105,13 @@
 impl Leaf {
     /// Starts a leaf that answers with one record of 16 bytes, each equal to `record`.
     pub async fn spawn(id: &str, record: u8, behaviour: LeafBehaviour) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let backlog = match behaviour {
+            LeafBehaviour::CutOff => CUT_OFF_BACKLOG,
+            _ => BACKLOG,
+        };
+        let listener = socket.listen(backlog).unwrap();
         let leaf = Self {
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
@@ -102,11 +119,20 @@
             executed: Arc::default(),
             record,
             serving: Arc::default(),
+            unanswered: Arc::default(),
         };
         leaf.serve(listener);
         leaf
     }
 
+    /// Leaves new connections unanswered: fills the backlog, from which none is accepted any more.
+    async fn cut_off(&self) {
+        let connect = || tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        while let Ok(Ok(stream)) = connect().await {
+            self.unanswered.lock().unwrap().push(stream);
+        }
+    }
+
     /// Ends the leaf as a crash does, without a request that causes it.
     pub fn end(&self) {
         if let Some(serving) = self.serving.lock().unwrap().take() {
@@ -139,6 +165,10 @@
             let mut connections = JoinSet::new();
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
+                if !serving.unanswered.lock().unwrap().is_empty() {
+                    // Neither the stream nor the listener is dropped, which would refuse connections.
+                    std::future::pending::<()>().await;
+                }
                 let leaf = serving.clone();
                 connections.spawn(async move {
                     let service = service_fn(move |request| leaf.clone().answer(request));
@@ -191,6 +221,10 @@
             LeafBehaviour::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
             LeafBehaviour::Hang => std::future::pending().await,
             LeafBehaviour::Break => return Err(ConnectionAborted),
+            LeafBehaviour::CutOff => {
+                self.cut_off().await;
+                return Err(ConnectionAborted);
+            }
             LeafBehaviour::Crash => {
                 self.end();
                 std::future::pending().await
