Make the order of leaves certain in the test of a crash during a retry

Cause: if the hanging leaf got the first call and the crashing one the hedge, the caller could leave before the crash was recorded, so the test could fail by chance. The crashing leaf is now in the VM's failure domain, the other one is not.

--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -97,6 +97,16 @@
     gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
 }
 
+/// Replaces the record of a published leaf.
+fn change_leaf(gateway: &TestGateway, record: LeafRecord) {
+    let change_set = ChangeSet {
+        changes: vec![Change::Leaf(record)],
+        revision: 2,
+    };
+    gateway.engine.state().catalog.apply(change_set, 0);
+    gateway.engine.refresh();
+}
+
 /// Sends healthy requests, which earn the budget for four extra calls, at 0.18 per request.
 async fn earn_retries(gateway: &TestGateway, leaves: &[Leaf], path: &str) {
     for leaf in leaves {
@@ -321,6 +331,12 @@
         let engine_users = Arc::strong_count(&test_gateway.engine);
         let leaves = crashing_leaves(2).await;
         publish(&test_gateway, "/a/", true, 2, &leaves);
+        // The first leaf is preferred, so the other one gets the retry.
+        let remote = LeafRecord {
+            failure_domain: "b".into(),
+            ..leaves[1].record("s")
+        };
+        change_leaf(&test_gateway, remote);
         earn_retries(&test_gateway, &leaves, "/a/healthy").await;
         let before = executed(&leaves);
         leaves[0].set(LeafBehaviour::Crash);
@@ -400,12 +416,7 @@
                     draining: true,
                     ..leaf.record("s")
                 };
-                let change_set = ChangeSet {
-                    changes: vec![Change::Leaf(draining)],
-                    revision: 2,
-                };
-                test_gateway.engine.state().catalog.apply(change_set, 0);
-                test_gateway.engine.refresh();
+                change_leaf(&test_gateway, draining);
             }
             leaf.end();
         };
