Send no retry shortly before the deadline of a request

No retry is sent in the last 100 ms before the deadline, or in the last quarter of a shorter time. A retry that is due then ends its shard, so a request without calls in flight is answered at once, with a time to come back.

Ruled out: giving up after a round of refusals by all leaves, since the policy `coverage` waits for a replica that returns (coverage_waits_for_a_replica_that_returns).

--- a/src/query.rs
+++ b/src/query.rs
@@ -32,6 +32,12 @@
 /// Upper bound on the hedge delay, as a divisor of the time left when the run starts.
 const MAX_HEDGE_DELAY_DIVISOR: u64 = 2;
 
+/// Upper bound on the time before the deadline in which no retry is sent, and the same as a divisor of
+/// the time left when the run starts. A call that is in flight at the deadline may have run, so a
+/// request that all leaves refused could not be reported as not run.
+const MAX_FINAL_WAIT_US: u64 = 100_000;
+const FINAL_WAIT_DIVISOR: u64 = 4;
+
 /// Number of hedge delays after which a run under policy `latency` returns the shards covered so
 /// far. One hedge and one retry have had time to complete by then.
 const EARLY_ANSWER_HEDGE_DELAYS: u64 = 4;
@@ -64,6 +70,8 @@
     replies: mpsc::Sender<LeafReply>,
     hedge_delay_us: u64,
     early_answer_us: u64,
+    /// Time after which no retry is sent.
+    last_retry_us: u64,
     calls_made: u64,
     may_have_run: bool,
     snapshot_gone: bool,
@@ -102,6 +110,7 @@
             replies,
             hedge_delay_us,
             early_answer_us,
+            last_retry_us: last_retry_us(query_context, remaining_ms),
             calls_made: 0,
             may_have_run: false,
             snapshot_gone: false,
@@ -309,6 +318,11 @@
                     self.shards[index].cancel_retry(Reason::Quarantined);
                     continue;
                 }
+                if now_us > self.last_retry_us {
+                    let reason = shard.missing_reason.unwrap_or(Reason::Unreachable);
+                    self.shards[index].cancel_retry(reason);
+                    continue;
+                }
                 if pending.uses_budget && !self.try_spend() {
                     let persistent = self.query_context.prefers_coverage();
                     self.shards[index].defer_retry(persistent, now_us);
@@ -437,3 +451,9 @@
 fn bounded_hedge_delay_us(unbounded_delay_us: u64, remaining_ms: u64) -> u64 {
     unbounded_delay_us.min(remaining_ms * 1_000 / MAX_HEDGE_DELAY_DIVISOR)
 }
+
+/// Returns the latest time at which a retry may be sent.
+fn last_retry_us(query_context: &QueryContext, remaining_ms: u64) -> u64 {
+    let final_wait_us = (remaining_ms * 1_000 / FINAL_WAIT_DIVISOR).min(MAX_FINAL_WAIT_US);
+    (query_context.answer_by_ms() * 1_000).saturating_sub(final_wait_us)
+}
