Count crashes of leaves after an incomplete response

Cause: a scatter-gather request answers without a shard that is late, and its calls in flight go on for 300 ms. A leaf that crashed in that time was not recorded, so content that crashes the leaves of one shard after some work was never stopped. Found by reading: another way by which the same content reaches a leaf.

Not covered: a leaf that crashes after the deadline of the request or after its caller has left; the connection is closed then, upon which leaves drop the request.

--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -413,12 +413,12 @@
         let elapsed_us = self.elapsed_us();
         let timed_out = elapsed_us >= self.plan.schedule.timeout_us;
         let median_call_us = self.median_call_us(elapsed_us);
-        let mut calls = self.calls;
-        if complete && !calls.is_empty() {
-            tokio::spawn(async move {
-                let remaining_calls = async { while calls.next().await.is_some() {} };
-                let _ = timeout(Duration::from_millis(LINGER_MS), remaining_calls).await;
-            });
+        if complete && !self.calls.is_empty() {
+            let is_answered = self.shards.iter().map(|shard| shard.reply.is_some());
+            let is_answered = is_answered.collect();
+            let remaining_calls = finish_calls(self.calls, self.attempt, is_answered);
+            let limit = Duration::from_millis(LINGER_MS);
+            tokio::spawn(timeout(limit, remaining_calls));
         }
         let any_open = self.shards.iter().any(|shard| shard.open_calls > 0);
         FanoutResult {
@@ -434,6 +434,19 @@
     }
 }
 
+/// Waits for the calls that remain after the response, under which leaves may still crash.
+async fn finish_calls(
+    mut calls: FuturesUnordered<CallFuture>,
+    mut attempt: Attempt,
+    is_answered: Vec<bool>,
+) {
+    while let Some((index, leaf, _, result)) = calls.next().await {
+        if result.is_err_and(|error| error == CallError::LeafCrashed) && !is_answered[index] {
+            attempt.record_crash(index, leaf);
+        }
+    }
+}
+
 fn run_call(index: usize, call: OpenCall, spec: Arc<CallSpec>) -> CallFuture {
     Box::pin(async move {
         let (leaf, started_us) = (call.leaf, call.started_us);
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -238,6 +238,29 @@
     assert_eq!(executed(&leaves[1..]), before + 3);
 }
 
+/// Guards against content that crashes leaves of one shard only after the response without this
+/// shard was sent.
+#[tokio::test]
+async fn a_crash_after_an_incomplete_response_counts() {
+    let test_gateway = TestGateway::spawn().await;
+    let engine_users = Arc::strong_count(&test_gateway.engine);
+    let leaves = [
+        Leaf::spawn("one", 1, LeafBehaviour::Answer).await,
+        Leaf::spawn("two", 1, LeafBehaviour::SlowCrash(TARGET_LATENCY_MS + 100)).await,
+    ];
+    let services = ["s0", "s1"];
+    let listed: Vec<(&str, &Leaf)> = services.into_iter().zip(&leaves).collect();
+    test_gateway.publish(1, vec![gather_route("/g/", &services, 300_000)], &listed);
+    assert_eq!(test_gateway.get("/g/x").await.headers["x-missing"], "1");
+    assert!(leaves[1].is_serving(), "the leaf crashes later");
+    wait_for_end(&test_gateway, engine_users).await;
+    let evidence = test_gateway.engine.take_evidence();
+    assert!(
+        matches!(evidence[..], [Fact::CrashedAttempt(_)]),
+        "{evidence:?}"
+    );
+}
+
 /// Guards against a suspect scatter-gather request that is not answered although it is healthy.
 #[tokio::test]
 async fn a_healthy_suspect_is_answered_and_cleared() {
