Assert that a flood of contents keeps the quarantine of another one

Cause: the test's name says so, but it asserted only the quarantine of a content whose attempts were added last. A change that evicts the oldest contents first, repeated ones too, did not fail it. With the new assertion that change fails the test.

--- a/tests/content_quarantine.rs
+++ b/tests/content_quarantine.rs
@@ -212,6 +212,7 @@
         let record = crashed(content(100 + number, 1), number, &[number], observed_ms);
         quarantine.add_attempt(record, observed_ms);
     }
+    assert!(is_quarantined(&quarantine, content(1, 1), NOW_MS + 3_000));
     for attempt in 0..1_000 {
         let observed_ms = NOW_MS + 3_000 + attempt;
         let record = crashed(content(1, 2), attempt, &[attempt], observed_ms);
