--- a/tests/history_checker.rs
+++ b/tests/history_checker.rs
@@ -48,6 +48,7 @@
         payload: id.to_owned(),
         idempotent: id != TICKET,
         intended_ms,
+        sent_ms: intended_ms,
         ended_ms: intended_ms + 50,
         answer,
     }
--- a/tests/support/history.rs
+++ b/tests/support/history.rs
@@ -18,6 +18,8 @@
     pub idempotent: bool,
     /// Intended start, which is not later than the actual send.
     pub intended_ms: u64,
+    /// Time at which the caller began to connect.
+    pub sent_ms: u64,
     pub ended_ms: u64,
     /// `None` if no valid answer arrived, for instance because the connection failed.
     pub answer: Option<Answer>,
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -230,6 +230,7 @@
     intended_ms: u64,
 ) -> Call {
     let body = serde_json::to_vec(request).unwrap_or_default();
+    let sent_ms = unix_ms();
     let sent = exchange(addresses.callers[vm], "POST", "/v1/query", body);
     let response: Option<(StatusCode, Bytes)> = timeout(CALL_TIMEOUT, sent).await.ok().flatten();
     let answer = response.and_then(|(_, body)| serde_json::from_slice::<Answer>(&body).ok());
@@ -239,6 +240,7 @@
         payload: request.payload.to_string(),
         idempotent: request.idempotent,
         intended_ms,
+        sent_ms,
         ended_ms: unix_ms(),
         answer,
     }
