--- a/src/query.rs
+++ b/src/query.rs
@@ -4,6 +4,7 @@
 //! and the deadline.
 
 mod completion;
+mod timing;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -25,19 +26,11 @@
 use crate::root::Root;
 use crate::shard_attempts::{AttemptFailure, ShardAttempts};
 use crate::wire::{Batch, LeafCall, LeafReply, LeafResult, NotStartedReason};
+use timing::{bounded_hedge_delay_us, last_retry_us};
 
 /// Capacity of the channel that carries the replies of one run.
 const REPLY_BUFFER: usize = 1_024;
 
-/// Upper bound on the hedge delay, as a divisor of the time left when the run starts.
-const MAX_HEDGE_DELAY_DIVISOR: u64 = 2;
-
-/// Upper bound on the time before the deadline in which no retry is sent, and the same as a divisor of
-/// the time left when the run starts. A call that is in flight at the deadline may have run, so a
-/// request that all leaves refused could not be reported as not run.
-const MAX_FINAL_WAIT_US: u64 = 100_000;
-const FINAL_WAIT_DIVISOR: u64 = 4;
-
 /// Number of hedge delays after which a run under policy `latency` returns the shards covered so
 /// far. One hedge and one retry have had time to complete by then.
 const EARLY_ANSWER_HEDGE_DELAYS: u64 = 4;
@@ -446,14 +439,3 @@
         self.schedule_retry(shard, failure, boot_us());
     }
 }
-
-/// Returns the hedge delay, limited to a fraction of the time left until the deadline.
-fn bounded_hedge_delay_us(unbounded_delay_us: u64, remaining_ms: u64) -> u64 {
-    unbounded_delay_us.min(remaining_ms * 1_000 / MAX_HEDGE_DELAY_DIVISOR)
-}
-
-/// Returns the latest time at which a retry may be sent.
-fn last_retry_us(query_context: &QueryContext, remaining_ms: u64) -> u64 {
-    let final_wait_us = (remaining_ms * 1_000 / FINAL_WAIT_DIVISOR).min(MAX_FINAL_WAIT_US);
-    (query_context.answer_by_ms() * 1_000).saturating_sub(final_wait_us)
-}
