Recognise crashes of leaves whose addresses do not refuse connections

Callers saw content that crashes leaves being sent to further leaves if the address of a crashed leaf accepted connections and reset them, or if its connections stayed open without an answer.

Cause: one sign, a refused connection right after a broken answer, decided whether a leaf had crashed; each other end of a run was forgotten. The class: a fact that shows only later is decided from what one call sees.

A run without an answer is now kept with its leaf. It is discarded if the leaf answers a later call, and becomes evidence once its process has ended: the record is removed or replaced, the address refuses connections or another process replies there. Runs that began after the leaf may have ended already do not count. Since outages end leaves as well, attempts count separately only if their leaves ended at times that do not overlap, and evidence that is found after a success of the content is discarded.

Ruled out: taking a reset of the new connection as a crash at once. Leaves reset connections beyond their limit, so an overload would count.

--- a/src/fact.rs
+++ b/src/fact.rs
@@ -255,7 +255,10 @@
                 ]
             }
             Self::Profile { incarnation, .. } => [incarnation.bits(), 0, 0],
-            Self::CrashedAttempt(crashed) => [crashed.observed_unix_ms, 0, 0],
+            // Leaves of an attempt may be found to have crashed one after another.
+            Self::CrashedAttempt(crashed) => {
+                [crashed.leaves.len() as u64, crashed.observed_unix_ms, 0]
+            }
             Self::ContentSuccess(success) => [success.until_unix_ms, 0, 0],
         }
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,9 +7,14 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::call::OpenCall;
+use super::connection::{CallError, Reply};
 use super::content::Content;
-use super::content_quarantine::{ContentVerdict, MAX_LEAVES_PER_ATTEMPT};
+use super::content_quarantine::ContentVerdict;
 use super::engine::Engine;
+use super::evidence_sync::CrashedRun;
+use super::unanswered_runs::UnansweredRun;
+use crate::clock::boot_us;
 use crate::ids::LeafKey;
 
 /// Number of leaves that may crash under an attempt before it is sent to no other leaf.
@@ -18,6 +23,35 @@
 /// Number of leaves that may crash under an attempt at a suspect content.
 const MAX_SUSPECT_CRASHES: usize = 1;
 
+/// Run of the request at a leaf.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Run {
+    shard: usize,
+    leaf: LeafKey,
+    started_us: u64,
+    /// Whether the leaf may have ended before, so that its end is no evidence on the content.
+    leaf_may_have_ended: bool,
+}
+
+/// How a run without an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunEnd {
+    /// The leaf closed the connection, and its address refuses new ones.
+    Crashed,
+    /// The leaf closed the connection.
+    Closed,
+    /// The request ended while the call was in flight.
+    Abandoned,
+}
+
+/// A run that ended without an answer.
+#[derive(Clone, Copy, Debug)]
+struct FailedRun {
+    run: Run,
+    ended_us: u64,
+    end: RunEnd,
+}
+
 /// What the leaves did under an attempt. Dropping it records the evidence.
 #[derive(Debug)]
 pub(super) struct Attempt {
@@ -25,12 +59,13 @@
     content: Content,
     request_hash: u64,
     is_suspect: bool,
-    has_succeeded: bool,
+    /// Shards of which a leaf answered. Its other leaves crashed for another reason.
+    answered_shards: Vec<usize>,
     /// Whether a leaf of each shard answered.
     is_complete: bool,
     crashes: usize,
-    /// Shard index and process hash of each crash, for shards without an answer.
-    crashed_leaves: Vec<(usize, u64)>,
+    open_runs: Vec<Run>,
+    failed_runs: Vec<FailedRun>,
 }
 
 impl Attempt {
@@ -41,24 +76,51 @@
             content,
             request_hash: xxh3_64(request_id),
             is_suspect,
-            has_succeeded: false,
+            answered_shards: Vec::new(),
             is_complete: false,
             crashes: 0,
-            crashed_leaves: Vec::new(),
+            open_runs: Vec::new(),
+            failed_runs: Vec::new(),
         }
     }
 
-    /// Records that a leaf of a shard answered: the other leaves of the shard crashed for another
-    /// reason.
-    pub(super) fn record_success(&mut self, shard: usize) {
-        self.has_succeeded = true;
-        self.crashed_leaves.retain(|(crashed, _)| *crashed != shard);
+    /// Records that the request is sent to a leaf of a shard.
+    pub(super) fn record_start(&mut self, shard: usize, call: &OpenCall) {
+        self.open_runs.push(Run {
+            shard,
+            leaf: call.leaf,
+            started_us: call.started_us,
+            leaf_may_have_ended: call.leaf_may_have_ended,
+        });
     }
 
-    pub(super) fn record_crash(&mut self, shard: usize, leaf: LeafKey) {
-        self.crashes += 1;
-        if let Some(process) = self.engine.process_hash(leaf) {
-            self.crashed_leaves.push((shard, process));
+    /// Records the result of a run.
+    ///
+    /// A connection that was closed may belong to a crashed leaf: under a suspect content, the run
+    /// counts as a crash for the decision whether the request is sent on.
+    pub(super) fn record_end(
+        &mut self,
+        shard: usize,
+        leaf: LeafKey,
+        result: Result<&Reply, CallError>,
+    ) {
+        let is_ended = |run: &Run| run.shard == shard && run.leaf == leaf;
+        let Some(index) = self.open_runs.iter().position(is_ended) else {
+            return;
+        };
+        let run = self.open_runs.swap_remove(index);
+        match result {
+            Ok(reply) if reply.status.is_success() => self.answered_shards.push(shard),
+            Err(error @ (CallError::Broken | CallError::LeafCrashed)) => {
+                let end = match error {
+                    CallError::LeafCrashed => RunEnd::Crashed,
+                    _ => RunEnd::Closed,
+                };
+                self.crashes += usize::from(end == RunEnd::Crashed || self.is_suspect);
+                let ended_us = boot_us();
+                self.failed_runs.push(FailedRun { run, ended_us, end });
+            }
+            Ok(_) | Err(_) => {}
         }
     }
 
@@ -68,15 +130,19 @@
         self.is_complete = true;
     }
 
+    fn is_answered(&self, shard: usize) -> bool {
+        self.answered_shards.contains(&shard)
+    }
+
     /// Returns whether a shard must not be called again: under a suspect content, one crash suffices.
     pub(super) fn is_shard_stopped(&self, shard: usize) -> bool {
-        let mut crashed = self.crashed_leaves.iter();
-        self.is_suspect && crashed.any(|(crashed, _)| *crashed == shard)
+        let mut failed = self.failed_runs.iter();
+        self.is_suspect && !self.is_answered(shard) && failed.any(|f| f.run.shard == shard)
     }
 
     /// Returns whether the request must not be sent to further leaves.
     pub(super) fn is_stopped(&self) -> bool {
-        if self.has_succeeded {
+        if !self.answered_shards.is_empty() {
             return false;
         }
         let max_crashes = if self.is_suspect {
@@ -94,18 +160,52 @@
     /// Returns whether a call may be sent while others are in flight. A suspect content runs on one
     /// leaf first.
     pub(super) fn allows_concurrent_calls(&self) -> bool {
-        self.has_succeeded || !self.is_suspect
+        !self.answered_shards.is_empty() || !self.is_suspect
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        let crashed = self.crashed_leaves.iter().map(|(_, process)| *process);
-        let leaves: Vec<u64> = crashed.take(MAX_LEAVES_PER_ATTEMPT).collect();
-        if !leaves.is_empty() {
+        let now_us = boot_us();
+        for run in std::mem::take(&mut self.open_runs) {
+            self.failed_runs.push(FailedRun {
+                run,
+                ended_us: now_us,
+                end: RunEnd::Abandoned,
+            });
+        }
+        let mut crashed_runs = Vec::new();
+        for failed in &self.failed_runs {
+            if self.is_answered(failed.run.shard) {
+                continue;
+            }
+            let leaf = failed.run.leaf;
+            let (alive_us, ended_us) = (failed.run.started_us, failed.ended_us);
+            if failed.end == RunEnd::Crashed {
+                crashed_runs.push(CrashedRun {
+                    leaf,
+                    alive_us,
+                    ended_us,
+                });
+                continue;
+            }
+            if failed.run.leaf_may_have_ended {
+                continue;
+            }
+            // An open connection does not show that the leaf lived when the request was sent.
+            let is_closed = failed.end == RunEnd::Closed;
+            let run = UnansweredRun {
+                content: self.content,
+                request_hash: self.request_hash,
+                alive_us: if is_closed { alive_us } else { 0 },
+                ended_us,
+            };
+            self.engine.record_unanswered_run(leaf, run);
+        }
+        if !crashed_runs.is_empty() {
             self.engine
-                .record_crashed_attempt(self.content, self.request_hash, leaves);
-        } else if self.has_succeeded && self.is_complete {
+                .record_crashed_attempt(self.content, self.request_hash, &crashed_runs);
+        } else if self.is_complete && !self.answered_shards.is_empty() {
             self.engine.record_content_success(&self.content);
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -58,6 +58,8 @@
     pub leaf: LeafKey,
     /// Start time on the boot clock.
     pub started_us: u64,
+    /// Whether the leaf may have ended before the call began.
+    pub leaf_may_have_ended: bool,
     call_number: u64,
     connection: Option<Connection>,
     finished: bool,
@@ -72,12 +74,14 @@
         leaf: LeafKey,
         call_number: u64,
         started_us: u64,
+        leaf_may_have_ended: bool,
         connection: Option<Connection>,
     ) -> Self {
         Self {
             engine,
             leaf,
             started_us,
+            leaf_may_have_ended,
             call_number,
             connection,
             finished: false,
@@ -204,6 +208,17 @@
         if reply.is_some() {
             state.leaves.record_reply(now_us);
         }
+        match outcome {
+            Err(CallError::ConnectRefused | CallError::LeafCrashed | CallError::WrongLeaf) => {
+                state.leaves.record_end(self.leaf);
+            }
+            _ if reply.is_some() => {
+                state
+                    .leaves
+                    .record_alive(self.leaf, self.started_us, now_us);
+            }
+            _ => {}
+        }
         let paused_us = state.leaves.paused_us(self.leaf, self.started_us, now_us);
         let Some(leaf) = state.leaves.get_mut(self.leaf) else {
             return;
@@ -221,6 +236,9 @@
             Err(CallError::RequestIdMismatch) => leaf.leaf_stats.record_abandoned(self.call_number),
             Err(_) => leaf.leaf_stats.record_failure(self.call_number, now_us),
         }
+        if reply.is_none() {
+            leaf.record_failed_call(now_us);
+        }
         let no_headers = HeaderMap::new();
         let reply_headers = match outcome {
             Ok(_) | Err(CallError::Refused) => reply.map(|reply| &reply.headers),
@@ -241,7 +259,7 @@
         if outcome == Err(CallError::WrongLeaf) {
             state.leaves.mark_misdirected(self.leaf, now_us / 1_000);
         }
-        state.leaves.remove_if_finished(self.leaf);
+        self.engine.record_ended_runs(state);
     }
 }
 
@@ -256,11 +274,11 @@
             leaf.connections = leaf.connections.saturating_sub(1);
             if now_us.saturating_sub(self.started_us) >= UNANSWERED_FAILURE_AGE_US {
                 leaf.leaf_stats.record_failure(self.call_number, now_us);
+                leaf.record_failed_call(now_us);
             } else {
                 leaf.leaf_stats.record_abandoned(self.call_number);
             }
         }
-        state.leaves.remove_if_finished(self.leaf);
     }
 }
 
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::routes::RouteDocument;
 
@@ -41,6 +42,13 @@
     pub started_unix_ms: u64,
 }
 
+impl LeafRecord {
+    /// Returns a hash that identifies the process of the leaf on all VMs.
+    pub fn process_hash(&self) -> u64 {
+        xxh3_64_with_seed(self.id.as_bytes(), self.started_unix_ms)
+    }
+}
+
 /// A single change reported by the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
--- a/src/gateway/content_quarantine.rs
+++ b/src/gateway/content_quarantine.rs
@@ -18,8 +18,8 @@
 /// Number of leaf processes that have to crash before a content is quarantined.
 const CRASHES_TO_QUARANTINE: usize = 3;
 
-/// Number of attempts under which they have to crash. One attempt may lose several leaves at once
-/// to a failure of their hosts.
+/// Number of attempts under which they have to crash, at times that don't overlap. One loss of power
+/// or one cut may end several leaves, and the runs of several attempts that were in flight.
 const ATTEMPTS_TO_QUARANTINE: usize = 2;
 
 /// Number of callers whose attempts have to crash leaves before a content is quarantined for all
@@ -50,11 +50,24 @@
     pub request_hash: u64,
     /// Hashes of the crashed processes, at most [`MAX_LEAVES_PER_ATTEMPT`].
     pub leaves: Vec<u64>,
-    /// Wall-clock time of the observation.
+    /// Wall-clock time at which the first of these leaves is known to have lived; 0 if it is not
+    /// known.
+    pub alive_unix_ms: u64,
+    /// Wall-clock time of the observation, by which all of them had ended.
     pub observed_unix_ms: u64,
 }
 
 impl CrashedAttempt {
+    /// Adds the leaves of a later record of the same attempt.
+    fn merge(&mut self, other: &Self) {
+        self.leaves.extend(&other.leaves);
+        self.leaves.sort_unstable();
+        self.leaves.dedup();
+        self.leaves.truncate(MAX_LEAVES_PER_ATTEMPT);
+        self.alive_unix_ms = self.alive_unix_ms.min(other.alive_unix_ms);
+        self.observed_unix_ms = self.observed_unix_ms.max(other.observed_unix_ms);
+    }
+
     /// Returns whether the attempt is too old to count as evidence.
     pub fn is_expired(&self, now_unix_ms: u64) -> bool {
         self.observed_unix_ms.saturating_add(EVIDENCE_RETENTION_MS) <= now_unix_ms
@@ -115,14 +128,18 @@
     /// ```
     /// use cloverrack::gateway::{Content, ContentQuarantine, ContentVerdict, CrashedAttempt};
     /// let content = Content { fingerprint: 7, caller: [127, 0, 0, 1].into() };
-    /// let crashed = |request_hash, leaves| {
-    ///     CrashedAttempt { content, request_hash, leaves, observed_unix_ms: 0 }
+    /// let crashed = |request_hash, leaves, alive_unix_ms| CrashedAttempt {
+    ///     content,
+    ///     request_hash,
+    ///     leaves,
+    ///     alive_unix_ms,
+    ///     observed_unix_ms: alive_unix_ms + 5,
     /// };
     /// let mut quarantine = ContentQuarantine::default();
-    /// quarantine.add_attempt(crashed(1, vec![10, 11]), 0);
-    /// assert_eq!(quarantine.verdict(&content, 0), ContentVerdict::Suspect);
-    /// quarantine.add_attempt(crashed(2, vec![12]), 0);
-    /// assert!(matches!(quarantine.verdict(&content, 0), ContentVerdict::Quarantined { .. }));
+    /// quarantine.add_attempt(crashed(1, vec![10, 11], 100), 300);
+    /// assert_eq!(quarantine.verdict(&content, 300), ContentVerdict::Suspect);
+    /// quarantine.add_attempt(crashed(2, vec![12], 200), 300);
+    /// assert!(matches!(quarantine.verdict(&content, 300), ContentVerdict::Quarantined { .. }));
     /// ```
     pub fn verdict(&self, content: &Content, now_unix_ms: u64) -> ContentVerdict {
         let Some(evidence) = self.contents.get(&content.fingerprint) else {
@@ -155,7 +172,7 @@
 
     /// Adds an attempt under which leaves crashed, observed by this or another VM. Returns the end
     /// of the quarantine if the attempt caused it.
-    pub fn add_attempt(&mut self, attempt: CrashedAttempt, now_unix_ms: u64) -> Option<u64> {
+    pub fn add_attempt(&mut self, mut attempt: CrashedAttempt, now_unix_ms: u64) -> Option<u64> {
         if attempt.is_expired(now_unix_ms) {
             return None;
         }
@@ -166,8 +183,11 @@
         );
         let attempts = &mut self.entry(content.fingerprint, now_unix_ms).attempts;
         attempts.retain(|known| {
-            (known.content, known.request_hash) != (content, attempt.request_hash)
-                && !known.is_expired(now_unix_ms)
+            let is_same = (known.content, known.request_hash) == (content, attempt.request_hash);
+            if is_same {
+                attempt.merge(known);
+            }
+            !is_same && !known.is_expired(now_unix_ms)
         });
         if attempts.len() >= MAX_RECORDS_PER_CONTENT {
             attempts.remove(0);
@@ -181,6 +201,13 @@
         }
     }
 
+    /// Returns what is known about an attempt.
+    pub fn attempt(&self, content: &Content, request_hash: u64) -> Option<&CrashedAttempt> {
+        let evidence = self.contents.get(&content.fingerprint)?;
+        let mut attempts = evidence.attempts.iter();
+        attempts.find(|known| (known.content, known.request_hash) == (*content, request_hash))
+    }
+
     /// Adds a success that this or another VM observed.
     pub fn add_success(&mut self, success: ContentSuccess, now_unix_ms: u64) {
         if success.is_expired(now_unix_ms) {
@@ -286,7 +313,8 @@
         .iter()
         .flat_map(|attempt| attempt.leaves.iter().copied())
         .collect();
-    if attempts.len() < ATTEMPTS_TO_QUARANTINE || leaves.len() < CRASHES_TO_QUARANTINE {
+    if separate_attempts(attempts) < ATTEMPTS_TO_QUARANTINE || leaves.len() < CRASHES_TO_QUARANTINE
+    {
         return None;
     }
     let latest_ms = attempts
@@ -296,6 +324,25 @@
     Some(latest_ms.saturating_add(QUARANTINE_MS))
 }
 
+/// Returns the largest number of attempts whose leaves ended at times that don't overlap.
+fn separate_attempts(attempts: &[&CrashedAttempt]) -> usize {
+    let mut spans_ms: Vec<(u64, u64)> = Vec::with_capacity(attempts.len());
+    for attempt in attempts {
+        spans_ms.push((attempt.observed_unix_ms, attempt.alive_unix_ms));
+    }
+    spans_ms.sort_unstable();
+    let mut count = 0;
+    let mut last_end_ms = 0;
+    for (end_ms, start_ms) in spans_ms {
+        if count > 0 && start_ms < last_end_ms {
+            continue;
+        }
+        count += 1;
+        last_end_ms = end_ms;
+    }
+    count
+}
+
 fn caller_count(attempts: &[&CrashedAttempt]) -> usize {
     let callers: BTreeSet<IpAddr> = attempts
         .iter()
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -26,6 +26,7 @@
 use super::pause_predictor::Stall;
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
 use super::routes::{RouteTable, ServiceNames};
+use super::unanswered_runs::RecentSuccesses;
 use super::vm_selection::{active_vms, desired_active_vms};
 use crate::clock::{boot_ms, boot_us};
 use crate::fact::Fact;
@@ -69,6 +70,7 @@
     pub concurrency_limiter: ConcurrencyLimiter,
     /// Contents that crash leaves.
     pub content_quarantine: ContentQuarantine,
+    pub(super) recent_successes: RecentSuccesses,
     pub(super) evidence_queue: Vec<Fact>,
     report_queue: ReportQueue,
     retry_budgets: RetryBudgets,
@@ -106,6 +108,7 @@
             vms: 1,
             concurrency_limiter: ConcurrencyLimiter::default(),
             content_quarantine: ContentQuarantine::default(),
+            recent_successes: RecentSuccesses::default(),
             evidence_queue: Vec::new(),
             report_queue: ReportQueue::default(),
             retry_budgets: RetryBudgets::new(limits),
@@ -176,6 +179,7 @@
         }
         let records = state.catalog.leaves();
         state.leaves.update(records, &mut state.names, boot_ms());
+        self.record_ended_runs(state);
         state.update_connection_limits();
     }
 
@@ -286,8 +290,17 @@
             leaf_entry.connections += 1;
             self.metrics.count_connection();
         }
+        let may_have_ended = leaf_entry.may_have_ended(now_us);
         let call_number = leaf_entry.leaf_stats.start_call(now_us);
-        OpenCall::new(Arc::clone(self), leaf, call_number, now_us, connection)
+        let engine = Arc::clone(self);
+        OpenCall::new(
+            engine,
+            leaf,
+            call_number,
+            now_us,
+            may_have_ended,
+            connection,
+        )
     }
 
     /// Chooses a leaf and opens a call to it, which counts as in flight from then on.
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -1,22 +1,34 @@
 //! Records evidence on contents that crash leaves and exchanges it with the other VMs, so that all
 //! of them refuse such a content wherever it is sent next.
 
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::sync::Arc;
 
-use tracing::{info, warn};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use tracing::{debug, info, warn};
 
 use super::content::Content;
-use super::content_quarantine::{ContentVerdict, CrashedAttempt};
+use super::content_quarantine::{
+    ContentSuccess, ContentVerdict, CrashedAttempt, MAX_LEAVES_PER_ATTEMPT,
+};
 use super::engine::{Engine, State};
 use super::membership::Membership;
-use crate::clock::unix_ms;
+use super::unanswered_runs::UnansweredRun;
+use crate::clock::{boot_us, unix_ms};
 use crate::fact::Fact;
 use crate::ids::LeafKey;
 
 /// Maximum amount of evidence that waits to be published; further evidence stays on this VM.
 const MAX_QUEUED_EVIDENCE: usize = 64;
 
+/// Run at a leaf whose process ended during it, with the times between which it ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CrashedRun {
+    pub(super) leaf: LeafKey,
+    pub(super) alive_us: u64,
+    pub(super) ended_us: u64,
+}
+
 /// Publishes the evidence of this VM and applies that of others until the task is dropped.
 pub async fn run(engine: Arc<Engine>, membership: Arc<Membership>) {
     loop {
@@ -46,29 +58,155 @@
     /// Records that a leaf answered a content, for all VMs if they have evidence against it.
     pub fn record_content_success(&self, content: &Content) {
         let state = &mut *self.state();
+        let now_unix_ms = unix_ms();
+        state.recent_successes.add(*content, now_unix_ms);
         if state.content_quarantine.is_empty() {
             return;
         }
-        let now_unix_ms = unix_ms();
-        let Some(success) = state.content_quarantine.success(content, now_unix_ms) else {
-            return;
-        };
-        info!(event = "content_cleared", fingerprint = content.fingerprint, caller = %content.caller);
-        state.content_quarantine.add_success(success, now_unix_ms);
+        if let Some(success) = state.content_quarantine.success(content, now_unix_ms) {
+            self.clear_content(state, success);
+        }
+    }
+
+    fn clear_content(&self, state: &mut State, success: ContentSuccess) {
+        let Content {
+            fingerprint,
+            caller,
+        } = success.content;
+        info!(event = "content_cleared", fingerprint, %caller);
+        state.content_quarantine.add_success(success, unix_ms());
         self.queue_evidence(state, Fact::ContentSuccess(success));
     }
 
     /// Records an attempt under which leaf processes crashed, for all VMs.
-    pub fn record_crashed_attempt(&self, content: Content, request_hash: u64, leaves: Vec<u64>) {
+    pub(super) fn record_crashed_attempt(
+        &self,
+        content: Content,
+        request_hash: u64,
+        crashed_runs: &[CrashedRun],
+    ) {
         let state = &mut *self.state();
+        let mut runs = Vec::new();
+        for crashed in crashed_runs {
+            let Some(leaf) = state.leaves.get(crashed.leaf) else {
+                continue;
+            };
+            let run = UnansweredRun {
+                content,
+                request_hash,
+                alive_us: crashed.alive_us,
+                ended_us: crashed.ended_us,
+            };
+            runs.push((leaf.record.process_hash(), run));
+        }
+        self.add_crashed_runs(state, &runs);
+    }
+
+    /// Records a run without an answer. It becomes evidence if the process of the leaf turns out to
+    /// have ended before it answered again.
+    pub(super) fn record_unanswered_run(&self, leaf: LeafKey, mut run: UnansweredRun) {
+        let state = &mut *self.state();
+        let alive_us = state.leaves.get(leaf).map_or(0, |leaf| leaf.alive_us);
+        run.alive_us = run.alive_us.max(alive_us).min(run.ended_us);
+        debug!(
+            event = "run_unanswered",
+            ?leaf,
+            fingerprint = run.content.fingerprint,
+            caller = %run.content.caller,
+            request_hash = run.request_hash,
+            alive_us = run.alive_us,
+            ended_us = run.ended_us,
+        );
+        state.leaves.record_unanswered(leaf, run);
+        self.record_ended_runs(state);
+    }
+
+    /// Records the attempts whose runs at leaves had no answer when the processes of these leaves
+    /// ended. The contents with the most such attempts come first, since not all may be published.
+    pub(super) fn record_ended_runs(&self, state: &mut State) {
+        let mut ended_runs = state.leaves.take_ended_runs();
+        if ended_runs.is_empty() {
+            return;
+        }
+        let mut attempts: HashMap<Content, usize> = HashMap::new();
+        for (_, run) in &ended_runs {
+            *attempts.entry(run.content).or_default() += 1;
+        }
+        ended_runs.sort_by_key(|(_, run)| {
+            let count = attempts.get(&run.content).copied().unwrap_or(0);
+            (Reverse(count), run.content, run.request_hash)
+        });
+        let is_same = |a: &(u64, UnansweredRun), b: &(u64, UnansweredRun)| {
+            (a.1.content, a.1.request_hash) == (b.1.content, b.1.request_hash)
+        };
+        for runs in ended_runs.chunk_by(is_same) {
+            self.add_crashed_runs(state, runs);
+        }
+    }
+
+    /// Records the runs of one attempt at leaves that crashed, each with the hash of the process.
+    fn add_crashed_runs(&self, state: &mut State, runs: &[(u64, UnansweredRun)]) {
+        let alive_us = runs.iter().map(|(_, run)| run.alive_us).min();
+        let ended_us = runs.iter().map(|(_, run)| run.ended_us).max();
+        let (Some((_, first)), Some(alive_us), Some(ended_us)) = (runs.first(), alive_us, ended_us)
+        else {
+            return;
+        };
+        let processes = runs.iter().map(|(process, _)| *process);
         let crashed = CrashedAttempt {
-            content,
-            request_hash,
-            leaves,
-            observed_unix_ms: unix_ms(),
+            content: first.content,
+            request_hash: first.request_hash,
+            leaves: processes.take(MAX_LEAVES_PER_ATTEMPT).collect(),
+            alive_unix_ms: if alive_us == 0 {
+                0
+            } else {
+                wall_clock_ms(alive_us)
+            },
+            observed_unix_ms: wall_clock_ms(ended_us),
         };
-        state.add_crashed_attempt(crashed.clone());
-        self.queue_evidence(state, Fact::CrashedAttempt(crashed));
+        let Content {
+            fingerprint,
+            caller,
+        } = crashed.content;
+        info!(
+            event = "attempt_crashed_leaves",
+            fingerprint,
+            %caller,
+            request_hash = crashed.request_hash,
+            leaves = crashed.leaves.len(),
+            alive_unix_ms = crashed.alive_unix_ms,
+            ended_unix_ms = crashed.observed_unix_ms,
+        );
+        let merged = self.add_crashed_attempt(state, crashed);
+        if let Some(merged) = merged {
+            self.queue_evidence(state, Fact::CrashedAttempt(merged));
+        }
+    }
+
+    /// Adds an attempt under which leaves crashed, and clears its content if it has succeeded since.
+    /// Returns the attempt with all its leaves.
+    fn add_crashed_attempt(
+        &self,
+        state: &mut State,
+        crashed: CrashedAttempt,
+    ) -> Option<CrashedAttempt> {
+        let Content {
+            fingerprint,
+            caller,
+        } = crashed.content;
+        let (content, request_hash) = (crashed.content, crashed.request_hash);
+        let succeeded_unix_ms = state.recent_successes.latest_unix_ms(&content);
+        let is_refuted = succeeded_unix_ms >= Some(crashed.observed_unix_ms);
+        let quarantined = state.content_quarantine.add_attempt(crashed, unix_ms());
+        if is_refuted {
+            if let Some(success) = state.content_quarantine.success(&content, unix_ms()) {
+                self.clear_content(state, success);
+            }
+        } else if let Some(until_unix_ms) = quarantined {
+            warn!(event = "content_quarantined", fingerprint, %caller, until_unix_ms);
+        }
+        let merged = state.content_quarantine.attempt(&content, request_hash);
+        merged.cloned()
     }
 
     fn queue_evidence(&self, state: &mut State, fact: Fact) {
@@ -95,7 +233,9 @@
         let state = &mut *self.state();
         for fact in facts {
             match fact {
-                Fact::CrashedAttempt(crashed) => state.add_crashed_attempt(crashed),
+                Fact::CrashedAttempt(crashed) => {
+                    self.add_crashed_attempt(state, crashed);
+                }
                 Fact::ContentSuccess(success) => {
                     state.content_quarantine.add_success(success, unix_ms());
                 }
@@ -103,27 +243,10 @@
             }
         }
     }
-
-    /// Returns a hash that identifies the process of a leaf on all VMs.
-    pub fn process_hash(&self, leaf: LeafKey) -> Option<u64> {
-        let state = self.state();
-        let record = &state.leaves.get(leaf)?.record;
-        Some(xxh3_64_with_seed(
-            record.id.as_bytes(),
-            record.started_unix_ms,
-        ))
-    }
 }
 
-impl State {
-    fn add_crashed_attempt(&mut self, crashed: CrashedAttempt) {
-        let Content {
-            fingerprint,
-            caller,
-        } = crashed.content;
-        let quarantined = self.content_quarantine.add_attempt(crashed, unix_ms());
-        if let Some(until_unix_ms) = quarantined {
-            warn!(event = "content_quarantined", fingerprint, %caller, until_unix_ms);
-        }
-    }
+/// Converts a time on the boot clock to wall-clock time.
+fn wall_clock_ms(boot_time_us: u64) -> u64 {
+    let age_us = boot_us().saturating_sub(boot_time_us);
+    unix_ms().saturating_sub(age_us / 1_000)
 }
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -258,6 +258,7 @@
         shard.last_sent_us = now_us;
         shard.needs_call = false;
         self.sent_calls += 1;
+        self.attempt.record_start(index, &call);
         self.calls
             .push(run_call(index, call, Arc::clone(&self.spec)));
     }
@@ -295,6 +296,8 @@
         let latency_us = boot_us().saturating_sub(started_us);
         let shard = &mut self.shards[index];
         shard.open_calls -= 1;
+        self.attempt
+            .record_end(index, leaf, result.as_ref().map_err(|error| *error));
         match result {
             Ok(reply) => {
                 let route = &self.plan.route;
@@ -308,9 +311,6 @@
                 self.engine.metrics.count_failed_call(error);
                 self.last_error = Some(error);
                 self.may_have_run |= !error.has_not_run();
-                if error == CallError::LeafCrashed && self.shards[index].reply.is_none() {
-                    self.attempt.record_crash(index, leaf);
-                }
                 tracing::debug!(event = "call_failed", ?leaf, %error);
                 self.handle_failure(index, error);
             }
@@ -323,7 +323,6 @@
             return;
         }
         if reply.status.is_success() {
-            self.attempt.record_success(index);
             shard.reply = Some(reply);
             shard.latency_us = latency_us;
             return;
@@ -414,9 +413,7 @@
         let timed_out = elapsed_us >= self.plan.schedule.timeout_us;
         let median_call_us = self.median_call_us(elapsed_us);
         if complete && !self.calls.is_empty() {
-            let is_answered = self.shards.iter().map(|shard| shard.reply.is_some());
-            let is_answered = is_answered.collect();
-            let remaining_calls = finish_calls(self.calls, self.attempt, is_answered);
+            let remaining_calls = finish_calls(self.calls, self.attempt);
             let limit = Duration::from_millis(LINGER_MS);
             tokio::spawn(timeout(limit, remaining_calls));
         }
@@ -435,15 +432,9 @@
 }
 
 /// Waits for the calls that remain after the response, under which leaves may still crash.
-async fn finish_calls(
-    mut calls: FuturesUnordered<CallFuture>,
-    mut attempt: Attempt,
-    is_answered: Vec<bool>,
-) {
+async fn finish_calls(mut calls: FuturesUnordered<CallFuture>, mut attempt: Attempt) {
     while let Some((index, leaf, _, result)) = calls.next().await {
-        if result.is_err_and(|error| error == CallError::LeafCrashed) && !is_answered[index] {
-            attempt.record_crash(index, leaf);
-        }
+        attempt.record_end(index, leaf, result.as_ref().map_err(|error| *error));
     }
 }
 
--- a/src/gateway/leaf_stats.rs
+++ b/src/gateway/leaf_stats.rs
@@ -241,6 +241,11 @@
         silent_us.is_some_and(|silent_us| silent_us > self.stall_limit_us())
     }
 
+    /// Returns whether the leaf is stalled for this VM or another one.
+    pub fn is_stalled_anywhere(&self, now_us: u64) -> bool {
+        self.is_stalled(now_us) || now_us < self.remote_stall_until_us
+    }
+
     /// Returns the expected latency of a further call with all added costs, in microseconds.
     ///
     /// # Examples
@@ -263,7 +268,7 @@
         let mut expected_us = average_us + queue_us;
         let failure_rate_ppm = self.failure_rate_ppm(now_us / 1_000);
         expected_us += failure_rate_ppm * FAILURE_RATE_COST_US / PPM;
-        if self.is_stalled(now_us) || now_us < self.remote_stall_until_us {
+        if self.is_stalled_anywhere(now_us) {
             expected_us += STALL_COST_US;
         }
         if self.is_failing(now_us) {
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -15,6 +15,7 @@
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
 use super::routes::{RouteTable, ServiceNames};
+use super::unanswered_runs::{UnansweredRun, UnansweredRuns};
 use crate::ids::{LeafKey, ServiceKey};
 
 /// Latency cost of a call to another failure domain: network round trip and transfer.
@@ -42,6 +43,10 @@
 /// as a divisor.
 const MAX_STALLED_DIVISOR: usize = 3;
 
+/// Time for which a leaf that is no longer listed is kept after its last call, so that runs which
+/// are then found to be unanswered can be attributed to its process.
+const RETIRED_RETENTION_MS: u64 = 2_000;
+
 /// Fraction of a leaf's connections reserved for VMs that join or are discovered late, as a
 /// divisor.
 const SPARE_DIVISOR: u32 = 8;
@@ -65,6 +70,15 @@
     pub warmup_until_ms: u64,
     /// Whether the leaf is no longer listed; its open calls may finish.
     pub retired: bool,
+    /// Latest time at which it was known to live: its last reply, or the appearance of its record
+    /// in a change of the list. 0 if it is not known.
+    pub alive_us: u64,
+    /// Time of the first failed call since the leaf last replied, to this VM or another one.
+    failed_us: Option<u64>,
+    /// Runs without an answer since the leaf last answered.
+    pub unanswered_runs: UnansweredRuns,
+    /// Time at which the leaf was found to be no longer listed.
+    retired_ms: u64,
     /// End of the exclusion after another process replied at its address.
     pub misdirected_until_ms: u64,
 }
@@ -80,6 +94,8 @@
     own_domain: Box<str>,
     pause_period: PausePeriod,
     last_reply_us: u64,
+    /// Unanswered runs of processes that have ended since, with the hash of the process.
+    ended_runs: Vec<(u64, UnansweredRun)>,
 }
 
 /// Reason why no leaf of a service can take a call.
@@ -125,16 +141,23 @@
         now_ms: u64,
     ) {
         let mut listed: HashMap<Box<str>, LeafKey> = HashMap::new();
+        // The first list does not tell when its records were written.
+        let alive_us = if self.by_id.is_empty() {
+            0
+        } else {
+            now_ms * 1_000
+        };
         for record in records {
-            let key = self.upsert(record, names, now_ms);
+            let key = self.upsert(record, names, now_ms, alive_us);
             listed.insert(record.id.clone(), key);
         }
         let previous = std::mem::replace(&mut self.by_id, listed);
         for (id, key) in previous {
             if self.by_id.get(&id) != Some(&key) {
-                self.retire(key);
+                self.retire(key, now_ms);
             }
         }
+        self.end_replaced_processes();
         self.by_service.clear();
         self.by_address.clear();
         for key in self.by_id.values() {
@@ -149,7 +172,13 @@
     }
 
     /// Updates the leaf of a record, or adds one for a new ID or process, and returns its key.
-    fn upsert(&mut self, record: &LeafRecord, names: &mut ServiceNames, now_ms: u64) -> LeafKey {
+    fn upsert(
+        &mut self,
+        record: &LeafRecord,
+        names: &mut ServiceNames,
+        now_ms: u64,
+        alive_us: u64,
+    ) -> LeafKey {
         let service = names.intern(&record.service);
         if let Some(key) = self.by_id.get(&record.id).copied()
             && let Some(leaf) = self.arena.get_mut(&key)
@@ -172,17 +201,96 @@
             idle: Vec::new(),
             warmup_until_ms: now_ms + record.warmup_left_ms,
             retired: false,
+            alive_us,
+            failed_us: None,
+            unanswered_runs: UnansweredRuns::default(),
+            retired_ms: 0,
             misdirected_until_ms: 0,
         };
         self.arena.insert(key, leaf);
         key
     }
 
-    /// Closes the idle connections of all leaves that have ended or expired.
+    /// Closes the idle connections of all leaves that have ended or expired, and removes retired
+    /// leaves without calls.
     pub fn close_expired(&mut self, now_ms: u64) {
         for leaf in self.arena.values_mut() {
             leaf.close_expired(now_ms);
         }
+        self.arena.retain(|_, leaf| {
+            !leaf.retired
+                || leaf.leaf_stats.open_calls() > 0
+                || now_ms < leaf.retired_ms + RETIRED_RETENTION_MS
+        });
+    }
+
+    /// Records that a process replied to a call which began at `call_started_us`.
+    pub fn record_alive(&mut self, key: LeafKey, call_started_us: u64, now_us: u64) {
+        if let Some(leaf) = self.arena.get_mut(&key) {
+            leaf.alive_us = leaf.alive_us.max(now_us);
+            leaf.failed_us = None;
+            leaf.unanswered_runs.discard_before(call_started_us);
+        }
+    }
+
+    /// Records that the process of a leaf has ended: its address refuses connections, or another
+    /// process replied there. A leaf that has announced its end did not crash.
+    pub fn record_end(&mut self, key: LeafKey) {
+        let Some(leaf) = self.arena.get_mut(&key) else {
+            return;
+        };
+        let process = leaf.record.process_hash();
+        let is_announced = leaf.record.draining;
+        for run in leaf.unanswered_runs.take() {
+            if !is_announced {
+                self.ended_runs.push((process, run));
+            }
+        }
+    }
+
+    /// Records a run that ended without an answer. Runs at a leaf that has announced its end are
+    /// ignored.
+    pub fn record_unanswered(&mut self, key: LeafKey, run: UnansweredRun) {
+        let Some(leaf) = self.arena.get_mut(&key) else {
+            return;
+        };
+        if leaf.record.draining {
+            return;
+        }
+        leaf.unanswered_runs.add(run);
+        if leaf.retired {
+            self.record_end(key);
+        }
+    }
+
+    /// Removes and returns the unanswered runs of processes that have ended, with the hash of the
+    /// process.
+    pub fn take_ended_runs(&mut self) -> Vec<(u64, UnansweredRun)> {
+        std::mem::take(&mut self.ended_runs)
+    }
+
+    /// Records the end of each process whose address a process that started later has published.
+    fn end_replaced_processes(&mut self) {
+        let mut newest: HashMap<SocketAddr, (u64, LeafKey)> = HashMap::new();
+        let mut replaced = Vec::new();
+        for key in self.by_id.values() {
+            let Some(record) = self.arena.get(key).map(|leaf| &leaf.record) else {
+                continue;
+            };
+            let candidate = (record.started_unix_ms, *key);
+            let Some(other) = newest.insert(record.address, candidate) else {
+                continue;
+            };
+            if other.0 > candidate.0 {
+                newest.insert(record.address, other);
+            }
+            if other.0 != candidate.0 {
+                replaced.push(other.min(candidate).1);
+            }
+        }
+        for key in replaced {
+            self.record_end(key);
+        }
     }
 
     /// Applies another VM's report of a leaf.
@@ -202,14 +310,21 @@
             Observation::Failed => {
                 let was_outlier = leaf.leaf_stats.is_outlier(now_us);
                 leaf.leaf_stats.record_remote_failure(now_us);
+                if seen_us > leaf.alive_us {
+                    leaf.failed_us.get_or_insert(seen_us);
+                }
                 if !was_outlier && leaf.leaf_stats.is_outlier(now_us) {
                     let failure_rate_ppm = leaf.leaf_stats.failure_rate_ppm(now_us / 1_000);
                     info!(event = "leaf_outlier", leaf = %report.leaf, failure_rate_ppm, age_us = report.age_us);
                 }
             }
-            Observation::Answered => leaf.leaf_stats.record_remote_success(now_us),
+            Observation::Answered => {
+                leaf.leaf_stats.record_remote_success(now_us);
+                leaf.failed_us = None;
+            }
             Observation::Resumed { stall_us } => {
                 leaf.leaf_stats.record_remote_resume();
+                leaf.failed_us = None;
                 let start_us = seen_us.saturating_sub(u64::from(stall_us));
                 let end_us = seen_us;
                 self.observe_stall(key, Stall { start_us, end_us });
@@ -281,24 +396,17 @@
     }
 
     /// Retires a leaf that is no longer listed.
-    fn retire(&mut self, key: LeafKey) {
+    fn retire(&mut self, key: LeafKey, now_ms: u64) {
         let Some(leaf) = self.arena.get_mut(&key) else {
             return;
         };
         leaf.retired = true;
+        leaf.retired_ms = now_ms;
         leaf.close_idle();
         if let Some(keys) = self.by_service.get_mut(&leaf.service) {
             keys.retain(|other| *other != key);
         }
-        self.remove_if_finished(key);
-    }
-
-    /// Removes a retired leaf from the arena once its last call has ended.
-    pub fn remove_if_finished(&mut self, key: LeafKey) {
-        let is_finished = |leaf: &Leaf| leaf.retired && leaf.leaf_stats.open_calls() == 0;
-        if self.arena.get(&key).is_some_and(is_finished) {
-            self.arena.remove(&key);
-        }
+        self.record_end(key);
     }
 
     /// Returns the estimate of the pause period.
@@ -437,6 +545,17 @@
         self.idle.clear();
     }
 
+    /// Records that a call got no reply.
+    pub fn record_failed_call(&mut self, now_us: u64) {
+        self.failed_us.get_or_insert(now_us);
+    }
+
+    /// Returns whether the leaf may have ended already: a call failed since its last reply, or it
+    /// does not reply. Such an end can't be attributed to a call that begins now.
+    pub fn may_have_ended(&self, now_us: u64) -> bool {
+        self.failed_us.is_some() || self.leaf_stats.is_stalled_anywhere(now_us)
+    }
+
     /// Returns the address on which the leaf listens.
     pub fn address(&self) -> SocketAddr {
         self.record.address
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
-//! [`retry_budgets`], [`content_quarantine`].
+//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`].
 
 mod attempt;
 pub mod call;
@@ -32,6 +32,7 @@
 pub mod routes;
 pub mod service;
 mod shard;
+pub mod unanswered_runs;
 pub mod vm_selection;
 
 pub use call::{CallSpec, OpenCall};
@@ -62,4 +63,5 @@
     min_parts, pick_weighted,
 };
 pub use service::CallerService;
+pub use unanswered_runs::{RecentSuccesses, UnansweredRun, UnansweredRuns};
 pub use vm_selection::{active_vms, caller_addresses, desired_active_vms};
--- a/tests/content_quarantine.rs
+++ b/tests/content_quarantine.rs
@@ -35,6 +35,7 @@
         content,
         request_hash,
         leaves: leaves.to_vec(),
+        alive_unix_ms: observed_unix_ms,
         observed_unix_ms,
     }
 }
@@ -82,6 +83,58 @@
     assert!(!is_quarantined(&quarantine, content(2, 1), NOW_MS));
 }
 
+/// Guards against refusing healthy content whose attempts were in flight, or were sent to leaves that
+/// had ended already, when one loss of power ended several leaves.
+#[test]
+fn attempts_that_one_outage_explains_count_once() {
+    let content = content(1, 1);
+    let outage_ms = NOW_MS - 1_000;
+    let mut quarantine = ContentQuarantine::default();
+    for attempt in 0..5 {
+        let record = CrashedAttempt {
+            alive_unix_ms: outage_ms - 10 * attempt,
+            ..crashed(content, attempt, &[attempt], outage_ms + 100 * attempt + 1)
+        };
+        quarantine.add_attempt(record, NOW_MS);
+    }
+    assert!(!is_quarantined(&quarantine, content, NOW_MS));
+    let unknown = CrashedAttempt {
+        alive_unix_ms: 0,
+        ..crashed(content, 8, &[8], NOW_MS)
+    };
+    quarantine.add_attempt(unknown, NOW_MS);
+    assert!(!is_quarantined(&quarantine, content, NOW_MS));
+    quarantine.add_attempt(crashed(content, 9, &[9], NOW_MS), NOW_MS);
+    assert!(is_quarantined(&quarantine, content, NOW_MS));
+}
+
+/// Guards against evidence that is lost because the leaves of one attempt are found to have crashed
+/// one after another, and against VMs that disagree on it.
+#[test]
+fn records_of_one_attempt_are_merged() {
+    let content = content(1, 1);
+    let records = [
+        crashed(content, 1, &[1], NOW_MS - 9),
+        crashed(content, 1, &[2, 1], NOW_MS - 7),
+    ];
+    let mut orders = vec![records.to_vec(), records.to_vec()];
+    orders[1].reverse();
+    for records in orders {
+        let mut quarantine = ContentQuarantine::default();
+        for record in records {
+            quarantine.add_attempt(record, NOW_MS);
+        }
+        let merged = quarantine.attempt(&content, 1).unwrap();
+        assert_eq!(merged.leaves, [1, 2]);
+        assert_eq!(
+            (merged.alive_unix_ms, merged.observed_unix_ms),
+            (NOW_MS - 9, NOW_MS - 7)
+        );
+        quarantine.add_attempt(crashed(content, 2, &[3], NOW_MS), NOW_MS);
+        assert!(is_quarantined(&quarantine, content, NOW_MS));
+    }
+}
+
 /// Guards against one attempt that counts twice because gossip delivers it again.
 #[test]
 fn a_repeated_record_counts_once() {
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -99,12 +99,7 @@
 
 /// Replaces the record of a published leaf.
 fn change_leaf(gateway: &TestGateway, record: LeafRecord) {
-    let change_set = ChangeSet {
-        changes: vec![Change::Leaf(record)],
-        revision: 2,
-    };
-    gateway.engine.state().catalog.apply(change_set, 0);
-    gateway.engine.refresh();
+    apply_change(gateway, Change::Leaf(record), 2);
 }
 
 /// Sends healthy requests, which earn the budget for four extra calls, at 0.18 per request.
@@ -450,6 +445,106 @@
     }
 }
 
+/// Applies a change of the platform to the record of a leaf.
+fn apply_change(gateway: &TestGateway, change: Change, revision: u64) {
+    let change_set = ChangeSet {
+        changes: vec![change],
+        revision,
+    };
+    gateway.engine.state().catalog.apply(change_set, 0);
+    gateway.engine.refresh();
+}
+
+/// Guards against crashes that are not recognised because the address of a crashed leaf accepts
+/// connections, or its connections stay open. The end of its process shows later.
+#[tokio::test]
+async fn a_run_without_an_answer_counts_once_its_leaf_has_ended() {
+    for behaviour in [
+        LeafBehaviour::Break,
+        LeafBehaviour::Hang,
+        LeafBehaviour::CutOff,
+    ] {
+        for is_replaced in [false, true] {
+            let test_gateway = TestGateway::spawn().await;
+            let leaf = Leaf::spawn("leaf", 1, behaviour).await;
+            publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
+            let mut order = order("same");
+            order
+                .headers_mut()
+                .insert("x-time-left", "200".parse().unwrap());
+            test_gateway.send_from(CALLER, order).await;
+            assert!(
+                test_gateway.engine.take_evidence().is_empty(),
+                "{behaviour:?}"
+            );
+            let change = if is_replaced {
+                Change::Leaf(LeafRecord {
+                    id: "successor".into(),
+                    started_unix_ms: 2,
+                    ..leaf.record("s")
+                })
+            } else {
+                Change::LeafRemoved("leaf".into())
+            };
+            apply_change(&test_gateway, change, 2);
+            let evidence = test_gateway.engine.take_evidence();
+            assert!(
+                matches!(&evidence[..], [Fact::CrashedAttempt(crashed)] if crashed.leaves.len() == 1),
+                "{behaviour:?}, is_replaced={is_replaced}: {evidence:?}"
+            );
+        }
+    }
+}
+
+/// Guards against counting runs at a leaf that answered afterwards, and at one that may have ended
+/// before the request was sent to it.
+#[tokio::test]
+async fn a_run_at_a_leaf_that_lives_or_had_ended_does_not_count() {
+    for answers_later in [true, false] {
+        let test_gateway = TestGateway::spawn().await;
+        let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Break).await;
+        publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
+        test_gateway.send_from(CALLER, order("first")).await;
+        if answers_later {
+            leaf.set(LeafBehaviour::Answer);
+        }
+        test_gateway.send_from(CALLER, order("second")).await;
+        apply_change(&test_gateway, Change::LeafRemoved("leaf".into()), 2);
+        let evidence = test_gateway.engine.take_evidence();
+        let expected = usize::from(!answers_later);
+        assert_eq!(evidence.len(), expected, "{evidence:?}");
+    }
+}
+
+/// Guards against healthy content that stays under suspicion because the end of a leaf that lost it
+/// is found after a replica has answered it.
+#[tokio::test]
+async fn evidence_that_is_older_than_a_success_is_discarded() {
+    let test_gateway = TestGateway::spawn().await;
+    let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Break).await;
+    publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
+    test_gateway.send_from(CALLER, order("same")).await;
+    let replica = Leaf::spawn("replica", 1, LeafBehaviour::Answer).await;
+    apply_change(&test_gateway, Change::Leaf(replica.record("s")), 2);
+    let reply = test_gateway.send_from(CALLER, order("same")).await;
+    assert_eq!(reply.status, StatusCode::OK);
+    apply_change(&test_gateway, Change::LeafRemoved("leaf".into()), 3);
+    let evidence = test_gateway.engine.take_evidence();
+    assert!(
+        matches!(
+            evidence[..],
+            [Fact::ContentSuccess(_), Fact::CrashedAttempt(_)]
+        ),
+        "{evidence:?}"
+    );
+    let uri = Uri::from_static("/o/order");
+    let content = Content::new("desk.example", &Method::POST, &uri, b"same", CALLER.into());
+    assert_eq!(
+        test_gateway.engine.content_verdict(&content),
+        ContentVerdict::Unsuspected
+    );
+}
+
 /// Returns evidence of other VMs that suffices to quarantine a GET request of a caller.
 fn evidence_against(path: &'static str) -> (Content, Vec<Fact>) {
     let uri = Uri::from_static(path);
@@ -459,6 +554,7 @@
             content,
             request_hash,
             leaves: leaves.to_vec(),
+            alive_unix_ms: unix_ms(),
             observed_unix_ms: unix_ms(),
         })
     };
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -250,6 +250,7 @@
         content,
         request_hash,
         leaves: vec![1, 2, 3],
+        alive_unix_ms: observed_unix_ms,
         observed_unix_ms,
     })
 }
