Take only a prompt close as a sign that a leaf had lived

Cause: a run whose connection was closed counted as sent to a live leaf. The leaves had lost power before and closed the connections when they were back, so two attempts during one outage looked like two separate crashes.

A close counts only if it comes before the leaf would count as stalled; otherwise the leaf is known to have lived at its last reply. Ruled out by the logs: clocks, and evidence of the first outage (a success cleared it).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,8 +12,7 @@
 use super::content::Content;
 use super::content_quarantine::ContentVerdict;
 use super::engine::Engine;
-use super::evidence_sync::CrashedRun;
-use super::unanswered_runs::UnansweredRun;
+use super::evidence_sync::FailedRun;
 use crate::clock::boot_us;
 use crate::ids::LeafKey;
 
@@ -33,23 +32,24 @@
     leaf_may_have_ended: bool,
 }
 
-/// How a run without an answer ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RunEnd {
-    /// The leaf closed the connection, and its address refuses new ones.
-    Crashed,
-    /// The leaf closed the connection.
-    Closed,
-    /// The request ended while the call was in flight.
-    Abandoned,
-}
-
 /// A run that ended without an answer.
 #[derive(Clone, Copy, Debug)]
-struct FailedRun {
+struct UnansweredRun {
     run: Run,
     ended_us: u64,
-    end: RunEnd,
+    /// Error of the call; `None` if the request ended while the call was in flight.
+    error: Option<CallError>,
+}
+
+impl UnansweredRun {
+    fn failed_run(&self) -> FailedRun {
+        FailedRun {
+            leaf: self.run.leaf,
+            started_us: self.run.started_us,
+            ended_us: self.ended_us,
+            is_closed: self.error.is_some(),
+        }
+    }
 }
 
 /// What the leaves did under an attempt. Dropping it records the evidence.
@@ -65,7 +65,7 @@
     is_complete: bool,
     crashes: usize,
     open_runs: Vec<Run>,
-    failed_runs: Vec<FailedRun>,
+    unanswered_runs: Vec<UnansweredRun>,
 }
 
 impl Attempt {
@@ -80,7 +80,7 @@
             is_complete: false,
             crashes: 0,
             open_runs: Vec::new(),
-            failed_runs: Vec::new(),
+            unanswered_runs: Vec::new(),
         }
     }
 
@@ -112,13 +112,13 @@
         match result {
             Ok(reply) if reply.status.is_success() => self.answered_shards.push(shard),
             Err(error @ (CallError::Broken | CallError::LeafCrashed)) => {
-                let end = match error {
-                    CallError::LeafCrashed => RunEnd::Crashed,
-                    _ => RunEnd::Closed,
-                };
-                self.crashes += usize::from(end == RunEnd::Crashed || self.is_suspect);
-                let ended_us = boot_us();
-                self.failed_runs.push(FailedRun { run, ended_us, end });
+                let has_crashed = error == CallError::LeafCrashed;
+                self.crashes += usize::from(has_crashed || self.is_suspect);
+                self.unanswered_runs.push(UnansweredRun {
+                    run,
+                    ended_us: boot_us(),
+                    error: Some(error),
+                });
             }
             Ok(_) | Err(_) => {}
         }
@@ -136,8 +136,10 @@
 
     /// Returns whether a shard must not be called again: under a suspect content, one crash suffices.
     pub(super) fn is_shard_stopped(&self, shard: usize) -> bool {
-        let mut failed = self.failed_runs.iter();
-        self.is_suspect && !self.is_answered(shard) && failed.any(|f| f.run.shard == shard)
+        let mut unanswered = self.unanswered_runs.iter();
+        self.is_suspect
+            && !self.is_answered(shard)
+            && unanswered.any(|unanswered| unanswered.run.shard == shard)
     }
 
     /// Returns whether the request must not be sent to further leaves.
@@ -168,39 +170,24 @@
     fn drop(&mut self) {
         let now_us = boot_us();
         for run in std::mem::take(&mut self.open_runs) {
-            self.failed_runs.push(FailedRun {
+            self.unanswered_runs.push(UnansweredRun {
                 run,
                 ended_us: now_us,
-                end: RunEnd::Abandoned,
+                error: None,
             });
         }
         let mut crashed_runs = Vec::new();
-        for failed in &self.failed_runs {
-            if self.is_answered(failed.run.shard) {
-                continue;
-            }
-            let leaf = failed.run.leaf;
-            let (alive_us, ended_us) = (failed.run.started_us, failed.ended_us);
-            if failed.end == RunEnd::Crashed {
-                crashed_runs.push(CrashedRun {
-                    leaf,
-                    alive_us,
-                    ended_us,
-                });
+        for unanswered in &self.unanswered_runs {
+            if self.is_answered(unanswered.run.shard) {
                 continue;
             }
-            if failed.run.leaf_may_have_ended {
-                continue;
+            let failed_run = unanswered.failed_run();
+            if unanswered.error == Some(CallError::LeafCrashed) {
+                crashed_runs.push(failed_run);
+            } else if !unanswered.run.leaf_may_have_ended {
+                self.engine
+                    .record_unanswered_run(self.content, self.request_hash, &failed_run);
             }
-            // An open connection does not show that the leaf lived when the request was sent.
-            let is_closed = failed.end == RunEnd::Closed;
-            let run = UnansweredRun {
-                content: self.content,
-                request_hash: self.request_hash,
-                alive_us: if is_closed { alive_us } else { 0 },
-                ended_us,
-            };
-            self.engine.record_unanswered_run(leaf, run);
         }
         if !crashed_runs.is_empty() {
             self.engine
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -12,6 +12,7 @@
     ContentSuccess, ContentVerdict, CrashedAttempt, MAX_LEAVES_PER_ATTEMPT,
 };
 use super::engine::{Engine, State};
+use super::leaves::Leaf;
 use super::membership::Membership;
 use super::unanswered_runs::UnansweredRun;
 use crate::clock::{boot_us, unix_ms};
@@ -21,12 +22,14 @@
 /// Maximum amount of evidence that waits to be published; further evidence stays on this VM.
 const MAX_QUEUED_EVIDENCE: usize = 64;
 
-/// Run at a leaf whose process ended during it, with the times between which it ended.
+/// Run at a leaf that ended without an answer.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct CrashedRun {
+pub(super) struct FailedRun {
     pub(super) leaf: LeafKey,
-    pub(super) alive_us: u64,
+    pub(super) started_us: u64,
     pub(super) ended_us: u64,
+    /// Whether the leaf closed the connection.
+    pub(super) is_closed: bool,
 }
 
 /// Publishes the evidence of this VM and applies that of others until the task is dropped.
@@ -83,41 +86,44 @@
         &self,
         content: Content,
         request_hash: u64,
-        crashed_runs: &[CrashedRun],
+        crashed_runs: &[FailedRun],
     ) {
         let state = &mut *self.state();
         let mut runs = Vec::new();
         for crashed in crashed_runs {
-            let Some(leaf) = state.leaves.get(crashed.leaf) else {
-                continue;
-            };
-            let run = UnansweredRun {
-                content,
-                request_hash,
-                alive_us: crashed.alive_us,
-                ended_us: crashed.ended_us,
-            };
-            runs.push((leaf.record.process_hash(), run));
+            if let Some(leaf) = state.leaves.get(crashed.leaf) {
+                let run = crashed.unanswered(leaf, content, request_hash);
+                runs.push((leaf.record.process_hash(), run));
+            }
         }
         self.add_crashed_runs(state, &runs);
     }
 
     /// Records a run without an answer. It becomes evidence if the process of the leaf turns out to
     /// have ended before it answered again.
-    pub(super) fn record_unanswered_run(&self, leaf: LeafKey, mut run: UnansweredRun) {
+    pub(super) fn record_unanswered_run(
+        &self,
+        content: Content,
+        request_hash: u64,
+        failed: &FailedRun,
+    ) {
         let state = &mut *self.state();
-        let alive_us = state.leaves.get(leaf).map_or(0, |leaf| leaf.alive_us);
-        run.alive_us = run.alive_us.max(alive_us).min(run.ended_us);
+        let Some(leaf) = state.leaves.get(failed.leaf) else {
+            return;
+        };
+        let run = failed.unanswered(leaf, content, request_hash);
         debug!(
             event = "run_unanswered",
-            ?leaf,
-            fingerprint = run.content.fingerprint,
-            caller = %run.content.caller,
-            request_hash = run.request_hash,
+            leaf = %leaf.address(),
+            id = %leaf.record.id,
+            fingerprint = content.fingerprint,
+            caller = %content.caller,
+            request_hash,
+            is_closed = failed.is_closed,
             alive_us = run.alive_us,
             ended_us = run.ended_us,
         );
-        state.leaves.record_unanswered(leaf, run);
+        state.leaves.record_unanswered(failed.leaf, run);
         self.record_ended_runs(state);
     }
 
@@ -245,6 +251,28 @@
     }
 }
 
+impl FailedRun {
+    /// Returns the run with the latest time at which the leaf is known to have lived.
+    ///
+    /// A leaf that soon closes the connection lived when the request was sent. After a longer
+    /// silence, its host may have lost power before, and closes the connection when it is back.
+    fn unanswered(&self, leaf: &Leaf, content: Content, request_hash: u64) -> UnansweredRun {
+        let silent_us = self.ended_us.saturating_sub(self.started_us);
+        let lived_at_start = self.is_closed && silent_us <= leaf.leaf_stats.stall_limit_us();
+        let alive_us = if lived_at_start {
+            leaf.alive_us.max(self.started_us)
+        } else {
+            leaf.alive_us
+        };
+        UnansweredRun {
+            content,
+            request_hash,
+            alive_us: alive_us.min(self.ended_us),
+            ended_us: self.ended_us,
+        }
+    }
+}
+
 /// Converts a time on the boot clock to wall-clock time.
 fn wall_clock_ms(boot_time_us: u64) -> u64 {
     let age_us = boot_us().saturating_sub(boot_time_us);
--- a/src/gateway/leaf_stats.rs
+++ b/src/gateway/leaf_stats.rs
@@ -138,7 +138,8 @@
         Some(oldest_us.max(self.last_success_us))
     }
 
-    fn stall_limit_us(&self) -> u64 {
+    /// Returns the time without a reply from which the leaf counts as stalled.
+    pub fn stall_limit_us(&self) -> u64 {
         self.average_us * STALL_FACTOR + STALL_MARGIN_US
     }
 
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -516,6 +516,33 @@
     }
 }
 
+/// Guards against taking a leaf for alive when a request was sent because its host closes the
+/// connection later, as one does that is back after a loss of power.
+#[tokio::test]
+async fn a_late_close_does_not_show_that_the_leaf_lived() {
+    for (behaviour, lived) in [(LeafBehaviour::Hang, false), (LeafBehaviour::Crash, true)] {
+        let test_gateway = TestGateway::spawn().await;
+        let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Answer).await;
+        publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
+        test_gateway.send_from(CALLER, order("healthy")).await;
+        leaf.set(behaviour);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let sent_unix_ms = unix_ms();
+        let sending = test_gateway.send_from(CALLER, order("same"));
+        let ending = async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            leaf.end();
+        };
+        tokio::join!(sending, ending);
+        let evidence = test_gateway.engine.take_evidence();
+        let [Fact::CrashedAttempt(crashed)] = &evidence[..] else {
+            panic!("{behaviour:?}: {evidence:?}");
+        };
+        let is_alive = crashed.alive_unix_ms >= sent_unix_ms;
+        assert_eq!(is_alive, lived, "{behaviour:?}: {crashed:?}");
+    }
+}
+
 /// Guards against healthy content that stays under suspicion because the end of a leaf that lost it
 /// is found after a replica has answered it.
 #[tokio::test]
