Keep the calls of all VMs to a leaf within the limit that it names

Leaves in need name in their answers the requests a second that they take from all VMs together, and got up to 2.4 times what the rule allows.

Cause: no code read the limit. The class: a limit that holds for the whole fleet and that no VM knows it shares.

Each VM deducts its own calls and those that the others report every 60 ms from the same rate. A VM uses what the others leave, so the rate follows the callers, without a coordinator. VMs that are not heard are assumed to use an equal share, and a VM that loses half of the others keeps its own. Replica selection takes a limited leaf only if the call may begin within 50 ms, which covers first calls, retries and hedges, and requests whose services take too few calls are rejected at once with a time to come back. Status checks need nothing: the gateway sends none.

Ruled out: dividing the rate evenly among the VMs. A VM with all callers would use a seventh.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,8 +16,9 @@
 
 use super::connection::{CallError, Connection, Reply};
 use super::content::Content;
-use super::engine::{Engine, Headers};
+use super::engine::{Engine, Headers, State};
 use super::leaf_reports::Observation;
+use super::rate_limit::parse_rate;
 use crate::clock::boot_us;
 use crate::ids::LeafKey;
 
@@ -56,7 +57,7 @@
     engine: Arc<Engine>,
     /// Leaf that receives the call.
     pub leaf: LeafKey,
-    /// Start time on the boot clock.
+    /// Time on the boot clock at which the request is sent, which may lie ahead.
     pub started_us: u64,
     /// Whether the leaf may have ended before the call began.
     pub leaf_may_have_ended: bool,
@@ -113,6 +114,10 @@
     }
 
     async fn send_request(&mut self, spec: &CallSpec) -> Result<Reply, CallError> {
+        let wait_us = self.started_us.saturating_sub(boot_us());
+        if wait_us > 0 {
+            sleep(Duration::from_micros(wait_us)).await;
+        }
         let (address, id) = {
             let state = self.engine.state();
             let leaf = state.leaves.get(self.leaf).ok_or(CallError::Connect)?;
@@ -183,6 +188,27 @@
         );
     }
 
+    /// Applies the rate limit that a reply names. A refusal does not end a limit, since a leaf that
+    /// is full may leave out the header.
+    fn record_rate_limit(
+        &self,
+        state: &mut State,
+        outcome: Result<StatusCode, CallError>,
+        reply: &Reply,
+        now_us: u64,
+    ) {
+        let named = reply.headers.get(&self.engine.headers.rate_limit);
+        let rate = named.and_then(|value| parse_rate(value.to_str().ok()?));
+        let applies = match outcome {
+            Ok(_) => true,
+            Err(CallError::Refused) => rate.is_some(),
+            Err(_) => false,
+        };
+        if applies {
+            state.leaves.record_rate(self.leaf, rate, now_us);
+        }
+    }
+
     /// Returns the error if a complete reply is not a valid reply of this leaf to this request.
     fn validate_reply(&self, spec: &CallSpec, reply: &Reply) -> Option<CallError> {
         let headers = &self.engine.headers;
@@ -205,8 +231,9 @@
         let now_us = boot_us();
         let connection = self.connection.take();
         let state = &mut *self.engine.state();
-        if reply.is_some() {
+        if let Some(reply) = reply {
             state.leaves.record_reply(now_us);
+            self.record_rate_limit(state, outcome, reply, now_us);
         }
         match outcome {
             Err(CallError::ConnectRefused | CallError::LeafCrashed | CallError::WrongLeaf) => {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -5,7 +5,7 @@
 //! of leaves that stall or fail with the other active VMs.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -19,7 +19,7 @@
 use super::connection::Connection;
 use super::content_quarantine::ContentQuarantine;
 use super::fanout_schedule::CallLatency;
-use super::leaf_reports::{LeafReport, Observation, ReportQueue};
+use super::leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 use super::leaves::{ConnectionLimits, Leaf, Leaves, NoLeafError};
 use super::membership::LiveVm;
 use super::metrics::Metrics;
@@ -45,6 +45,8 @@
     pub signature: HeaderName,
     /// Marks the reply of a leaf that did not run the request.
     pub not_run: HeaderName,
+    /// Requests per second that a leaf takes from all VMs together.
+    pub rate_limit: HeaderName,
     /// Signatures of the parts of a merged response.
     pub part_signatures: HeaderName,
     /// Shards that are missing in a merged response.
@@ -188,7 +190,8 @@
     pub fn set_active_vms(&self, active_vms: &[LiveVm]) {
         let addresses = active_vms.iter().map(|active_vm| active_vm.address);
         let addresses: Arc<[SocketAddr]> = addresses.collect();
-        self.set_vms(u32::try_from(addresses.len()).unwrap_or(u32::MAX).max(1));
+        let vms = addresses.len().max(1);
+        self.set_vms(u32::try_from(vms).unwrap_or(u32::MAX));
         *self
             .active_addresses
             .lock()
@@ -201,9 +204,11 @@
         Arc::clone(&addresses.unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Sets the number of VMs among which connections and retry budgets are divided.
+    /// Sets the number of VMs among which connections, retry budgets and the rates that leaves name
+    /// are divided.
     pub fn set_vms(&self, vms: u32) {
         let state = &mut *self.state();
+        state.leaves.sharing_vms.set_live(vms, boot_ms());
         if state.vms == vms {
             return;
         }
@@ -275,6 +280,35 @@
         state.report_queue.take(now_us)
     }
 
+    /// Returns the reports for the other VMs on leaves that have named a limit.
+    pub fn rate_reports(&self) -> Vec<RateReport> {
+        self.state().leaves.rate_reports(boot_us())
+    }
+
+    /// Applies the reports of another VM on leaves that have named a limit.
+    pub fn apply_rate_reports(&self, peer: IpAddr, rate_reports: &[RateReport], now_us: u64) {
+        let state = &mut *self.state();
+        for report in rate_reports {
+            state.leaves.apply_rate_report(peer, report, now_us);
+        }
+    }
+
+    /// Returns whether a leaf of at least `min_services` services takes a call now, by the limits
+    /// that the leaves have named.
+    pub fn takes_calls(&self, services: &[ServiceKey], min_services: usize) -> bool {
+        let now_us = boot_us();
+        let state = &*self.state();
+        if !state.leaves.has_rate_limits {
+            return true;
+        }
+        let mut limited = 0;
+        for service in services {
+            let chosen = state.leaves.choose(*service, &[], &state.limits, now_us);
+            limited += usize::from(chosen == Err(NoLeafError::RateLimited));
+        }
+        services.len() - limited >= min_services.min(services.len())
+    }
+
     /// Applies the leaf reports of another active VM.
     pub fn apply_reports(&self, leaf_reports: &[LeafReport], now_us: u64) {
         let state = &mut *self.state();
@@ -320,7 +354,9 @@
             .leaves
             .get_mut(leaf)
             .ok_or(NoLeafError::NoneAvailable)?;
-        Ok(self.open(leaf, leaf_entry, now_us))
+        let mut call = self.open(leaf, leaf_entry, now_us);
+        call.started_us = state.leaves.reserve_call(leaf, now_us);
+        Ok(call)
     }
 }
 
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -69,6 +69,8 @@
     pub sent_calls: usize,
     /// Number of shards for which an extra call was denied.
     pub denied_retries: usize,
+    /// Whether a call was not sent because the leaves had named a limit on their rate.
+    pub is_rate_limited: bool,
     /// Error of the call that failed last.
     pub last_error: Option<CallError>,
     /// Whether the deadline of the request had passed.
@@ -94,6 +96,7 @@
     may_have_run: bool,
     sent_calls: usize,
     denied_retries: usize,
+    is_rate_limited: bool,
     last_error: Option<CallError>,
 }
 
@@ -119,6 +122,7 @@
             may_have_run: false,
             sent_calls: 0,
             denied_retries: 0,
+            is_rate_limited: false,
             last_error: None,
         }
     }
@@ -246,16 +250,20 @@
                 self.handle_leaves_exhausted(index);
                 return;
             }
+            Err(NoLeafError::RateLimited) => {
+                self.handle_rate_limited(index);
+                return;
+            }
         };
         if is_extra_call {
             self.engine.spend_retry(self.plan.budget);
         }
-        let now_us = self.elapsed_us();
+        let sent_us = call.started_us.saturating_sub(self.started_us);
         let shard = &mut self.shards[index];
         shard.tried.push(call.leaf);
         shard.sent += 1;
         shard.open_calls += 1;
-        shard.last_sent_us = now_us;
+        shard.last_sent_us = sent_us;
         shard.needs_call = false;
         self.sent_calls += 1;
         self.attempt.record_start(index, &call);
@@ -292,6 +300,19 @@
         shard.finish();
     }
 
+    /// Handles a shard whose leaves take no further calls for now. It is not worth waiting for them:
+    /// other requests wait as well.
+    fn handle_rate_limited(&mut self, index: usize) {
+        self.is_rate_limited = true;
+        let shard = &mut self.shards[index];
+        if shard.open_calls > 0 {
+            shard.needs_call = false;
+            shard.hedged = true;
+            return;
+        }
+        shard.finish();
+    }
+
     fn handle_call_end(&mut self, (index, leaf, started_us, result): CallEnd) {
         let latency_us = boot_us().saturating_sub(started_us);
         let shard = &mut self.shards[index];
@@ -423,6 +444,7 @@
             may_have_run: self.may_have_run || any_open,
             sent_calls: self.sent_calls,
             denied_retries: self.denied_retries,
+            is_rate_limited: self.is_rate_limited,
             last_error: self.last_error,
             timed_out,
             median_call_us,
--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -1,6 +1,6 @@
 //! Shares leaf observations between active VMs, so that requests avoid leaves on which calls of
 //! other VMs stalled or failed: stalls and their ends, failures, and replies of leaves that failed
-//! recently.
+//! recently. VMs also report their calls to leaves that have named a limit on their rate.
 //!
 //! Handles leaves that pause, are slow, shed load or lose replies. Each VM observes only its own
 //! calls, a few per second to each leaf of a large fleet: without reports, every VM would spend
@@ -17,6 +17,7 @@
 use tracing::{debug, warn};
 
 use super::engine::Engine;
+use super::rate_limit::RateUsage;
 use crate::clock::boot_us;
 use crate::wire::{decode, encode};
 
@@ -28,12 +29,19 @@
 const STANDBY_FLUSH_MS: u64 = 200;
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-const LEAF_REPORTS_VERSION: u8 = 2;
+const LEAF_REPORTS_VERSION: u8 = 3;
 
 /// Maximum number of reports in one datagram, so that it fits an Ethernet frame: a report takes at
 /// most 20 bytes.
 const MAX_REPORTS_PER_DATAGRAM: usize = 60;
 
+/// Interval between the reports on leaves that have named a limit. Until the next one, several VMs
+/// may send the calls that are left.
+const RATE_REPORT_INTERVAL_US: u64 = 60_000;
+
+/// Maximum number of reports on limits in one datagram: such a report takes at most 40 bytes.
+const MAX_RATE_REPORTS_PER_DATAGRAM: usize = 30;
+
 /// Maximum number of pending reports. Further ones are dropped, since reports are only hints.
 const MAX_PENDING_REPORTS: usize = 240;
 
@@ -75,11 +83,24 @@
     pub observation: Observation,
 }
 
+/// Calls of a VM to a leaf process that has named a limit on their rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct RateReport {
+    /// Address of the leaf.
+    pub leaf: SocketAddr,
+    /// Hash of the leaf's process.
+    pub process: u64,
+    /// Limit and calls.
+    pub usage: RateUsage,
+}
+
 #[derive(Debug)]
 #[derive(Encode, Decode)]
 struct Datagram {
     version: u8,
     leaf_reports: Vec<LeafReport>,
+    rate_reports: Vec<RateReport>,
 }
 
 /// Reports that wait to be sent.
@@ -148,18 +169,27 @@
 /// is dropped.
 pub async fn send(socket: Arc<UdpSocket>, engine: Arc<Engine>, own: SocketAddr) {
     let port = socket.local_addr().map_or(0, |address| address.port());
+    let mut rates_reported_us = 0;
     loop {
         let active_vms = engine.active_vm_addresses();
         let interval_ms = flush_interval_ms(&active_vms, own);
         sleep(Duration::from_millis(interval_ms)).await;
-        let leaf_reports = engine.take_reports();
-        if leaf_reports.is_empty() {
-            continue;
+        let mut datagrams = Vec::new();
+        for chunk in engine.take_reports().chunks(MAX_REPORTS_PER_DATAGRAM) {
+            datagrams.push((chunk.to_vec(), Vec::new()));
+        }
+        let now_us = boot_us();
+        if now_us.saturating_sub(rates_reported_us) >= RATE_REPORT_INTERVAL_US {
+            rates_reported_us = now_us;
+            for chunk in engine.rate_reports().chunks(MAX_RATE_REPORTS_PER_DATAGRAM) {
+                datagrams.push((Vec::new(), chunk.to_vec()));
+            }
         }
-        for chunk in leaf_reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
+        for (leaf_reports, rate_reports) in datagrams {
             let datagram = Datagram {
                 version: LEAF_REPORTS_VERSION,
-                leaf_reports: chunk.to_vec(),
+                leaf_reports,
+                rate_reports,
             };
             let bytes = match encode(&datagram) {
                 Ok(bytes) => bytes,
@@ -193,6 +223,7 @@
         match decode::<Datagram>(&buffer[..length]) {
             Ok(datagram) if datagram.version == LEAF_REPORTS_VERSION => {
                 engine.apply_reports(&datagram.leaf_reports, boot_us());
+                engine.apply_rate_reports(from.ip(), &datagram.rate_reports, boot_us());
             }
             Ok(datagram) => {
                 debug!(event = "leaf_reports_version_mismatch", %from, version = datagram.version);
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -5,15 +5,16 @@
 //! would be mistaken for stalls of leaves.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use tracing::info;
 
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
-use super::leaf_reports::{LeafReport, Observation};
+use super::leaf_reports::{LeafReport, Observation, RateReport};
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
+use super::rate_limit::{MAX_WAIT_US, Rate, RateLimit, SharingVms};
 use super::routes::{RouteTable, ServiceNames};
 use super::unanswered_runs::{UnansweredRun, UnansweredRuns};
 use crate::ids::{LeafKey, ServiceKey};
@@ -73,6 +74,8 @@
     /// Latest time at which it was known to live: its last reply, or the appearance of its record
     /// in a change of the list. 0 if it is not known.
     pub alive_us: u64,
+    /// Limit on the rate of calls that the leaf has named.
+    pub rate_limit: Option<RateLimit>,
     /// Time of the first failed call since the leaf last replied, to this VM or another one.
     failed_us: Option<u64>,
     /// Runs without an answer since the leaf last answered.
@@ -94,6 +97,10 @@
     own_domain: Box<str>,
     pause_period: PausePeriod,
     last_reply_us: u64,
+    /// Whether a leaf may have named a limit on the rate of its calls.
+    pub has_rate_limits: bool,
+    /// VMs among which the rates that leaves name are divided.
+    pub sharing_vms: SharingVms,
     /// Unanswered runs of processes that have ended since, with the hash of the process.
     ended_runs: Vec<(u64, UnansweredRun)>,
 }
@@ -105,6 +112,8 @@
     NoneAvailable,
     /// All connections to its leaves are in use.
     NoConnection,
+    /// Its leaves take no further calls for now, by the limits that they have named.
+    RateLimited,
 }
 
 impl Leaves {
@@ -202,6 +211,7 @@
             warmup_until_ms: now_ms + record.warmup_left_ms,
             retired: false,
             alive_us,
+            rate_limit: None,
             failed_us: None,
             unanswered_runs: UnansweredRuns::default(),
             retired_ms: 0,
@@ -443,7 +453,8 @@
         now_us: u64,
     ) -> Result<LeafKey, NoLeafError> {
         let mut best: Option<(u64, LeafKey)> = None;
-        let mut error = NoLeafError::NoneAvailable;
+        let mut has_no_connection = false;
+        let mut is_rate_limited = false;
         for key in self.of_service(service) {
             let Some(leaf) = self.arena.get(key) else {
                 continue;
@@ -452,15 +463,115 @@
                 continue;
             }
             if leaf.idle.is_empty() && leaf.connections >= limits.per_leaf(service) {
-                error = NoLeafError::NoConnection;
+                has_no_connection = true;
                 continue;
             }
-            let cost_us = self.cost_us(leaf, now_us);
+            let Some(wait_us) = self.rate_limit_wait_us(leaf, now_us) else {
+                is_rate_limited = true;
+                continue;
+            };
+            let cost_us = self.cost_us(leaf, now_us) + wait_us;
             if best.is_none_or(|(lowest_us, _)| cost_us < lowest_us) {
                 best = Some((cost_us, *key));
             }
         }
-        best.map(|(_, key)| key).ok_or(error)
+        best.map(|(_, key)| key).ok_or({
+            if has_no_connection {
+                NoLeafError::NoConnection
+            } else if is_rate_limited {
+                NoLeafError::RateLimited
+            } else {
+                NoLeafError::NoneAvailable
+            }
+        })
+    }
+
+    /// Returns how long a call to a leaf has to wait, or `None` if that is too long.
+    fn rate_limit_wait_us(&self, leaf: &Leaf, now_us: u64) -> Option<u64> {
+        let Some(rate_limit) = &leaf.rate_limit else {
+            return Some(0);
+        };
+        let wait_us = rate_limit.wait_us(now_us, self.sharing_vms.count());
+        wait_us.filter(|wait_us| *wait_us <= MAX_WAIT_US)
+    }
+
+    /// Deducts a call from the rate that a leaf has named, and returns the time at which the call
+    /// may begin.
+    pub fn reserve_call(&mut self, key: LeafKey, now_us: u64) -> u64 {
+        let vms = self.sharing_vms.count();
+        let leaf = self.arena.get_mut(&key);
+        let Some(rate_limit) = leaf.and_then(|leaf| leaf.rate_limit.as_mut()) else {
+            return now_us;
+        };
+        let wait_us = rate_limit.wait_us(now_us, vms).unwrap_or(0);
+        rate_limit.reserve(now_us, vms);
+        now_us + wait_us
+    }
+
+    /// Applies the limit that an answer of a leaf names, or `None` for an answer without one.
+    pub fn record_rate(&mut self, key: LeafKey, rate: Rate, now_us: u64) {
+        let vms = self.sharing_vms.count();
+        let Some(leaf) = self.arena.get_mut(&key) else {
+            return;
+        };
+        self.has_rate_limits |= rate.is_some();
+        let was_active = leaf.rate_limit.as_ref().is_some_and(RateLimit::is_active);
+        match (&mut leaf.rate_limit, rate) {
+            (Some(rate_limit), _) => rate_limit.record_answer(rate, now_us, vms),
+            (None, Some(rate_milli)) => {
+                leaf.rate_limit = Some(RateLimit::new(rate_milli, now_us));
+            }
+            (None, None) => {}
+        }
+        if was_active != rate.is_some() {
+            info!(event = "leaf_rate_limit", leaf = %leaf.address(), rate_milli = rate);
+        }
+    }
+
+    /// Returns the reports for the other VMs on leaves that have named a limit, and drops expired
+    /// limits.
+    pub fn rate_reports(&mut self, now_us: u64) -> Vec<RateReport> {
+        let mut reports = Vec::new();
+        if !self.has_rate_limits {
+            return reports;
+        }
+        for leaf in self.arena.values_mut() {
+            let Some(rate_limit) = &leaf.rate_limit else {
+                continue;
+            };
+            if rate_limit.is_expired(now_us) {
+                leaf.rate_limit = None;
+                continue;
+            }
+            reports.push(RateReport {
+                leaf: leaf.address(),
+                process: leaf.record.process_hash(),
+                usage: rate_limit.usage(now_us),
+            });
+        }
+        self.has_rate_limits = !reports.is_empty();
+        reports
+    }
+
+    /// Applies another VM's report on a leaf that has named a limit.
+    pub fn apply_rate_report(&mut self, peer: IpAddr, report: &RateReport, now_us: u64) {
+        let vms = self.sharing_vms.count();
+        let key = self.by_address.get(&report.leaf);
+        let Some(leaf) = key.and_then(|key| self.arena.get_mut(key)) else {
+            return;
+        };
+        if leaf.record.process_hash() != report.process {
+            return;
+        }
+        if leaf.rate_limit.is_none() {
+            let answered_us = now_us.saturating_sub(report.usage.age_us);
+            let rate_milli = report.usage.rate_milli;
+            leaf.rate_limit = rate_milli.map(|rate| RateLimit::new(rate, answered_us));
+            self.has_rate_limits |= rate_milli.is_some();
+        }
+        if let Some(rate_limit) = &mut leaf.rate_limit {
+            rate_limit.apply_usage(peer, &report.usage, now_us, vms);
+        }
     }
 
     fn cost_us(&self, leaf: &Leaf, now_us: u64) -> u64 {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
-//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`].
+//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`],
+//! [`rate_limit`].
 
 mod attempt;
 pub mod call;
@@ -28,6 +29,7 @@
 pub mod merge;
 pub mod metrics;
 pub mod pause_predictor;
+pub mod rate_limit;
 pub mod retry_budgets;
 pub mod routes;
 pub mod service;
@@ -50,13 +52,14 @@
 pub use entry::{Gateway, GatewaySettings};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
-pub use leaf_reports::{LeafReport, Observation, ReportQueue};
+pub use leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 pub use leaf_stats::LeafStats;
 pub use leaves::{ConnectionLimits, Leaves, NoLeafError, connection_share};
 pub use membership::{LiveVm, Membership};
 pub use merge::merge_records;
 pub use metrics::Metrics;
 pub use pause_predictor::{PausePeriod, PausePredictor, Stall};
+pub use rate_limit::{RateLimit, RateUsage, SharingVms};
 pub use retry_budgets::{RetryBudgetLimits, RetryBudgets};
 pub use routes::{
     CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames, ServiceSpec,
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -81,6 +81,8 @@
     BodyIncomplete,
     #[error("content is quarantined, since it crashed leaves")]
     Quarantined { until_unix_ms: u64 },
+    #[error("leaves take no further requests by the rates that they have named")]
+    RateLimited { remaining_ms: u64 },
     /// `pressure` is the smoothed ratio of the median call latency to the acceptable one.
     #[error("leaf queues are too long: limit {limit:.1}, pressure {pressure:.2}")]
     Overloaded {
@@ -93,9 +95,10 @@
 impl Refusal {
     fn status(self) -> StatusCode {
         match self {
-            Self::NoConfiguration | Self::Overloaded { .. } | Self::Quarantined { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Overloaded { .. }
+            | Self::RateLimited { .. }
+            | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoRequestId => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -109,7 +112,7 @@
     /// random spread keeps callers that were rejected together from retrying together.
     fn retry_wait_ms(self) -> Range<u64> {
         match self {
-            Self::Overloaded { remaining_ms, .. } => {
+            Self::Overloaded { remaining_ms, .. } | Self::RateLimited { remaining_ms } => {
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
                 max_wait_ms / 2..max_wait_ms.max(MIN_RETRY_WAIT_MS)
             }
@@ -147,6 +150,10 @@
             route,
             spec.deadline_us.saturating_sub(started_us),
         );
+        if !self.engine.takes_calls(&plan.services, plan.min_parts) {
+            let remaining_ms = spec.deadline_us.saturating_sub(started_us) / 1_000;
+            return Err(Refusal::RateLimited { remaining_ms });
+        }
         let request_id = spec.request_id.clone();
         let content = spec.content;
         let is_merged = !plan.relays_errors;
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -73,6 +73,7 @@
     behaviour: Arc<Mutex<LeafBehaviour>>,
     executed: Arc<Mutex<Vec<String>>>,
     record: u8,
+    rate_limit: Arc<Mutex<Option<String>>>,
     serving: Arc<Mutex<Option<AbortHandle>>>,
     /// Connections that fill the backlog of a leaf that was cut off.
     unanswered: Arc<Mutex<Vec<TcpStream>>>,
@@ -86,6 +87,7 @@
         expected_leaf: name("x-expected"),
         signature: name("x-signature"),
         not_run: name("x-not-run"),
+        rate_limit: name("x-rate-limit"),
         part_signatures: name("x-parts"),
         missing_parts: name("x-missing"),
     }
@@ -118,6 +120,7 @@
             behaviour: Arc::new(Mutex::new(behaviour)),
             executed: Arc::default(),
             record,
+            rate_limit: Arc::default(),
             serving: Arc::default(),
             unanswered: Arc::default(),
         };
@@ -186,6 +189,11 @@
         *self.behaviour.lock().unwrap() = behaviour;
     }
 
+    /// Sets the limit that the leaf names in its answers.
+    pub fn set_rate_limit(&self, rate: Option<&str>) {
+        *self.rate_limit.lock().unwrap() = rate.map(str::to_owned);
+    }
+
     pub fn executed(&self) -> usize {
         self.executed.lock().unwrap().len()
     }
@@ -199,6 +207,9 @@
         let mut response = Response::new(Full::new(Bytes::from(vec![self.record; 16])));
         let fields = response.headers_mut();
         fields.insert("x-request", id.clone());
+        if let Some(rate) = &*self.rate_limit.lock().unwrap() {
+            fields.insert("x-rate-limit", rate.parse().unwrap());
+        }
         if behaviour == LeafBehaviour::Refuse {
             fields.insert("x-not-run", "1".parse().unwrap());
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
