Bound the memory and the time that replies without end take

Callers got no answer in time, and a VM took more memory than it has, if leaves sent bytes without end in place of answers.

Cause: each reply was limited to 16 MiB by itself, and nothing limited all of them together; interim responses and tiny chunks were not limited at all. The class: a limit for each item where the resource is shared.

The bytes of a head, of interim responses and of chunk headers are limited on the stream itself.

Ruled out: a limit on the memory alone.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -126,14 +126,18 @@
         };
         if let Some(connection) = &mut self.connection {
             let request = build_request(&self.engine.headers, spec, &id);
-            let result = connection.exchange(request).await;
+            let result = connection
+                .exchange_within(request, &self.engine.reply_memory)
+                .await;
             if result.as_ref().err() != Some(&CallError::Unsent) {
                 return result;
             }
         }
         let connection = self.connection.insert(Connection::open(address).await?);
         let request = build_request(&self.engine.headers, spec, &id);
-        connection.exchange(request).await
+        connection
+            .exchange_within(request, &self.engine.reply_memory)
+            .await
     }
 
     /// Connects again to a leaf that broke off the exchange, and returns whether it crashed or only
@@ -318,7 +322,11 @@
         Ok(status) if status.is_success() => Some(Observation::Answered),
         Ok(_)
         | Err(
-            CallError::Refused | CallError::Broken | CallError::LeafCrashed | CallError::Unsigned,
+            CallError::Refused
+            | CallError::Broken
+            | CallError::ReplyTooLarge
+            | CallError::LeafCrashed
+            | CallError::Unsigned,
         ) => Some(Observation::Failed),
         Err(
             CallError::Connect
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -5,23 +5,34 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::metered_stream::{MeteredStream, ReadAllowance};
+use super::reply_memory::{ReplyMemory, ReplyReceiver};
+
 /// Timeout for opening a connection: a network round trip and the setup at the leaf, with a margin
 /// for a loaded leaf. A lost SYN is retransmitted only after a second.
 const CONNECT_TIMEOUT_MS: u64 = 120;
 
-/// Maximum size of the body of a leaf's reply.
-const MAX_REPLY_BYTES: usize = 16 * 1_048_576;
+/// Memory of the reply to a call that shares none with other calls.
+const OWN_REPLY_BYTES: usize = 16 * 1_048_576;
+
+/// Maximum number of bytes that are received for the body of a reply, with the headers of its
+/// chunks.
+const MAX_BODY_READ_BYTES: usize = 2 * OWN_REPLY_BYTES;
+
+/// Maximum number of bytes that are received before a reply's body: its head and interim responses.
+const MAX_HEAD_READ_BYTES: usize = 32 * 1_024;
 
 /// Size of a connection's read buffer, which also limits the header block of a leaf's reply. It is
 /// small because a VM has some hundred connections and its memory is billed.
@@ -37,6 +48,7 @@
 #[derive(Debug)]
 pub struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     usable_until_ms: u64,
 }
 
@@ -44,6 +56,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
 }
 
 /// A complete reply of a leaf.
@@ -73,6 +86,9 @@
     /// The connection was closed, or the reply was malformed, after the request was sent.
     #[error("answer broke off")]
     Broken,
+    /// The reply has no end, or is larger than the memory for replies allows.
+    #[error("reply is too large")]
+    ReplyTooLarge,
     /// The leaf's process ended after the request was sent.
     #[error("leaf crashed")]
     LeafCrashed,
@@ -104,7 +120,11 @@
             | Self::Unsent
             | Self::WrongLeaf
             | Self::Refused => true,
-            Self::Broken | Self::LeafCrashed | Self::RequestIdMismatch | Self::Unsigned => false,
+            Self::Broken
+            | Self::ReplyTooLarge
+            | Self::LeafCrashed
+            | Self::RequestIdMismatch
+            | Self::Unsigned => false,
         }
     }
 }
@@ -138,6 +158,9 @@
         }
         let mut builder = Builder::new();
         builder.read_buf_exact_size(Some(READ_BUFFER_BYTES));
+        let allowance = ReadAllowance::default();
+        allowance.set(MAX_HEAD_READ_BYTES);
+        let stream = MeteredStream::new(stream, allowance.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| CallError::Connect)?;
         tokio::spawn(async move {
@@ -145,20 +168,35 @@
                 tracing::trace!(event = "leaf_connection_ended", %error);
             }
         });
-        Ok(Self { sender })
+        Ok(Self { sender, allowance })
     }
 
-    /// Sends a request and reads the complete reply.
+    /// Sends a request and reads the complete reply, in memory of its own.
     ///
     /// Dropping the future closes the connection, upon which most leaves cancel the request.
     ///
     /// # Errors
     ///
-    /// Fails if the connection is closed before the reply is complete.
+    /// Fails if the connection is closed before the reply is complete, or the reply is too large.
     pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+        let memory = Arc::new(ReplyMemory::new(OWN_REPLY_BYTES));
+        self.exchange_within(request, &memory).await
+    }
+
+    /// Sends a request and reads the complete reply, in memory that is shared with other replies.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Connection::exchange`] does, also if other replies use the memory.
+    pub async fn exchange_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        memory: &Arc<ReplyMemory>,
+    ) -> Result<Reply, CallError> {
         if self.sender.ready().await.is_err() {
             return Err(CallError::Unsent);
         }
+        self.allowance.set(MAX_HEAD_READ_BYTES);
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -166,21 +204,39 @@
                 return Err(if unsent {
                     CallError::Unsent
                 } else {
-                    CallError::Broken
+                    self.broken()
                 });
             }
         };
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
-        // Copied because a slice would keep the whole read buffer allocated.
-        let body = Bytes::copy_from_slice(&body.map_err(|_| CallError::Broken)?.to_bytes());
+        self.allowance.set(MAX_BODY_READ_BYTES);
+        let (head, mut body) = response.into_parts();
+        let mut receiver = ReplyReceiver::new(Arc::clone(memory));
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| self.broken())?;
+            let Some(part) = frame.data_ref() else {
+                continue;
+            };
+            // Copied because a slice would keep the whole read buffer allocated.
+            if !receiver.append(part).await {
+                return Err(CallError::ReplyTooLarge);
+            }
+        }
         Ok(Reply {
             status: head.status,
             headers: head.headers,
-            body,
+            body: Bytes::from_owner(receiver.finish()),
         })
     }
 
+    /// Returns why an exchange broke off.
+    fn broken(&self) -> CallError {
+        if self.allowance.is_exhausted() {
+            CallError::ReplyTooLarge
+        } else {
+            CallError::Broken
+        }
+    }
+
     /// Returns whether another request can be sent.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -198,6 +254,7 @@
             });
         Some(IdleConnection {
             sender: self.sender,
+            allowance: self.allowance,
             usable_until_ms: now_ms + idle_timeout_ms,
         })
     }
@@ -213,6 +270,7 @@
     pub fn into_connection(self) -> Connection {
         Connection {
             sender: self.sender,
+            allowance: self.allowance,
         }
     }
 }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -24,6 +24,7 @@
 use super::membership::LiveVm;
 use super::metrics::Metrics;
 use super::pause_predictor::Stall;
+use super::reply_memory::ReplyMemory;
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
 use super::routes::{RouteTable, ServiceNames};
 use super::unanswered_runs::RecentSuccesses;
@@ -32,6 +33,9 @@
 use crate::fact::Fact;
 use crate::ids::{LeafKey, ServiceKey};
 
+/// Size of the memory that the replies of leaves share, unless it is set.
+const DEFAULT_REPLY_MEMORY_BYTES: usize = 32 * 1_048_576;
+
 /// Names of the headers used between callers, the gateway and leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
@@ -86,6 +90,8 @@
     pub headers: Headers,
     /// Metrics of the gateway.
     pub metrics: Metrics,
+    /// Memory that the replies of leaves share.
+    pub reply_memory: Arc<ReplyMemory>,
     active_addresses: Mutex<Arc<[SocketAddr]>>,
     is_watcher: AtomicBool,
     platform_is_reachable: AtomicBool,
@@ -119,6 +125,7 @@
         Self {
             headers,
             metrics,
+            reply_memory: Arc::new(ReplyMemory::new(DEFAULT_REPLY_MEMORY_BYTES)),
             active_addresses: Mutex::new(Arc::from([])),
             is_watcher: AtomicBool::new(true),
             platform_is_reachable: AtomicBool::new(true),
@@ -127,6 +134,12 @@
         }
     }
 
+    /// Sets the size of the memory that the replies of leaves share.
+    pub fn with_reply_memory(mut self, bytes: usize) -> Self {
+        self.reply_memory = Arc::new(ReplyMemory::new(bytes));
+        self
+    }
+
     /// Changes the limits of the retry budgets.
     pub fn set_retry_budget_limits(&self, limits: RetryBudgetLimits) {
         self.state().retry_budgets.set_limits(limits);
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -58,6 +58,8 @@
     pub millicores: u32,
     /// Bandwidth of this VM's network link, in megabits per second.
     pub link_mbps: u32,
+    /// Memory that the replies of leaves share.
+    pub reply_memory_bytes: usize,
     /// Whether the whole system is started for the first time.
     pub first_start: bool,
     /// Limits of the retry budgets.
@@ -139,12 +141,13 @@
             .await
             .change_context(GatewayError::Bind("membership"))?;
         let metrics = Metrics::open().change_context(GatewayError::Metrics)?;
-        let engine = Arc::new(Engine::new(
+        let engine = Engine::new(
             settings.headers.clone(),
             settings.retry_budget,
             settings.failure_domain.clone(),
             metrics,
-        ));
+        );
+        let engine = Arc::new(engine.with_reply_memory(settings.reply_memory_bytes));
         let component_registry = Arc::new(ComponentRegistry::default());
         component_registry.register(CONTROL, Arc::clone(&membership));
         component_registry.register(ROOT, Arc::clone(&engine));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,9 +27,11 @@
 pub mod leaves;
 pub mod membership;
 pub mod merge;
+mod metered_stream;
 pub mod metrics;
 pub mod pause_predictor;
 pub mod rate_limit;
+pub mod reply_memory;
 pub mod retry_budgets;
 pub mod routes;
 pub mod service;
@@ -60,6 +62,7 @@
 pub use metrics::Metrics;
 pub use pause_predictor::{PausePeriod, PausePredictor, Stall};
 pub use rate_limit::{RateLimit, RateUsage, SharingVms};
+pub use reply_memory::{ReplyBuffer, ReplyMemory, ReplyReceiver};
 pub use retry_budgets::{RetryBudgetLimits, RetryBudgets};
 pub use routes::{
     CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames, ServiceSpec,
