Follow a store that was restored from an older copy

Requests were handled as the previous configuration says, for as long as the store's revisions stayed below those that a VM had seen, after the store had come back from a copy.

Cause: the catalog ignored an image with a lower revision, and no code read the store's era. The class: a counter taken as unique although its source may repeat it.

Versions of the catalog are ordered by epoch and revision now, in watches, in full reads and between VMs. The first image of an epoch reverts no configuration, keeps missing leaves until they have written their records again, and brings back no leaf that has left or announced its end since.

Ruled out: taking every lower revision as a restore. A late answer of the store, or an image of a peer that is behind, has a lower one as well.

--- a/src/document.rs
+++ b/src/document.rs
@@ -22,12 +22,13 @@
 /// Maximum number of history entries, the oldest of which are evicted first.
 const MAX_HISTORY_ENTRIES: usize = 64;
 
-/// Version of a document, ordered by epoch and then by the platform's revision.
+/// Version of a document or of the platform's state, ordered by epoch and then by the platform's
+/// revision.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 #[derive(Encode, Decode)]
 pub struct Version {
-    /// Epoch set in the file, or 0 if it sets none.
+    /// Epoch set in the file, or of the platform's history; 0 if there is none.
     pub epoch: u64,
     /// Revision that the platform assigned to the value.
     pub revision: u64,
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -1,22 +1,31 @@
 //! Stores the newest configuration and the leaf records of the platform, from which the routes and
 //! leaves of each request are taken.
 //!
-//! Handles VMs that are behind, which get the changes since their revision or a full image from a
-//! peer, and outages of the platform, during which leaf records may lapse although the leaves run.
+//! Handles VMs that are behind, which get the changes since their version or a full image from a
+//! peer, outages of the platform, during which leaf records may lapse although the leaves run, and a
+//! platform that is restored from an older copy, which begins a new epoch and repeats revisions.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::routes::RouteDocument;
+use crate::document::Version;
 
 /// Grace period after the platform recovers from an outage. Leaves whose records have
 /// disappeared stay in use for this time, since live leaves write their records again within two
 /// seconds.
 pub const RECOVERY_GRACE_MS: u64 = 2_300;
 
+/// Time for which leaves that have left are remembered. A copy from which the platform is restored is
+/// some seconds old and may list them.
+const DEPARTURE_RETENTION_MS: u64 = 30_000;
+
+/// Maximum number of leaves that are remembered after they have left.
+const MAX_DEPARTURES: usize = 1_024;
+
 /// Maximum number of change batches kept for peers that are behind.
 const MAX_HISTORY_BATCHES: usize = 128;
 
@@ -72,6 +81,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
 pub struct CatalogImage {
+    /// Epoch of the platform's history, which rises when the platform is restored from a copy.
+    pub epoch: u64,
     /// Revision of the platform.
     pub revision: u64,
     /// Configuration, if one was published.
@@ -86,6 +97,8 @@
 pub struct ChangeSet {
     /// Changes in the order of their revisions.
     pub changes: Vec<Change>,
+    /// Epoch of the platform's history.
+    pub epoch: u64,
     /// Revision up to which the changes are complete.
     pub revision: u64,
 }
@@ -102,10 +115,30 @@
     Image(CatalogImage),
 }
 
-/// Changes between two revisions, in the order in which they were received.
+impl CatalogImage {
+    /// Returns the version of the platform's state.
+    pub fn version(&self) -> Version {
+        Version {
+            epoch: self.epoch,
+            revision: self.revision,
+        }
+    }
+}
+
+impl ChangeSet {
+    /// Returns the version up to which the changes are complete.
+    pub fn version(&self) -> Version {
+        Version {
+            epoch: self.epoch,
+            revision: self.revision,
+        }
+    }
+}
+
+/// Changes between two versions, in the order in which they were received.
 #[derive(Clone, Debug)]
 struct ChangeBatch {
-    base_revision: u64,
+    base: Version,
     change_set: ChangeSet,
 }
 
@@ -121,23 +154,25 @@
 /// Configuration and leaves at a revision of the platform, with the recent changes.
 #[derive(Debug, Default)]
 pub struct Catalog {
-    revision: u64,
-    last_change_revision: u64,
+    version: Version,
+    last_change: Version,
     document: Option<RouteDocument>,
     leaves: BTreeMap<Box<str>, CatalogEntry>,
+    /// Processes of leaves that have left or announced their end, with the time of this.
+    departures: HashMap<u64, u64>,
     grace_until_ms: u64,
     history: VecDeque<ChangeBatch>,
 }
 
 impl Catalog {
-    /// Returns the revision up to which all changes were applied.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the version of the platform's state up to which all changes were applied.
+    pub fn version(&self) -> Version {
+        self.version
     }
 
-    /// Returns the revision at which the configuration or a leaf last changed.
-    pub fn last_change_revision(&self) -> u64 {
-        self.last_change_revision
+    /// Returns the version at which the configuration or a leaf last changed.
+    pub fn last_change(&self) -> Version {
+        self.last_change
     }
 
     /// Returns the current configuration.
@@ -161,74 +196,76 @@
     /// use cloverrack::gateway::{Catalog, CatalogImage};
     /// let mut catalog = Catalog::default();
     /// catalog.platform_recovered(1_000);
-    /// let image = CatalogImage { revision: 7, document: None, leaves: vec![] };
+    /// let image = CatalogImage { epoch: 0, revision: 7, document: None, leaves: vec![] };
     /// catalog.replace(image, 1_000);
-    /// assert_eq!(catalog.revision(), 7);
+    /// assert_eq!(catalog.version().revision, 7);
     /// ```
     pub fn platform_recovered(&mut self, now_ms: u64) {
         self.grace_until_ms = now_ms + RECOVERY_GRACE_MS;
     }
 
-    /// Applies changes in the order of their revisions; a set up to an older revision is ignored.
+    /// Applies changes in the order of their revisions; a set up to an older version, or of an epoch
+    /// that is not the current one, is ignored.
     pub fn apply(&mut self, change_set: ChangeSet, now_ms: u64) -> ChangeSummary {
         let mut changed = ChangeSummary::default();
-        if change_set.revision < self.revision {
+        let version = change_set.version();
+        if version.epoch != self.version.epoch || version < self.version {
             return changed;
         }
-        let revision = change_set.revision;
         self.record_history(change_set.clone());
         for change in change_set.changes {
             match change {
                 Change::Document(document) => changed.document |= self.apply_document(document),
-                Change::Leaf(record) => changed.leaves |= self.upsert_leaf(record),
+                Change::Leaf(record) => changed.leaves |= self.upsert_leaf(record, now_ms),
                 Change::LeafRemoved(id) => changed.leaves |= self.remove_leaf(&id, now_ms),
             }
         }
-        self.advance_to(revision, changed);
+        self.advance_to(version, changed);
         changed
     }
 
-    fn advance_to(&mut self, revision: u64, changed: ChangeSummary) {
-        self.revision = revision;
-        if changed.document || changed.leaves {
-            self.last_change_revision = revision;
+    /// Sets the version. The beginning of an epoch counts as a change: other VMs have to leave the
+    /// previous one.
+    fn advance_to(&mut self, version: Version, changed: ChangeSummary) {
+        let is_new_epoch = version.epoch != self.version.epoch;
+        self.version = version;
+        if changed.document || changed.leaves || is_new_epoch {
+            self.last_change = version;
         }
     }
 
     /// Adds changes to the history for peers that are behind.
     fn record_history(&mut self, change_set: ChangeSet) {
-        let base_revision = self.revision;
-        self.history.push_back(ChangeBatch {
-            base_revision,
-            change_set,
-        });
+        let base = self.version;
+        self.history.push_back(ChangeBatch { base, change_set });
         if self.history.len() > MAX_HISTORY_BATCHES {
             self.history.pop_front();
         }
     }
 
-    /// Returns the update for a peer that has applied all changes up to revision `after`.
+    /// Returns the update for a peer that has applied all changes up to version `after`.
     ///
     /// It may include changes that the peer already has, since applying them again is idempotent.
-    pub fn update_since(&self, after: u64) -> CatalogUpdate {
-        if after >= self.revision {
+    pub fn update_since(&self, after: Version) -> CatalogUpdate {
+        if after >= self.version {
             return CatalogUpdate::Nothing;
         }
         let mut changes = Vec::new();
-        let mut base_revision = u64::MAX;
+        let mut base = None;
         for batch in &self.history {
-            if batch.change_set.revision <= after {
+            if batch.change_set.version() <= after {
                 continue;
             }
-            base_revision = base_revision.min(batch.base_revision);
+            base = base.or(Some(batch.base));
             changes.extend(batch.change_set.changes.iter().cloned());
         }
-        if base_revision > after {
+        if base.is_none_or(|base| base.epoch != after.epoch || base > after) {
             return CatalogUpdate::Image(self.image());
         }
         CatalogUpdate::Changes(ChangeSet {
             changes,
-            revision: self.revision,
+            epoch: self.version.epoch,
+            revision: self.version.revision,
         })
     }
 
@@ -241,12 +278,21 @@
         }
     }
 
-    /// Replaces the state with a full image; an image of an older revision is ignored.
-    pub fn replace(&mut self, image: CatalogImage, now_ms: u64) -> ChangeSummary {
+    /// Replaces the state with a full image; an image of an older version is ignored.
+    ///
+    /// The first image of an epoch lacks what was written shortly before. Missing leaves are kept
+    /// until they have written their records again, and leaves that have left stay out of use.
+    pub fn replace(&mut self, mut image: CatalogImage, now_ms: u64) -> ChangeSummary {
         let mut changed = ChangeSummary::default();
-        if image.revision < self.revision {
+        let version = image.version();
+        if version < self.version {
             return changed;
         }
+        let is_restored = version.epoch != self.version.epoch && self.version != Version::default();
+        if is_restored {
+            self.platform_recovered(now_ms);
+            self.remove_departed(&mut image, now_ms);
+        }
         if let Some(document) = image.document {
             changed.document = self.apply_document(document);
         }
@@ -261,15 +307,35 @@
             changed.leaves |= self.remove_leaf(&id, now_ms);
         }
         for record in image.leaves {
-            changed.leaves |= self.upsert_leaf(record);
+            changed.leaves |= self.upsert_leaf(record, now_ms);
         }
-        if image.revision > self.revision {
+        if version > self.version {
             self.history.clear();
         }
-        self.advance_to(image.revision, changed);
+        self.advance_to(version, changed);
         changed
     }
 
+    /// Removes the records of leaves from the first image of an epoch that have left or announced
+    /// their end since the image was copied. A leaf that lives writes its record again.
+    fn remove_departed(&self, image: &mut CatalogImage, now_ms: u64) {
+        image.leaves.retain(|record| {
+            let departed_ms = self.departures.get(&record.process_hash());
+            record.draining
+                || departed_ms
+                    .is_none_or(|departed_ms| now_ms >= departed_ms + DEPARTURE_RETENTION_MS)
+        });
+    }
+
+    /// Remembers that a leaf has left or announced its end.
+    fn record_departure(&mut self, record: &LeafRecord, now_ms: u64) {
+        self.departures
+            .retain(|_, departed_ms| now_ms < *departed_ms + DEPARTURE_RETENTION_MS);
+        if self.departures.len() < MAX_DEPARTURES {
+            self.departures.insert(record.process_hash(), now_ms);
+        }
+    }
+
     /// Removes leaves whose grace period has ended.
     pub fn remove_expired(&mut self, now_ms: u64) -> ChangeSummary {
         let before = self.leaves.len();
@@ -286,7 +352,8 @@
         let entries = self.leaves.values();
         let entries = entries.filter(|entry| entry.expires_at_ms.is_none());
         CatalogImage {
-            revision: self.revision,
+            epoch: self.version.epoch,
+            revision: self.version.revision,
             document: self.document.clone(),
             leaves: entries.map(|entry| entry.record.clone()).collect(),
         }
@@ -304,7 +371,10 @@
     }
 
     /// Stores the record of a leaf, and returns whether it is new or changed.
-    fn upsert_leaf(&mut self, record: LeafRecord) -> bool {
+    fn upsert_leaf(&mut self, record: LeafRecord, now_ms: u64) -> bool {
+        if record.draining {
+            self.record_departure(&record, now_ms);
+        }
         let entry = CatalogEntry {
             record,
             expires_at_ms: None,
@@ -325,7 +395,9 @@
             entry.expires_at_ms.get_or_insert(self.grace_until_ms);
             return false;
         }
-        self.leaves.remove(id);
+        if let Some(removed) = self.leaves.remove(id) {
+            self.record_departure(&removed.record, now_ms);
+        }
         true
     }
 }
--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -19,6 +19,7 @@
 
 use super::catalog::CatalogUpdate;
 use super::engine::Engine;
+use crate::document::Version;
 use crate::wire::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
 
 /// Timeout for a complete exchange: a network round trip and the transfer of an image of some
@@ -32,7 +33,7 @@
 /// Maximum number of connections served concurrently.
 const MAX_CONNECTIONS: usize = 64;
 
-/// Header with the revision up to which the requesting VM has all changes.
+/// Header with the version up to which the requesting VM has all changes, as `EPOCH.REVISION`.
 const AFTER_HEADER: &str = "cloverrack-after";
 
 /// Header with the version of the internal protocol.
@@ -50,18 +51,24 @@
     Malformed,
 }
 
-/// Fetches the changes after a revision from a peer.
+/// Fetches the changes after a version from a peer.
 ///
 /// # Errors
 ///
 /// Fails if the peer doesn't respond in time or uses another protocol version.
-pub async fn fetch_update(peer: SocketAddr, after: u64) -> Result<CatalogUpdate, CatalogRpcError> {
+pub async fn fetch_update(
+    peer: SocketAddr,
+    after: Version,
+) -> Result<CatalogUpdate, CatalogRpcError> {
     let limit = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
     let result = timeout(limit, fetch_update_once(peer, after)).await;
     result.map_err(|_| CatalogRpcError::Unreachable)?
 }
 
-async fn fetch_update_once(peer: SocketAddr, after: u64) -> Result<CatalogUpdate, CatalogRpcError> {
+async fn fetch_update_once(
+    peer: SocketAddr,
+    after: Version,
+) -> Result<CatalogUpdate, CatalogRpcError> {
     let stream = TcpStream::connect(peer).await.map_err(log_unreachable)?;
     let (client, connection) = h2::client::Builder::new()
         .initial_window_size(FLOW_CONTROL_WINDOW_BYTES)
@@ -78,12 +85,12 @@
 async fn fetch_update_on(
     client: h2::client::SendRequest<Bytes>,
     peer: SocketAddr,
-    after: u64,
+    after: Version,
 ) -> Result<CatalogUpdate, CatalogRpcError> {
     let mut client = client.ready().await.map_err(log_unreachable)?;
     let request = Request::builder()
         .uri(format!("http://{peer}/catalog"))
-        .header(AFTER_HEADER, after)
+        .header(AFTER_HEADER, format!("{}.{}", after.epoch, after.revision))
         .header(VERSION_HEADER, PROTOCOL_VERSION)
         .body(())
         .map_err(|_| CatalogRpcError::Malformed)?;
@@ -168,11 +175,11 @@
 }
 
 fn handle_request<B>(request: &Request<B>, engine: &Engine) -> (StatusCode, Bytes) {
-    let header_number = |name| request.headers().get(name)?.to_str().ok()?.parse().ok();
-    let version: Option<u64> = header_number(VERSION_HEADER);
+    let header_text = |name| request.headers().get(name)?.to_str().ok();
+    let protocol_version = header_text(VERSION_HEADER).and_then(|text| text.parse().ok());
     let (Some(after), true) = (
-        header_number(AFTER_HEADER),
-        version == Some(u64::from(PROTOCOL_VERSION)),
+        header_text(AFTER_HEADER).and_then(parse_version),
+        protocol_version == Some(u64::from(PROTOCOL_VERSION)),
     ) else {
         return (StatusCode::BAD_REQUEST, Bytes::new());
     };
@@ -185,3 +192,12 @@
         }
     }
 }
+
+/// Parses a version of the form `EPOCH.REVISION`.
+fn parse_version(text: &str) -> Option<Version> {
+    let (epoch, revision) = text.split_once('.')?;
+    Some(Version {
+        epoch: epoch.parse().ok()?,
+        revision: revision.parse().ok()?,
+    })
+}
--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -17,6 +17,7 @@
 use super::engine::Engine;
 use super::membership::{LiveVm, Membership};
 use crate::clock::boot_ms;
+use crate::document::Version;
 
 /// Maximum fleet size at which every VM watches the platform, so that none depends on a peer.
 const MAX_VMS_ALL_WATCH: usize = 10;
@@ -72,8 +73,8 @@
     engine.set_platform_watcher(false);
     while boot_ms() < deadline_ms && engine.route_table().is_none() {
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-        if let Some(peer) = choose_peer(engine, membership, 0) {
-            fetch(engine, peer, 0).await;
+        if let Some(peer) = choose_peer(engine, membership, Version::default()) {
+            fetch(engine, peer, Version::default()).await;
         }
     }
     engine.set_platform_watcher(engine.route_table().is_none());
@@ -87,24 +88,24 @@
     if bootstrap_from_peers {
         bootstrap_catalog(&engine, &membership).await;
     }
-    let mut announced_revision = 0;
+    let mut announced = Version::default();
     let mut behind_since_ms = None;
     loop {
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-        let (own_revision, last_change_revision) = {
+        let (own_version, last_change) = {
             let catalog = &engine.state().catalog;
-            (catalog.revision(), catalog.last_change_revision())
+            (catalog.version(), catalog.last_change())
         };
         let age_ms = boot_ms().saturating_sub(started_ms);
         let is_settling = age_ms < STARTUP_SETTLE_MS && engine.route_table().is_some();
         let is_watcher =
             !is_settling && watches_platform(&membership.live_vms(), membership.address());
         engine.set_platform_watcher(is_watcher);
-        if last_change_revision > announced_revision && engine.route_table().is_some() {
-            announced_revision = last_change_revision;
-            membership.announce_catalog(last_change_revision);
+        if last_change > announced && engine.route_table().is_some() {
+            announced = last_change;
+            membership.announce_catalog(last_change);
         }
-        let Some(peer) = choose_peer(&engine, &membership, own_revision) else {
+        let Some(peer) = choose_peer(&engine, &membership, own_version) else {
             behind_since_ms = None;
             continue;
         };
@@ -113,7 +114,7 @@
         if is_watcher && engine.platform_is_reachable() && waited_ms < OWN_WATCH_TIMEOUT_MS {
             continue;
         }
-        if !fetch(&engine, peer, own_revision).await {
+        if !fetch(&engine, peer, own_version).await {
             sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
         }
     }
@@ -121,9 +122,13 @@
 
 /// Returns the peer to fetch the catalog from: one that announced a newer revision, or a random one
 /// while this VM has no routes.
-fn choose_peer(engine: &Engine, membership: &Membership, own_revision: u64) -> Option<SocketAddr> {
-    if let Some((revision, peer)) = membership.announced_catalog()
-        && revision > own_revision
+fn choose_peer(
+    engine: &Engine,
+    membership: &Membership,
+    own_version: Version,
+) -> Option<SocketAddr> {
+    if let Some((version, peer)) = membership.announced_catalog()
+        && version > own_version
     {
         return Some(peer);
     }
@@ -135,23 +140,29 @@
     peers.choose(&mut rand::rng()).map(|vm| vm.address)
 }
 
-/// Applies the catalog changes of a peer, and returns whether they brought a newer revision.
-async fn fetch(engine: &Engine, peer: SocketAddr, own_revision: u64) -> bool {
-    let update = match catalog_rpc::fetch_update(peer, own_revision).await {
+/// Applies the catalog changes of a peer, and returns whether they brought a newer version.
+async fn fetch(engine: &Engine, peer: SocketAddr, own_version: Version) -> bool {
+    let update = match catalog_rpc::fetch_update(peer, own_version).await {
         Ok(update) => update,
         Err(error) => {
             info!(event = "catalog_not_fetched", %peer, %error);
             return false;
         }
     };
-    let (changed, revision) = {
+    let (changed, version) = {
         let catalog = &mut engine.state().catalog;
         let changed = catalog.update(update, boot_ms());
-        (changed, catalog.revision())
+        (changed, catalog.version())
     };
-    debug!(event = "catalog_fetched", %peer, from = own_revision, to = revision);
+    debug!(
+        event = "catalog_fetched",
+        %peer,
+        epoch = version.epoch,
+        from = own_version.revision,
+        to = version.revision
+    );
     if changed.document || changed.leaves {
         engine.refresh();
     }
-    revision > own_revision
+    version > own_version
 }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -14,6 +14,7 @@
 use super::catalog::{CatalogImage, ChangeSet, ChangeSummary};
 use super::engine::Engine;
 use crate::clock::boot_ms;
+use crate::document::Version;
 
 /// Timeout of one long poll. A connection may stall without being closed; the next poll detects
 /// this within the 7 s after which a VM has to receive new configurations again.
@@ -53,10 +54,14 @@
     /// Reads the whole catalog.
     fn read_all(&self) -> impl Future<Output = Result<CatalogImage, CatalogSourceError>> + Send;
 
-    /// Waits up to `wait_ms` for changes after a revision.
+    /// Waits up to `wait_ms` for changes after a version.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`CatalogSourceError::HistoryLost`] if the platform is in another epoch.
     fn changes(
         &self,
-        after: u64,
+        after: Version,
         wait_ms: u64,
     ) -> impl Future<Output = Result<ChangeSet, CatalogSourceError>> + Send;
 }
@@ -108,6 +113,7 @@
         self.has_read = true;
         info!(
             event = "platform_read",
+            epoch = image.epoch,
             revision = image.revision,
             leaves = image.leaves.len()
         );
@@ -117,7 +123,7 @@
     }
 
     async fn poll_changes(&mut self) -> Result<ChangeSummary, CatalogSourceError> {
-        let after = self.engine.state().catalog.revision();
+        let after = self.engine.state().catalog.version();
         let changes = self.source.changes(after, LONG_POLL_MS).await?;
         self.record_recovery();
         let mut state = self.engine.state();
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -30,7 +30,7 @@
 /// Size of the receive buffer.
 const RECEIVE_BYTES: usize = 2_048;
 
-/// Name of the gossip document that announces the catalog revision.
+/// Name of the gossip document that announces the catalog version.
 const CATALOG: &str = "catalog";
 
 /// Gossip timing: a crashed VM disappears from the resolved addresses after the suspicion timeout
@@ -158,23 +158,23 @@
         seeds.is_empty() || seeds.contains(&self.address)
     }
 
-    /// Announces that this VM has the catalog up to a platform revision.
-    pub fn announce_catalog(&self, revision: u64) {
+    /// Announces that this VM has the catalog up to a version of the platform's state.
+    pub fn announce_catalog(&self, version: Version) {
         let fact = Fact::Document {
             name: CATALOG.into(),
-            version: Version { epoch: 0, revision },
+            version,
         };
         self.state().gossip.publish(fact, boot_ms());
     }
 
-    /// Returns the newest catalog revision that a peer announced, with the address of the peer.
-    pub fn announced_catalog(&self) -> Option<(u64, SocketAddr)> {
+    /// Returns the newest catalog version that a peer announced, with the address of the peer.
+    pub fn announced_catalog(&self) -> Option<(Version, SocketAddr)> {
         let state = self.state();
         let entry = state.gossip.fact(&FactKey::Document(CATALOG.into()))?;
         let Fact::Document { version, .. } = &entry.fact else {
             return None;
         };
-        Some((version.revision, entry.source?))
+        Some((*version, entry.source?))
     }
 
     /// Publishes a fact to all VMs.
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -449,6 +449,7 @@
 fn apply_change(gateway: &TestGateway, change: Change, revision: u64) {
     let change_set = ChangeSet {
         changes: vec![change],
+        epoch: 0,
         revision,
     };
     gateway.engine.state().catalog.apply(change_set, 0);
--- a/tests/gateway_follower.rs
+++ b/tests/gateway_follower.rs
@@ -15,6 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use cloverrack::document::Version;
 use cloverrack::gateway::{
     CatalogImage, CatalogSource, CatalogSourceError, ChangeSet, Engine, Follower,
 };
@@ -61,6 +62,7 @@
     async fn read_all(&self) -> Result<CatalogImage, CatalogSourceError> {
         match self.next("read").await {
             ScriptedReply::Image(revision) => Ok(CatalogImage {
+                epoch: 0,
                 revision,
                 document: None,
                 leaves: vec![],
@@ -70,10 +72,15 @@
         }
     }
 
-    async fn changes(&self, _after: u64, _wait_ms: u64) -> Result<ChangeSet, CatalogSourceError> {
+    async fn changes(
+        &self,
+        _after: Version,
+        _wait_ms: u64,
+    ) -> Result<ChangeSet, CatalogSourceError> {
         match self.next("watch").await {
             ScriptedReply::Changes(revision) => Ok(ChangeSet {
                 changes: vec![],
+                epoch: 0,
                 revision,
             }),
             ScriptedReply::Error(error) => Err(error),
@@ -107,7 +114,7 @@
         "read", "watch", "watch", "read", "watch", "watch", "read", "watch",
     ];
     assert_eq!(source.calls(), expected);
-    assert_eq!(engine.state().catalog.revision(), 20);
+    assert_eq!(engine.state().catalog.version().revision, 20);
 }
 
 /// Guards against a retry storm while the platform refuses every call. Each call to the platform
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 
 use cloverrack::ServiceKey;
+use cloverrack::document::Version;
 use cloverrack::gateway::{
     CallLatency, CallerLimits, Catalog, CatalogImage, CatalogUpdate, Change, ChangeSet,
     ConnectionLimits, Destination, FanoutDecision, FanoutSchedule, LeafRecord, LeafStats, Leaves,
@@ -64,7 +65,11 @@
 }
 
 fn changes(changes: Vec<Change>, revision: u64) -> ChangeSet {
-    ChangeSet { changes, revision }
+    ChangeSet {
+        changes,
+        epoch: 0,
+        revision,
+    }
 }
 
 /// Guards against a request sent by the wrong route: one with a shorter prefix that is listed
@@ -103,6 +108,7 @@
     catalog.apply(changes(vec![Change::Document(document(5, vec![]))], 11), 0);
     assert_eq!(catalog.document().map(|d| d.version), Some(7));
     let stale = CatalogImage {
+        epoch: 0,
         revision: 4,
         document: Some(document(9, vec![])),
         leaves: vec![],
@@ -123,6 +129,7 @@
     catalog.apply(changes(first, 1), 0);
     catalog.platform_recovered(1_000);
     let empty = CatalogImage {
+        epoch: 0,
         revision: 2,
         document: None,
         leaves: vec![],
@@ -142,6 +149,91 @@
     assert!(leaves(&catalog).is_empty());
 }
 
+/// Guards against a catalog that ignores a platform which was restored from an older copy, since its
+/// revisions go back, and against what the copy lacks: a newer configuration, leaves that started
+/// since, and leaves that have left or announced their end since.
+#[test]
+fn a_restored_platform_is_followed_and_reverts_nothing() {
+    let mut catalog = Catalog::default();
+    let first = ["stays", "leaves", "drains"];
+    let first = first.map(|id| Change::Leaf(record(id))).to_vec();
+    catalog.apply(changes(first, 10), 0);
+    let copy = catalog.image();
+    let mut drains = record("drains");
+    drains.draining = true;
+    let since = vec![
+        Change::Document(document(7, vec![])),
+        Change::Leaf(record("started")),
+        Change::LeafRemoved("leaves".into()),
+        Change::Leaf(drains.clone()),
+    ];
+    catalog.apply(changes(since, 900), 1_000);
+    let restored = CatalogImage {
+        epoch: 1,
+        document: Some(document(5, vec![])),
+        ..copy
+    };
+    let changed = catalog.replace(restored, 2_000);
+    assert!(!changed.document);
+    let is_draining = catalog.leaves().any(|leaf| leaf.draining);
+    assert_eq!(leaves(&catalog), ["started".into(), "stays".into()]);
+    assert!(!is_draining, "the draining leaf is out of use");
+    let version = Version {
+        epoch: 1,
+        revision: 10,
+    };
+    assert_eq!(
+        (catalog.version(), catalog.last_change()),
+        (version, version)
+    );
+    let written_again = ChangeSet {
+        changes: vec![
+            Change::Leaf(record("started")),
+            Change::Leaf(drains),
+            Change::Leaf(record("leaves")),
+        ],
+        epoch: 1,
+        revision: 12,
+    };
+    assert!(catalog.apply(written_again, 3_000).leaves);
+    catalog.remove_expired(9_000);
+    let all = ["drains", "leaves", "started", "stays"].map(Box::from);
+    assert_eq!(leaves(&catalog), all, "leaves write their records again");
+    let previous_epoch = changes(vec![Change::LeafRemoved("stays".into())], 950);
+    assert!(!catalog.apply(previous_epoch, 9_000).leaves);
+}
+
+/// Guards against VMs that stay in the previous epoch because their revision is higher than the one
+/// of the peer that has read the restored platform.
+#[test]
+fn a_peer_follows_into_a_new_epoch() {
+    let mut ahead = Catalog::default();
+    let mut behind = Catalog::default();
+    for catalog in [&mut ahead, &mut behind] {
+        catalog.apply(changes(vec![Change::Leaf(record("x"))], 900), 0);
+    }
+    let restored = CatalogImage {
+        epoch: 1,
+        revision: 3,
+        document: None,
+        leaves: vec![record("x")],
+    };
+    ahead.replace(restored, 0);
+    assert_eq!(behind.update_since(ahead.version()), CatalogUpdate::Nothing);
+    let update = ahead.update_since(behind.version());
+    assert!(matches!(update, CatalogUpdate::Image(_)), "{update:?}");
+    behind.update(update, 0);
+    assert_eq!(behind.version(), ahead.version());
+    let next = ChangeSet {
+        changes: vec![Change::LeafRemoved("x".into())],
+        epoch: 1,
+        revision: 4,
+    };
+    ahead.apply(next, 9_000);
+    behind.update(ahead.update_since(behind.version()), 9_000);
+    assert!(leaves(&behind).is_empty());
+}
+
 /// Guards against a removed leaf that stays in use. The grace period applies only after an outage
 /// of the platform.
 #[test]
@@ -168,15 +260,18 @@
         };
         ahead.apply(changes(vec![change], revision), 0);
         if rng.random_bool(0.05) {
-            let update = ahead.update_since(behind.revision());
+            let update = ahead.update_since(behind.version());
             behind.update(update, 0);
             assert_eq!(leaves(&behind), leaves(&ahead));
-            assert_eq!(behind.revision(), ahead.revision());
+            assert_eq!(behind.version(), ahead.version());
         }
     }
-    assert_eq!(ahead.update_since(ahead.revision()), CatalogUpdate::Nothing);
+    assert_eq!(ahead.update_since(ahead.version()), CatalogUpdate::Nothing);
     assert!(
-        matches!(ahead.update_since(0), CatalogUpdate::Image(_)),
+        matches!(
+            ahead.update_since(Version::default()),
+            CatalogUpdate::Image(_)
+        ),
         "a peer that is too far behind gets an image"
     );
 }
--- a/tests/gateway_rate_limit.rs
+++ b/tests/gateway_rate_limit.rs
@@ -388,6 +388,7 @@
             cloverrack::gateway::Change::LeafRemoved("limited".into()),
             cloverrack::gateway::Change::Leaf(successor.record("s")),
         ],
+        epoch: 0,
         revision: 5,
     };
     test_gateway.engine.state().catalog.apply(removed, 0);
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -327,6 +327,7 @@
     }
     let change_set = ChangeSet {
         changes,
+        epoch: 0,
         revision: version,
     };
     engine.state().catalog.apply(change_set, 0);
