Deduct no calls from the limit of a leaf that names none

A leaf that named a limit again, after it had named none for a while, got no requests for as long as the calls in between would have taken (33 s for 1,000 calls at 30 a second in the new test). Cause: each call was deducted from the rate, whether there was one or not. Seen by reading; the new test fails without the change. A second new test checks that an idle fleet saves few calls; it passed before.

A call that waits for its turn is also tracked from the time at which it is sent, so that its wait does not count as a stall of the leaf.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -330,21 +330,28 @@
         }
     }
 
-    /// Opens a call to a leaf, on an idle connection or on a new one that the call sets up.
-    fn open(self: &Arc<Self>, leaf: LeafKey, leaf_entry: &mut Leaf, now_us: u64) -> OpenCall {
+    /// Opens a call to a leaf that begins at `started_us`, on an idle connection or on a new one that
+    /// the call sets up.
+    fn open(
+        self: &Arc<Self>,
+        leaf: LeafKey,
+        leaf_entry: &mut Leaf,
+        now_us: u64,
+        started_us: u64,
+    ) -> OpenCall {
         let connection = take_idle_connection(leaf_entry, now_us / 1_000);
         if connection.is_none() {
             leaf_entry.connections += 1;
             self.metrics.count_connection();
         }
         let may_have_ended = leaf_entry.may_have_ended(now_us);
-        let call_number = leaf_entry.leaf_stats.start_call(now_us);
+        let call_number = leaf_entry.leaf_stats.start_call(started_us);
         let engine = Arc::clone(self);
         OpenCall::new(
             engine,
             leaf,
             call_number,
-            now_us,
+            started_us,
             may_have_ended,
             connection,
         )
@@ -363,13 +370,12 @@
         let now_us = boot_us();
         let state = &mut *self.state();
         let leaf = state.leaves.choose(service, tried, &state.limits, now_us)?;
+        let started_us = state.leaves.reserve_call(leaf, now_us);
         let leaf_entry = state
             .leaves
             .get_mut(leaf)
             .ok_or(NoLeafError::NoneAvailable)?;
-        let mut call = self.open(leaf, leaf_entry, now_us);
-        call.started_us = state.leaves.reserve_call(leaf, now_us);
-        Ok(call)
+        Ok(self.open(leaf, leaf_entry, now_us, started_us))
     }
 }
 
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -124,6 +124,10 @@
             return;
         }
         self.refill(answered_us, vms);
+        if self.rate_milli.is_none() {
+            self.available_units = 0;
+            self.updated_us = self.updated_us.max(answered_us);
+        }
         self.rate_milli = rate_milli;
         self.answered_us = answered_us;
     }
@@ -169,9 +173,11 @@
 
     /// Deducts a call of this VM, which may begin after [`RateLimit::wait_us`].
     pub fn reserve(&mut self, now_us: u64, vms: u32) {
-        self.refill(now_us, vms);
-        self.available_units -= UNITS_PER_CALL;
         self.own_calls += 1;
+        if self.is_active() {
+            self.refill(now_us, vms);
+            self.available_units -= UNITS_PER_CALL;
+        }
     }
 
     /// Returns what this VM reports to the others.
@@ -209,7 +215,9 @@
         let used = calls.saturating_mul(UNITS_PER_CALL).saturating_sub(assumed);
         let rate_per_s = self.rate_milli.map_or(0, units_per_s);
         // More than a second's worth would be owed only after a long silence.
-        self.available_units -= used.clamp(0, rate_per_s.max(UNITS_PER_CALL));
+        if self.is_active() {
+            self.available_units -= used.clamp(0, rate_per_s.max(UNITS_PER_CALL));
+        }
     }
 
     /// Returns the calls per second that a VM gets if all use the same share.
--- a/tests/gateway_rate_limit.rs
+++ b/tests/gateway_rate_limit.rs
@@ -247,6 +247,29 @@
     fleet.assert_used(30, 6_000, 18_000);
 }
 
+/// Guards against calls that are saved while callers send none, and then sent at once by all VMs.
+#[test]
+fn an_idle_time_saves_few_calls() {
+    let mut fleet = Fleet::new(&[0.0; 7], 30, 7);
+    fleet.play(0, 8_000);
+    fleet.demands = vec![60.0; 7];
+    fleet.play(8_000, 14_000);
+    fleet.assert_within(30, STABLE_MS, 14_000);
+}
+
+/// Guards against calls after the end of a limit that are deducted from it once it is named again.
+#[test]
+fn calls_between_two_limits_do_not_count() {
+    let mut limit = RateLimit::new(30_000, 0);
+    limit.record_answer(None, 1_000_000, 1);
+    for number in 0..1_000 {
+        limit.reserve(1_000_000 + number * 1_000, 1);
+    }
+    limit.record_answer(Some(30_000), 3_000_000, 1);
+    let wait_us = limit.wait_us(3_000_000, 1).unwrap();
+    assert!(wait_us <= 40_000, "{wait_us}");
+}
+
 /// Guards against VMs that keep a limit which has changed or ended, although other VMs know so.
 #[test]
 fn a_change_reaches_all_vms() {
