Bound the reads while the platform's history stays lost

A follower read the whole catalog again without any pause as long as each watch was answered with a lost history, 200 reads in the new test of 30 s. A single loss is still followed by a read at once; a repeated one now waits 600 ms. The test fails without the change.

Two tests of restored platforms also check changes of a later epoch, and that an unchanged image of a new epoch is announced; disabling these two mechanisms had failed no test.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -72,6 +72,8 @@
     engine: Arc<Engine>,
     failures: u32,
     has_read: bool,
+    /// Whether the history was lost and no change has been read since.
+    has_lost_history: bool,
 }
 
 impl<S: CatalogSource> Follower<S> {
@@ -82,6 +84,7 @@
             engine,
             failures: 0,
             has_read: false,
+            has_lost_history: false,
         }
     }
 
@@ -125,6 +128,7 @@
     async fn poll_changes(&mut self) -> Result<ChangeSummary, CatalogSourceError> {
         let after = self.engine.state().catalog.version();
         let changes = self.source.changes(after, LONG_POLL_MS).await?;
+        self.has_lost_history = false;
         self.record_recovery();
         let mut state = self.engine.state();
         let catalog = &mut state.catalog;
@@ -156,7 +160,8 @@
         self.has_read = false;
         if error == CatalogSourceError::HistoryLost {
             info!(event = "platform_history_lost");
-            return 0;
+            let is_repeated = std::mem::replace(&mut self.has_lost_history, true);
+            return if is_repeated { *BACKOFF_MS.end() } else { 0 };
         }
         if self.failures == 0 {
             warn!(event = "platform_lost", %error);
--- a/tests/gateway_follower.rs
+++ b/tests/gateway_follower.rs
@@ -22,6 +22,7 @@
 use gateway::engine;
 
 /// One scripted reply of the platform.
+#[derive(Clone)]
 enum ScriptedReply {
     Image(u64),
     Changes(u64),
@@ -131,6 +132,23 @@
     );
 }
 
+/// Guards against a read storm while the platform names its history as lost on each watch.
+#[tokio::test(start_paused = true)]
+async fn a_history_that_stays_lost_is_read_at_a_bounded_rate() {
+    let pair = [
+        ScriptedReply::Image(10),
+        ScriptedReply::Error(CatalogSourceError::HistoryLost),
+    ];
+    let replies = (0..200).flat_map(|_| {
+        let [image, lost] = &pair;
+        [image.clone(), lost.clone()]
+    });
+    let source = ScriptedSource::new(replies);
+    run_follower(&source, &engine()).await;
+    let calls = source.calls().len();
+    assert!((50..=110).contains(&calls), "{calls} calls in 30 s");
+}
+
 /// Guards against platform calls from a VM that isn't selected to watch, which would make the load
 /// on the platform grow with the fleet.
 #[tokio::test(start_paused = true)]
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -199,8 +199,13 @@
     catalog.remove_expired(9_000);
     let all = ["drains", "leaves", "started", "stays"].map(Box::from);
     assert_eq!(leaves(&catalog), all, "leaves write their records again");
-    let previous_epoch = changes(vec![Change::LeafRemoved("stays".into())], 950);
-    assert!(!catalog.apply(previous_epoch, 9_000).leaves);
+    for epoch in [0, 2] {
+        let other_epoch = ChangeSet {
+            epoch,
+            ..changes(vec![Change::LeafRemoved("stays".into())], 950)
+        };
+        assert!(!catalog.apply(other_epoch, 9_000).leaves, "{epoch}");
+    }
 }
 
 /// Guards against VMs that stay in the previous epoch because their revision is higher than the one
@@ -218,7 +223,12 @@
         document: None,
         leaves: vec![record("x")],
     };
-    ahead.replace(restored, 0);
+    assert!(!ahead.replace(restored, 0).leaves);
+    assert_eq!(
+        ahead.last_change(),
+        ahead.version(),
+        "the epoch is announced"
+    );
     assert_eq!(behind.update_since(ahead.version()), CatalogUpdate::Nothing);
     let update = ahead.update_since(behind.version());
     assert!(matches!(update, CatalogUpdate::Image(_)), "{update:?}");
