Take no close by an unknown leaf as a sign that it had lived

A VM that had just started sent the healthy request to leaves that another VM's crashing request had ended; their addresses accepted and reset connections, which counted as leaves that had lived. The reports of the failures had been sent before the VM started.

A close counts as a sign of life only if the leaf has answered this VM before, or if its address refuses connections afterwards. The new test fails without the change.

Ruled out: asking other VMs about a leaf's failures. Their reports are datagrams without a history.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -48,6 +48,7 @@
             started_us: self.run.started_us,
             ended_us: self.ended_us,
             is_closed: self.error.is_some(),
+            is_refused: self.error == Some(CallError::LeafCrashed),
         }
     }
 }
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -30,6 +30,8 @@
     pub(super) ended_us: u64,
     /// Whether the leaf closed the connection.
     pub(super) is_closed: bool,
+    /// Whether its address refused a new connection afterwards.
+    pub(super) is_refused: bool,
 }
 
 /// Publishes the evidence of this VM and applies that of others until the task is dropped.
@@ -254,11 +256,15 @@
 impl FailedRun {
     /// Returns the run with the latest time at which the leaf is known to have lived.
     ///
-    /// A leaf that soon closes the connection lived when the request was sent. After a longer
-    /// silence, its host may have lost power before, and closes the connection when it is back.
+    /// A leaf that soon closes the connection lived when the request was sent, unless its address
+    /// still accepts connections and the leaf has never answered this VM: then it may have ended
+    /// before. After a longer silence, its host may have lost power before, and closes the connection
+    /// when it is back.
     fn unanswered(&self, leaf: &Leaf, content: Content, request_hash: u64) -> UnansweredRun {
         let silent_us = self.ended_us.saturating_sub(self.started_us);
-        let lived_at_start = self.is_closed && silent_us <= leaf.leaf_stats.stall_limit_us();
+        let is_prompt = silent_us <= leaf.leaf_stats.stall_limit_us();
+        let is_known = self.is_refused || leaf.alive_us > 0;
+        let lived_at_start = self.is_closed && is_prompt && is_known;
         let alive_us = if lived_at_start {
             leaf.alive_us.max(self.started_us)
         } else {
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -544,6 +544,30 @@
     }
 }
 
+/// Guards against taking a leaf for alive that has never answered this VM and whose address accepts
+/// and closes connections: another VM may have sent it a crashing request before.
+#[tokio::test]
+async fn a_close_by_an_unknown_leaf_does_not_show_that_it_lived() {
+    for has_answered in [false, true] {
+        let test_gateway = TestGateway::spawn().await;
+        let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Answer).await;
+        publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
+        if has_answered {
+            test_gateway.send_from(CALLER, order("healthy")).await;
+        }
+        leaf.set(LeafBehaviour::Break);
+        let sent_unix_ms = unix_ms();
+        test_gateway.send_from(CALLER, order("same")).await;
+        apply_change(&test_gateway, Change::LeafRemoved("leaf".into()), 2);
+        let evidence = test_gateway.engine.take_evidence();
+        let [Fact::CrashedAttempt(crashed)] = &evidence[..] else {
+            panic!("{evidence:?}");
+        };
+        let is_alive = crashed.alive_unix_ms >= sent_unix_ms;
+        assert_eq!(is_alive, has_answered, "{crashed:?}");
+    }
+}
+
 /// Guards against healthy content that stays under suspicion because the end of a leaf that lost it
 /// is found after a replica has answered it.
 #[tokio::test]
