--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -4,18 +4,22 @@
 //! Handles leaves that are slow, failing, paused, warming up or replaced, and VMs whose own stalls
 //! would be mistaken for stalls of leaves.
 
+mod process_ends;
+mod rates;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use tracing::info;
 
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
-use super::leaf_reports::{LeafReport, Observation, RateReport};
+use super::connection_limits::ConnectionLimits;
+use super::leaf_reports::{LeafReport, Observation};
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
-use super::rate_limit::{MAX_WAIT_US, Rate, RateLimit, SharingVms};
-use super::routes::{RouteTable, ServiceNames};
+use super::rate_limit::{RateLimit, SharingVms};
+use super::routes::ServiceNames;
 use super::unanswered_runs::{UnansweredRun, UnansweredRuns};
 use crate::ids::{LeafKey, ServiceKey};
 
@@ -28,9 +32,6 @@
 /// Latency cost of a call to a leaf that has started recently.
 const WARMUP_COST_US: u64 = 40_000;
 
-/// Maximum number of connections to a leaf whose service has no configured limit.
-const DEFAULT_MAX_CONNECTIONS: u32 = 16;
-
 /// Time for which a leaf is excluded after another process replied at its address, unless its
 /// record changes. The platform drops the record of a leaf after three missed report intervals,
 /// about 4 s.
@@ -48,10 +49,6 @@
 /// are then found to be unanswered can be attributed to its process.
 const RETIRED_RETENTION_MS: u64 = 2_000;
 
-/// Fraction of a leaf's connections reserved for VMs that join or are discovered late, as a
-/// divisor.
-const SPARE_DIVISOR: u32 = 8;
-
 /// A leaf with its statistics and connections on this VM.
 #[derive(Debug)]
 pub struct Leaf {
@@ -234,75 +231,6 @@
         });
     }
 
-    /// Records that a process replied to a call which began at `call_started_us`.
-    pub fn record_alive(&mut self, key: LeafKey, call_started_us: u64, now_us: u64) {
-        if let Some(leaf) = self.arena.get_mut(&key) {
-            leaf.alive_us = leaf.alive_us.max(now_us);
-            leaf.failed_us = None;
-            leaf.unanswered_runs.discard_before(call_started_us);
-        }
-    }
-
-    /// Records that the process of a leaf has ended: its address refuses connections, or another
-    /// process replied there. A leaf that has announced its end did not crash.
-    pub fn record_end(&mut self, key: LeafKey) {
-        let Some(leaf) = self.arena.get_mut(&key) else {
-            return;
-        };
-        let process = leaf.record.process_hash();
-        let is_announced = leaf.record.draining;
-        for run in leaf.unanswered_runs.take() {
-            if !is_announced {
-                self.ended_runs.push((process, run));
-            }
-        }
-    }
-
-    /// Records a run that ended without an answer. Runs at a leaf that has announced its end are
-    /// ignored.
-    pub fn record_unanswered(&mut self, key: LeafKey, run: UnansweredRun) {
-        let Some(leaf) = self.arena.get_mut(&key) else {
-            return;
-        };
-        if leaf.record.draining {
-            return;
-        }
-        leaf.unanswered_runs.add(run);
-        if leaf.retired {
-            self.record_end(key);
-        }
-    }
-
-    /// Removes and returns the unanswered runs of processes that have ended, with the hash of the
-    /// process.
-    pub fn take_ended_runs(&mut self) -> Vec<(u64, UnansweredRun)> {
-        std::mem::take(&mut self.ended_runs)
-    }
-
-    /// Records the end of each process whose address a process that started later has published.
-    fn end_replaced_processes(&mut self) {
-        let mut newest: HashMap<SocketAddr, (u64, LeafKey)> = HashMap::new();
-        let mut replaced = Vec::new();
-        for key in self.by_id.values() {
-            let Some(record) = self.arena.get(key).map(|leaf| &leaf.record) else {
-                continue;
-            };
-            let candidate = (record.started_unix_ms, *key);
-            let Some(other) = newest.insert(record.address, candidate) else {
-                continue;
-            };
-            if other.0 > candidate.0 {
-                newest.insert(record.address, other);
-            }
-            if other.0 != candidate.0 {
-                replaced.push(other.min(candidate).1);
-            }
-        }
-        for key in replaced {
-            self.record_end(key);
-        }
-    }
-
     /// Applies another VM's report of a leaf.
     pub fn apply_report(&mut self, report: &LeafReport, now_us: u64) {
         let key = self.by_address.get(&report.leaf).copied();
@@ -486,94 +414,6 @@
         })
     }
 
-    /// Returns how long a call to a leaf has to wait, or `None` if that is too long.
-    fn rate_limit_wait_us(&self, leaf: &Leaf, now_us: u64) -> Option<u64> {
-        let Some(rate_limit) = &leaf.rate_limit else {
-            return Some(0);
-        };
-        let wait_us = rate_limit.wait_us(now_us, self.sharing_vms.count());
-        wait_us.filter(|wait_us| *wait_us <= MAX_WAIT_US)
-    }
-
-    /// Deducts a call from the rate that a leaf has named, and returns the time at which the call
-    /// may begin.
-    pub fn reserve_call(&mut self, key: LeafKey, now_us: u64) -> u64 {
-        let vms = self.sharing_vms.count();
-        let leaf = self.arena.get_mut(&key);
-        let Some(rate_limit) = leaf.and_then(|leaf| leaf.rate_limit.as_mut()) else {
-            return now_us;
-        };
-        let wait_us = rate_limit.wait_us(now_us, vms).unwrap_or(0);
-        rate_limit.reserve(now_us, vms);
-        now_us + wait_us
-    }
-
-    /// Applies the limit that an answer of a leaf names, or `None` for an answer without one.
-    pub fn record_rate(&mut self, key: LeafKey, rate: Rate, now_us: u64) {
-        let vms = self.sharing_vms.count();
-        let Some(leaf) = self.arena.get_mut(&key) else {
-            return;
-        };
-        self.has_rate_limits |= rate.is_some();
-        let was_active = leaf.rate_limit.as_ref().is_some_and(RateLimit::is_active);
-        match (&mut leaf.rate_limit, rate) {
-            (Some(rate_limit), _) => rate_limit.record_answer(rate, now_us, vms),
-            (None, Some(rate_milli)) => {
-                leaf.rate_limit = Some(RateLimit::new(rate_milli, now_us));
-            }
-            (None, None) => {}
-        }
-        if was_active != rate.is_some() {
-            info!(event = "leaf_rate_limit", leaf = %leaf.address(), rate_milli = rate);
-        }
-    }
-
-    /// Returns the reports for the other VMs on leaves that have named a limit, and drops expired
-    /// limits.
-    pub fn rate_reports(&mut self, now_us: u64) -> Vec<RateReport> {
-        let mut reports = Vec::new();
-        if !self.has_rate_limits {
-            return reports;
-        }
-        for leaf in self.arena.values_mut() {
-            let Some(rate_limit) = &leaf.rate_limit else {
-                continue;
-            };
-            if rate_limit.is_expired(now_us) {
-                leaf.rate_limit = None;
-                continue;
-            }
-            reports.push(RateReport {
-                leaf: leaf.address(),
-                process: leaf.record.process_hash(),
-                usage: rate_limit.usage(now_us),
-            });
-        }
-        self.has_rate_limits = !reports.is_empty();
-        reports
-    }
-
-    /// Applies another VM's report on a leaf that has named a limit.
-    pub fn apply_rate_report(&mut self, peer: IpAddr, report: &RateReport, now_us: u64) {
-        let vms = self.sharing_vms.count();
-        let key = self.by_address.get(&report.leaf);
-        let Some(leaf) = key.and_then(|key| self.arena.get_mut(key)) else {
-            return;
-        };
-        if leaf.record.process_hash() != report.process {
-            return;
-        }
-        if leaf.rate_limit.is_none() {
-            let answered_us = now_us.saturating_sub(report.usage.age_us);
-            let rate_milli = report.usage.rate_milli;
-            leaf.rate_limit = rate_milli.map(|rate| RateLimit::new(rate, answered_us));
-            self.has_rate_limits |= rate_milli.is_some();
-        }
-        if let Some(rate_limit) = &mut leaf.rate_limit {
-            rate_limit.apply_usage(peer, &report.usage, now_us, vms);
-        }
-    }
-
     fn cost_us(&self, leaf: &Leaf, now_us: u64) -> u64 {
         let mut cost_us = leaf.leaf_stats.expected_us(leaf.record.slots, now_us);
         if leaf.record.failure_domain != self.own_domain {
@@ -601,45 +441,6 @@
         && current.started_unix_ms == new.started_unix_ms
 }
 
-/// Maximum number of connections that this VM may open to one leaf of each service.
-#[derive(Debug, Default)]
-pub struct ConnectionLimits {
-    shares: HashMap<ServiceKey, u32>,
-}
-
-impl ConnectionLimits {
-    /// Divides the connections that the leaves accept among the active VMs.
-    pub fn new(table: &RouteTable, services: impl Iterator<Item = ServiceKey>, vms: u32) -> Self {
-        let mut shares = HashMap::new();
-        for service in services {
-            let max_connections = table
-                .max_connections(service)
-                .unwrap_or(DEFAULT_MAX_CONNECTIONS);
-            shares.insert(service, connection_share(max_connections, vms));
-        }
-        Self { shares }
-    }
-
-    /// Returns the maximum number of connections that this VM may open to one leaf of a service.
-    pub fn per_leaf(&self, service: ServiceKey) -> u32 {
-        self.shares.get(&service).copied().unwrap_or(1)
-    }
-}
-
-/// Returns one VM's share of a leaf's connections, at least one.
-///
-/// # Examples
-///
-/// ```
-/// use cloverrack::gateway::connection_share;
-/// assert_eq!(connection_share(31, 7), 4);
-/// assert_eq!(connection_share(31, 90), 1);
-/// ```
-pub fn connection_share(max_connections: u32, vms: u32) -> u32 {
-    let usable = max_connections - max_connections / SPARE_DIVISOR;
-    (usable.div_ceil(vms.max(1))).max(1)
-}
-
 impl Leaf {
     /// Closes idle connections that have ended or expired.
     pub fn close_expired(&mut self, now_ms: u64) {
--- a/tests/gateway_crashing_content.rs
+++ b/tests/gateway_crashing_content.rs
@@ -11,17 +11,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use cloverrack::clock::unix_ms;
 use cloverrack::fact::Fact;
-use cloverrack::gateway::{
-    Change, ChangeSet, Content, ContentVerdict, CrashedAttempt, LeafRecord, Reply,
-};
+use cloverrack::gateway::{Change, Content, ContentVerdict, CrashedAttempt, LeafRecord, Reply};
 use gateway::{
-    Leaf, LeafBehaviour, TARGET_LATENCY_MS, TestGateway, gather_route, request, single_route,
+    Leaf, LeafBehaviour, TARGET_LATENCY_MS, TestGateway, apply_change, gather_route, order,
+    publish_service, request,
 };
-use http::{Method, Request, StatusCode, Uri};
-use http_body_util::Full;
+use http::{Method, StatusCode, Uri};
 
 const CALLER: [u8; 4] = [127, 0, 0, 1];
 const OTHER_CALLER: [u8; 4] = [127, 0, 0, 2];
@@ -66,13 +63,6 @@
     leaves.iter().map(Leaf::executed).sum()
 }
 
-fn order(body: &'static str) -> Request<Full<Bytes>> {
-    let mut order = request("/o/order");
-    *order.method_mut() = Method::POST;
-    *order.body_mut() = Full::new(Bytes::from_static(body.as_bytes()));
-    order
-}
-
 fn assert_quarantined(reply: &Reply) {
     assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
     let retry_after = reply.headers["retry-after"].to_str().unwrap();
@@ -80,16 +70,6 @@
     assert!(retry_after_s > 1.0, "{retry_after_s} s");
 }
 
-/// Publishes a route with all leaves to one service.
-fn publish(gateway: &TestGateway, path: &str, idempotent: bool, attempts: u32, leaves: &[Leaf]) {
-    let listed: Vec<(&str, &Leaf)> = leaves.iter().map(|leaf| ("s", leaf)).collect();
-    gateway.publish(
-        1,
-        vec![single_route(path, "s", idempotent, attempts)],
-        &listed,
-    );
-}
-
 /// Publishes a scatter-gather route with the leaves as replicas of three shards.
 fn publish_shards(gateway: &TestGateway, leaves: &[Leaf]) {
     let services = ["s0", "s1", "s2"];
@@ -118,7 +98,7 @@
 async fn retries_stop_after_the_third_crash() {
     let test_gateway = TestGateway::spawn().await;
     let leaves = crashing_leaves(8).await;
-    publish(&test_gateway, "/a/", true, 5, &leaves);
+    publish_service(&test_gateway, "/a/", true, 5, &leaves);
     earn_retries(&test_gateway, &leaves, "/a/healthy").await;
     let before = executed(&leaves);
     for leaf in &leaves {
@@ -156,7 +136,7 @@
 async fn a_crashing_order_stops_and_other_orders_are_served() {
     let test_gateway = TestGateway::spawn().await;
     let leaves = crashing_leaves(5).await;
-    publish(&test_gateway, "/o/", false, 3, &leaves);
+    publish_service(&test_gateway, "/o/", false, 3, &leaves);
     for crashes in 1..=3 {
         let reply = test_gateway.send_from(CALLER, order("crash")).await;
         assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
@@ -287,7 +267,7 @@
 async fn content_that_a_replica_answers_is_never_suspect() {
     let test_gateway = TestGateway::spawn().await;
     let leaves = crashing_leaves(2).await;
-    publish(&test_gateway, "/a/", true, 2, &leaves);
+    publish_service(&test_gateway, "/a/", true, 2, &leaves);
     earn_retries(&test_gateway, &leaves, "/a/x").await;
     leaves[0].set(LeafBehaviour::Crash);
     leaves[1].set(LeafBehaviour::Slow(80));
@@ -320,7 +300,7 @@
             Leaf::spawn("one", 1, behaviour).await,
             Leaf::spawn("two", 1, behaviour).await,
         ];
-        publish(&test_gateway, "/o/", false, 2, &leaves);
+        publish_service(&test_gateway, "/o/", false, 2, &leaves);
         for _ in 0..6 {
             let mut order = order("same");
             order
@@ -348,7 +328,7 @@
         let test_gateway = TestGateway::spawn().await;
         let engine_users = Arc::strong_count(&test_gateway.engine);
         let leaves = crashing_leaves(2).await;
-        publish(&test_gateway, "/a/", true, 2, &leaves);
+        publish_service(&test_gateway, "/a/", true, 2, &leaves);
         // The first leaf is preferred, so the other one gets the retry.
         let remote = LeafRecord {
             failure_domain: "b".into(),
@@ -426,7 +406,7 @@
     for is_draining in [true, false] {
         let test_gateway = TestGateway::spawn().await;
         let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Hang).await;
-        publish(&test_gateway, "/o/", false, 2, std::slice::from_ref(&leaf));
+        publish_service(&test_gateway, "/o/", false, 2, std::slice::from_ref(&leaf));
         let ending = async {
             wait_for_execution(std::slice::from_ref(&leaf), 0).await;
             if is_draining {
@@ -445,158 +425,6 @@
     }
 }
 
-/// Applies a change of the platform to the record of a leaf.
-fn apply_change(gateway: &TestGateway, change: Change, revision: u64) {
-    let change_set = ChangeSet {
-        changes: vec![change],
-        epoch: 0,
-        revision,
-    };
-    gateway.engine.state().catalog.apply(change_set, 0);
-    gateway.engine.refresh();
-}
-
-/// Guards against crashes that are not recognised because the address of a crashed leaf accepts
-/// connections, or its connections stay open. The end of its process shows later.
-#[tokio::test]
-async fn a_run_without_an_answer_counts_once_its_leaf_has_ended() {
-    for behaviour in [
-        LeafBehaviour::Break,
-        LeafBehaviour::Hang,
-        LeafBehaviour::CutOff,
-    ] {
-        for is_replaced in [false, true] {
-            let test_gateway = TestGateway::spawn().await;
-            let leaf = Leaf::spawn("leaf", 1, behaviour).await;
-            publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
-            let mut order = order("same");
-            order
-                .headers_mut()
-                .insert("x-time-left", "200".parse().unwrap());
-            test_gateway.send_from(CALLER, order).await;
-            assert!(
-                test_gateway.engine.take_evidence().is_empty(),
-                "{behaviour:?}"
-            );
-            let change = if is_replaced {
-                Change::Leaf(LeafRecord {
-                    id: "successor".into(),
-                    started_unix_ms: 2,
-                    ..leaf.record("s")
-                })
-            } else {
-                Change::LeafRemoved("leaf".into())
-            };
-            apply_change(&test_gateway, change, 2);
-            let evidence = test_gateway.engine.take_evidence();
-            assert!(
-                matches!(&evidence[..], [Fact::CrashedAttempt(crashed)] if crashed.leaves.len() == 1),
-                "{behaviour:?}, is_replaced={is_replaced}: {evidence:?}"
-            );
-        }
-    }
-}
-
-/// Guards against counting runs at a leaf that answered afterwards, and at one that may have ended
-/// before the request was sent to it.
-#[tokio::test]
-async fn a_run_at_a_leaf_that_lives_or_had_ended_does_not_count() {
-    for answers_later in [true, false] {
-        let test_gateway = TestGateway::spawn().await;
-        let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Break).await;
-        publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
-        test_gateway.send_from(CALLER, order("first")).await;
-        if answers_later {
-            leaf.set(LeafBehaviour::Answer);
-        }
-        test_gateway.send_from(CALLER, order("second")).await;
-        apply_change(&test_gateway, Change::LeafRemoved("leaf".into()), 2);
-        let evidence = test_gateway.engine.take_evidence();
-        let expected = usize::from(!answers_later);
-        assert_eq!(evidence.len(), expected, "{evidence:?}");
-    }
-}
-
-/// Guards against taking a leaf for alive when a request was sent because its host closes the
-/// connection later, as one does that is back after a loss of power.
-#[tokio::test]
-async fn a_late_close_does_not_show_that_the_leaf_lived() {
-    for (behaviour, lived) in [(LeafBehaviour::Hang, false), (LeafBehaviour::Crash, true)] {
-        let test_gateway = TestGateway::spawn().await;
-        let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Answer).await;
-        publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
-        test_gateway.send_from(CALLER, order("healthy")).await;
-        leaf.set(behaviour);
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        let sent_unix_ms = unix_ms();
-        let sending = test_gateway.send_from(CALLER, order("same"));
-        let ending = async {
-            tokio::time::sleep(Duration::from_millis(300)).await;
-            leaf.end();
-        };
-        tokio::join!(sending, ending);
-        let evidence = test_gateway.engine.take_evidence();
-        let [Fact::CrashedAttempt(crashed)] = &evidence[..] else {
-            panic!("{behaviour:?}: {evidence:?}");
-        };
-        let is_alive = crashed.alive_unix_ms >= sent_unix_ms;
-        assert_eq!(is_alive, lived, "{behaviour:?}: {crashed:?}");
-    }
-}
-
-/// Guards against taking a leaf for alive that has never answered this VM and whose address accepts
-/// and closes connections: another VM may have sent it a crashing request before.
-#[tokio::test]
-async fn a_close_by_an_unknown_leaf_does_not_show_that_it_lived() {
-    for has_answered in [false, true] {
-        let test_gateway = TestGateway::spawn().await;
-        let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Answer).await;
-        publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
-        if has_answered {
-            test_gateway.send_from(CALLER, order("healthy")).await;
-        }
-        leaf.set(LeafBehaviour::Break);
-        let sent_unix_ms = unix_ms();
-        test_gateway.send_from(CALLER, order("same")).await;
-        apply_change(&test_gateway, Change::LeafRemoved("leaf".into()), 2);
-        let evidence = test_gateway.engine.take_evidence();
-        let [Fact::CrashedAttempt(crashed)] = &evidence[..] else {
-            panic!("{evidence:?}");
-        };
-        let is_alive = crashed.alive_unix_ms >= sent_unix_ms;
-        assert_eq!(is_alive, has_answered, "{crashed:?}");
-    }
-}
-
-/// Guards against healthy content that stays under suspicion because the end of a leaf that lost it
-/// is found after a replica has answered it.
-#[tokio::test]
-async fn evidence_that_is_older_than_a_success_is_discarded() {
-    let test_gateway = TestGateway::spawn().await;
-    let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Break).await;
-    publish(&test_gateway, "/o/", false, 1, std::slice::from_ref(&leaf));
-    test_gateway.send_from(CALLER, order("same")).await;
-    let replica = Leaf::spawn("replica", 1, LeafBehaviour::Answer).await;
-    apply_change(&test_gateway, Change::Leaf(replica.record("s")), 2);
-    let reply = test_gateway.send_from(CALLER, order("same")).await;
-    assert_eq!(reply.status, StatusCode::OK);
-    apply_change(&test_gateway, Change::LeafRemoved("leaf".into()), 3);
-    let evidence = test_gateway.engine.take_evidence();
-    assert!(
-        matches!(
-            evidence[..],
-            [Fact::ContentSuccess(_), Fact::CrashedAttempt(_)]
-        ),
-        "{evidence:?}"
-    );
-    let uri = Uri::from_static("/o/order");
-    let content = Content::new("desk.example", &Method::POST, &uri, b"same", CALLER.into());
-    assert_eq!(
-        test_gateway.engine.content_verdict(&content),
-        ContentVerdict::Unsuspected
-    );
-}
-
 /// Returns evidence of other VMs that suffices to quarantine a GET request of a caller.
 fn evidence_against(path: &'static str) -> (Content, Vec<Fact>) {
     let uri = Uri::from_static(path);
@@ -618,7 +446,7 @@
 async fn a_quarantine_stops_the_hedges_of_requests_in_flight() {
     let test_gateway = TestGateway::spawn().await;
     let leaves = crashing_leaves(2).await;
-    publish(&test_gateway, "/a/", true, 2, &leaves);
+    publish_service(&test_gateway, "/a/", true, 2, &leaves);
     earn_retries(&test_gateway, &leaves, "/a/healthy").await;
     for leaf in &leaves {
         leaf.set(LeafBehaviour::Slow(2 * TARGET_LATENCY_MS));
@@ -645,7 +473,7 @@
         Leaf::spawn("one", 1, LeafBehaviour::Slow(100)).await,
         Leaf::spawn("two", 1, LeafBehaviour::Slow(100)).await,
     ];
-    publish(&test_gateway, "/a/", true, 2, &leaves);
+    publish_service(&test_gateway, "/a/", true, 2, &leaves);
     let (content, evidence) = evidence_against("/a/x");
     test_gateway.engine.apply_evidence(evidence);
     assert!(matches!(
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -21,7 +21,7 @@
 };
 use cloverrack::http_server::{ShutdownSignals, serve};
 use http::header::HeaderName;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -368,3 +368,38 @@
         ..single_route(prefix, "gather", true, 2)
     }
 }
+
+/// Returns a request that must not run twice.
+pub fn order(body: &'static str) -> Request<Full<Bytes>> {
+    let mut order = request("/o/order");
+    *order.method_mut() = Method::POST;
+    *order.body_mut() = Full::new(Bytes::from_static(body.as_bytes()));
+    order
+}
+
+/// Publishes a route with all leaves to one service.
+pub fn publish_service(
+    gateway: &TestGateway,
+    path: &str,
+    idempotent: bool,
+    attempts: u32,
+    leaves: &[Leaf],
+) {
+    let listed: Vec<(&str, &Leaf)> = leaves.iter().map(|leaf| ("s", leaf)).collect();
+    gateway.publish(
+        1,
+        vec![single_route(path, "s", idempotent, attempts)],
+        &listed,
+    );
+}
+
+/// Applies a change of the platform to the record of a leaf.
+pub fn apply_change(gateway: &TestGateway, change: Change, revision: u64) {
+    let change_set = ChangeSet {
+        changes: vec![change],
+        epoch: 0,
+        revision,
+    };
+    gateway.engine.state().catalog.apply(change_set, 0);
+    gateway.engine.refresh();
+}
