Fail large replies at once while too many wait

Calls of endless replies waited 100 ms for one of four permits and kept their connections meanwhile, for which other requests waited.

Eight large replies are received at a time now, eight more wait, and others fail at once. Replies count as small up to 64 KiB instead of 16, so that usual ones are not concerned.

--- a/src/gateway/reply_memory.rs
+++ b/src/gateway/reply_memory.rs
@@ -12,7 +12,7 @@
 
 /// Size up to which a reply takes nothing from the shared memory, so that usual replies are received
 /// while large ones use all of it. The number of calls bounds the total of these.
-const SMALL_REPLY_BYTES: usize = 16 * 1_024;
+const SMALL_REPLY_BYTES: usize = 64 * 1_024;
 
 /// Number of parts up to which a reply is small: receiving a part takes about as much processor time
 /// whatever its size.
@@ -22,10 +22,14 @@
 const MAX_REPLY_BYTES: usize = 16 * 1_048_576;
 const MAX_REPLY_PARTS: usize = 16 * 1_024;
 
-/// Number of large replies that are received at the same time, and time for which another one waits.
-/// More of them would delay the small ones.
-const MAX_LARGE_REPLIES: usize = 4;
-const LARGE_REPLY_WAIT_MS: u64 = 100;
+/// Number of large replies that are received at the same time. More of them would delay the small
+/// ones.
+const MAX_LARGE_REPLIES: usize = 8;
+
+/// Number of further large replies that wait for one of these to end, and time for which they wait.
+/// Any more fail at once, so that their requests can be sent to another leaf in time.
+const MAX_WAITING_REPLIES: usize = 8;
+const LARGE_REPLY_WAIT_MS: u64 = 400;
 
 /// Smallest capacity of the buffer for a body.
 const MIN_CAPACITY_BYTES: usize = 1_024;
@@ -35,6 +39,7 @@
 pub struct ReplyMemory {
     available_bytes: AtomicUsize,
     large_replies: Arc<Semaphore>,
+    waiting_replies: Semaphore,
 }
 
 /// Body of a reply that is being received, or was received.
@@ -59,7 +64,19 @@
         Self {
             available_bytes: AtomicUsize::new(bytes),
             large_replies: Arc::new(Semaphore::new(MAX_LARGE_REPLIES)),
+            waiting_replies: Semaphore::new(MAX_WAITING_REPLIES),
+        }
+    }
+
+    /// Waits until another large reply may be received, or returns `None` if too many are.
+    async fn admit_large(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = Arc::clone(&self.large_replies).try_acquire_owned() {
+            return Some(permit);
         }
+        let _waiting = self.waiting_replies.try_acquire().ok()?;
+        let limit = Duration::from_millis(LARGE_REPLY_WAIT_MS);
+        let admitted = timeout(limit, Arc::clone(&self.large_replies).acquire_owned());
+        admitted.await.ok()?.ok()
     }
 
     /// Returns the bytes that large replies may still take.
@@ -102,7 +119,7 @@
     /// let memory = Arc::new(ReplyMemory::new(100_000));
     /// let mut receiver = ReplyReceiver::new(Arc::clone(&memory));
     /// assert!(runtime.block_on(receiver.append(&[0; 60_000])));
-    /// assert!(!runtime.block_on(receiver.append(&[0; 60_000])));
+    /// assert!(!runtime.block_on(receiver.append(&[0; 160_000])));
     /// drop(receiver);
     /// assert_eq!(memory.available_bytes(), 100_000);
     /// ```
@@ -115,9 +132,7 @@
         }
         let is_small = length <= SMALL_REPLY_BYTES && reply_buffer.parts <= SMALL_REPLY_PARTS;
         if !is_small && self.permit.is_none() {
-            let permits = Arc::clone(&reply_buffer.memory.large_replies);
-            let limit = Duration::from_millis(LARGE_REPLY_WAIT_MS);
-            let Ok(Ok(permit)) = timeout(limit, permits.acquire_owned()).await else {
+            let Some(permit) = reply_buffer.memory.admit_large().await else {
                 return false;
             };
             self.permit = Some(permit);
