--- a/tests/content_quarantine.rs
+++ b/tests/content_quarantine.rs
@@ -83,8 +83,7 @@
     assert!(!is_quarantined(&quarantine, content(2, 1), NOW_MS));
 }
 
-/// Guards against refusing healthy content whose attempts were in flight, or were sent to leaves that
-/// had ended already, when one loss of power ended several leaves.
+/// Guards against refusing healthy content of which one outage ended several attempts.
 #[test]
 fn attempts_that_one_outage_explains_count_once() {
     let content = content(1, 1);
@@ -108,8 +107,7 @@
     assert!(is_quarantined(&quarantine, content, NOW_MS));
 }
 
-/// Guards against evidence that is lost because the leaves of one attempt are found to have crashed
-/// one after another, and against VMs that disagree on it.
+/// Guards against losing leaves of an attempt that are found to have crashed one by one.
 #[test]
 fn records_of_one_attempt_are_merged() {
     let content = content(1, 1);
--- a/tests/gateway_leaf_ends.rs
+++ b/tests/gateway_leaf_ends.rs
@@ -16,8 +16,7 @@
 
 const CALLER: [u8; 4] = [127, 0, 0, 1];
 
-/// Guards against crashes that are not recognised because the address of a crashed leaf accepts
-/// connections, or its connections stay open. The end of its process shows later.
+/// Guards against crashes that are forgotten because the leaf refused no connection.
 #[tokio::test]
 async fn a_run_without_an_answer_counts_once_its_leaf_has_ended() {
     for behaviour in [
@@ -57,8 +56,7 @@
     }
 }
 
-/// Guards against counting runs at a leaf that answered afterwards, and at one that may have ended
-/// before the request was sent to it.
+/// Guards against evidence from leaves that answered later or may have ended before.
 #[tokio::test]
 async fn a_run_at_a_leaf_that_lives_or_had_ended_does_not_count() {
     for answers_later in [true, false] {
@@ -77,8 +75,7 @@
     }
 }
 
-/// Guards against taking a leaf for alive when a request was sent because its host closes the
-/// connection later, as one does that is back after a loss of power.
+/// Guards against taking a host that is back after a loss of power for a leaf that lived.
 #[tokio::test]
 async fn a_late_close_does_not_show_that_the_leaf_lived() {
     for (behaviour, lived) in [(LeafBehaviour::Hang, false), (LeafBehaviour::Crash, true)] {
@@ -104,8 +101,7 @@
     }
 }
 
-/// Guards against taking a leaf for alive that has never answered this VM and whose address accepts
-/// and closes connections: another VM may have sent it a crashing request before.
+/// Guards against taking a leaf that closes connections and never answered this VM for alive.
 #[tokio::test]
 async fn a_close_by_an_unknown_leaf_does_not_show_that_it_lived() {
     for has_answered in [false, true] {
@@ -128,8 +124,7 @@
     }
 }
 
-/// Guards against healthy content that stays under suspicion because the end of a leaf that lost it
-/// is found after a replica has answered it.
+/// Guards against suspecting healthy content since the end of a leaf is found after a success.
 #[tokio::test]
 async fn evidence_that_is_older_than_a_success_is_discarded() {
     let test_gateway = TestGateway::spawn().await;
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -149,9 +149,7 @@
     assert!(leaves(&catalog).is_empty());
 }
 
-/// Guards against a catalog that ignores a platform which was restored from an older copy, since its
-/// revisions go back, and against what the copy lacks: a newer configuration, leaves that started
-/// since, and leaves that have left or announced their end since.
+/// Guards against ignoring a platform that was restored from a copy, and reverting to the copy.
 #[test]
 fn a_restored_platform_is_followed_and_reverts_nothing() {
     let mut catalog = Catalog::default();
@@ -208,8 +206,7 @@
     }
 }
 
-/// Guards against VMs that stay in the previous epoch because their revision is higher than the one
-/// of the peer that has read the restored platform.
+/// Guards against VMs that stay in an earlier epoch because its revisions were higher.
 #[test]
 fn a_peer_follows_into_a_new_epoch() {
     let mut ahead = Catalog::default();
--- a/tests/gateway_rate_limit.rs
+++ b/tests/gateway_rate_limit.rs
@@ -166,8 +166,7 @@
     }
 }
 
-/// Guards against VMs that keep to the limit each on its own, and against a rate of which a part
-/// stays unused, for small and large fleets and limits.
+/// Guards against VMs that each use the whole rate, and against a rate that stays unused.
 #[test]
 fn all_vms_together_keep_to_the_rate_and_use_it() {
     for (vms, rate_per_s) in [(1, 30), (7, 30), (7, 3), (12, 16), (12, 200), (30, 40)] {
@@ -181,8 +180,7 @@
     }
 }
 
-/// Guards against fixed shares: one VM with all callers gets the whole rate, also after the callers
-/// have moved to another VM.
+/// Guards against fixed shares: the VM that has the callers gets the rate.
 #[test]
 fn the_rate_follows_the_callers() {
     let mut fleet = Fleet::new(&[90.0, 0.0, 0.0, 0.0, 0.0, 0.0, 0.0], 30, 2);
@@ -194,8 +192,7 @@
     fleet.assert_within(30, STABLE_MS, 20_000);
 }
 
-/// Guards against a VM that uses the whole rate because it hears of no others, and others that use
-/// its share as well.
+/// Guards against VMs on both sides of a cut that use the whole rate.
 #[test]
 fn vms_that_are_cut_off_keep_to_their_shares() {
     for cut_off in [1, 3] {
@@ -215,8 +212,7 @@
     }
 }
 
-/// Guards against VMs that send what they saved while they were frozen, and against a share of a
-/// frozen VM that no other one uses.
+/// Guards against calls that are saved during a freeze, and a share that nobody uses.
 #[test]
 fn frozen_vms_save_no_calls() {
     let mut fleet = Fleet::new(&[30.0; 7], 30, 4);
@@ -234,7 +230,7 @@
     fleet.assert_within(30, STABLE_MS, 20_000);
 }
 
-/// Guards against calls by VMs whose processes restart and have sent none of the others' calls.
+/// Guards against calls by restarted VMs that know nothing of the calls of the others.
 #[test]
 fn restarted_vms_start_without_calls() {
     let mut fleet = Fleet::new(&[30.0; 7], 30, 5);
@@ -247,7 +243,7 @@
     fleet.assert_used(30, 6_000, 18_000);
 }
 
-/// Guards against calls that are saved while callers send none, and then sent at once by all VMs.
+/// Guards against calls that are saved while callers send none.
 #[test]
 fn an_idle_time_saves_few_calls() {
     let mut fleet = Fleet::new(&[0.0; 7], 30, 7);
@@ -316,8 +312,7 @@
     (test_gateway, leaf)
 }
 
-/// Guards against calls beyond the limit by first calls and scatter-gather requests, and against
-/// requests that wait until their deadline although they can't be served.
+/// Guards against calls beyond the rate, and requests that wait although they fail in the end.
 #[tokio::test]
 async fn requests_beyond_the_rate_are_rejected_at_once() {
     for path in ["/a/x", "/g/x"] {
@@ -368,8 +363,7 @@
     }
 }
 
-/// Guards against a limit that stays after the leaf has stopped naming it, or after its process was
-/// replaced, and against one that other VMs do not learn.
+/// Guards against limits that outlast their naming or process, or that other VMs do not learn.
 #[tokio::test]
 async fn limits_are_shared_and_end() {
     let (test_gateway, leaf) = limited_gateway(5, false).await;
--- a/tests/gateway_reply_size.rs
+++ b/tests/gateway_reply_size.rs
@@ -61,8 +61,7 @@
     exchanged.await.expect("the exchange ends")
 }
 
-/// Guards against replies without end in a body, in chunks, in a head and in interim responses, and
-/// against memory that is not returned.
+/// Guards against bodies, chunks, heads and interim responses without end.
 #[tokio::test]
 async fn replies_without_end_fail() {
     for (beginning, repeated) in [
@@ -84,8 +83,7 @@
     }
 }
 
-/// Guards against memory that grows with the number of large replies, and against small replies
-/// that fail because large ones take it.
+/// Guards against memory that grows with the number of large replies, and failing small ones.
 #[tokio::test]
 async fn large_replies_share_the_memory() {
     let memory = Arc::new(ReplyMemory::new(1_000_000));
