Send nothing more to leaves that announce their end in an answer

Cause: the gateway learned that a leaf leaves from its record alone. A leaf whose record is late, or that never announces its end there, got requests until it ended.

Change: the head of each reply is read before its body and before the reply is validated. A leaf that says there that it leaves is withdrawn from selection, its idle connections are closed, and a call that waits for its turn or a connection fails as not run and goes to another leaf. The process, by the hash of identity and start time, is published by gossip as evidence that does not depend on which VM observed it, and is kept for 10 minutes or while it is listed. Its end is not counted as a crash.

Ruled out: leaf reports over UDP, since they name addresses rather than processes, are not repeated, and do not reach standby VMs.

--- a/src/control/leaf_views.rs
+++ b/src/control/leaf_views.rs
@@ -149,7 +149,10 @@
                 }
                 Fact::DiscardedVersion(version) => state.store.record_discarded(version, unix_ms()),
                 // Published only by the gateway.
-                Fact::Profile { .. } | Fact::CrashedAttempt(_) | Fact::ContentSuccess(_) => {}
+                Fact::Profile { .. }
+                | Fact::CrashedAttempt(_)
+                | Fact::ContentSuccess(_)
+                | Fact::LeafDeparture(_) => {}
             }
         }
     }
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -82,6 +82,8 @@
     CrashedAttempt(Content, u64),
     /// Success of a content.
     ContentSuccess(Content),
+    /// Announced end of a leaf, by the hash of its process.
+    LeafDeparture(u64),
 }
 
 /// Piece of state that one VM publishes and all VMs replicate.
@@ -145,8 +147,31 @@
     CrashedAttempt(CrashedAttempt),
     /// Success of a content that had crashed attempts.
     ContentSuccess(ContentSuccess),
+    /// Announced end of a leaf of the gateway.
+    LeafDeparture(LeafDeparture),
 }
 
+/// A leaf that has said in an answer that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub struct LeafDeparture {
+    /// Hash of the leaf's process.
+    pub process: u64,
+    /// Wall-clock time of the answer.
+    pub observed_unix_ms: u64,
+}
+
+impl LeafDeparture {
+    /// Returns whether the leaf left so long ago that its record is gone everywhere.
+    pub fn is_expired(&self, now_unix_ms: u64) -> bool {
+        self.observed_unix_ms.saturating_add(DEPARTURE_RETENTION_MS) <= now_unix_ms
+    }
+}
+
+/// Time for which departures of leaves are remembered. A leaf may serve on for minutes after its
+/// announcement, and its record outlives it while the platform's store is down.
+pub const DEPARTURE_RETENTION_MS: u64 = 600_000;
+
 /// Caller address, failure domain and capacity of a VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
@@ -214,6 +239,7 @@
                 FactKey::CrashedAttempt(crashed.content, crashed.request_hash)
             }
             Self::ContentSuccess(success) => FactKey::ContentSuccess(success.content),
+            Self::LeafDeparture(departure) => FactKey::LeafDeparture(departure.process),
         }
     }
 
@@ -260,27 +286,31 @@
                 [crashed.leaves.len() as u64, crashed.observed_unix_ms, 0]
             }
             Self::ContentSuccess(success) => [success.until_unix_ms, 0, 0],
+            // The observations of several VMs are the same fact, which is sent once.
+            Self::LeafDeparture(_) => [0, 0, 0],
         }
     }
 
-    /// Returns the wall-clock time of an observation that is evidence on a request content, or `None`
-    /// for other facts.
+    /// Returns the wall-clock time of an observation that is evidence on a request content or a leaf,
+    /// or `None` for other facts.
     pub fn evidence_unix_ms(&self) -> Option<u64> {
         match self {
             Self::LeafCrash(crash) => Some(crash.observed_unix_ms),
             Self::CrashedAttempt(crashed) => Some(crashed.observed_unix_ms),
             Self::ContentSuccess(success) => Some(success.until_unix_ms),
+            Self::LeafDeparture(departure) => Some(departure.observed_unix_ms),
             _ => None,
         }
     }
 
-    /// Returns whether a quarantine or evidence on a content has expired; other facts do not expire.
+    /// Returns whether a quarantine or evidence has expired; other facts do not expire.
     pub fn is_expired(&self, now_unix_ms: u64) -> bool {
         match self {
             Self::Quarantine { until_unix_ms, .. } => *until_unix_ms <= now_unix_ms,
             Self::LeafCrash(crash) => crash.is_expired(now_unix_ms),
             Self::CrashedAttempt(crashed) => crashed.is_expired(now_unix_ms),
             Self::ContentSuccess(success) => success.is_expired(now_unix_ms),
+            Self::LeafDeparture(departure) => departure.is_expired(now_unix_ms),
             _ => false,
         }
     }
@@ -296,7 +326,10 @@
             Self::Leaf { state, .. } => *state == LeafState::Draining,
             Self::Document { .. } | Self::Quarantine { .. } | Self::LeafCrash(_) => true,
             Self::DiscardedVersion(_) => false,
-            Self::Profile { .. } | Self::CrashedAttempt(_) | Self::ContentSuccess(_) => true,
+            Self::Profile { .. }
+            | Self::CrashedAttempt(_)
+            | Self::ContentSuccess(_)
+            | Self::LeafDeparture(_) => true,
         }
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,6 +17,7 @@
 use super::connection::{CallError, Connection, Reply};
 use super::content::Content;
 use super::engine::{Engine, Headers, State};
+use super::leaf_notices::LeafNotices;
 use super::leaf_reports::Observation;
 use super::rate_limit::parse_rate;
 use crate::clock::boot_us;
@@ -124,19 +125,30 @@
             let id = HeaderValue::from_str(&leaf.record.id).map_err(|_| CallError::Connect)?;
             (leaf.address(), id)
         };
-        if let Some(connection) = &mut self.connection {
-            let request = build_request(&self.engine.headers, spec, &id);
-            let result = connection
-                .exchange_within(request, &self.engine.reply_memory)
-                .await;
+        if self.connection.is_some() {
+            let result = self.exchange(spec, &id).await;
             if result.as_ref().err() != Some(&CallError::Unsent) {
                 return result;
             }
         }
-        let connection = self.connection.insert(Connection::open(address).await?);
-        let request = build_request(&self.engine.headers, spec, &id);
+        self.connection = Some(Connection::open(address).await?);
+        self.exchange(spec, &id).await
+    }
+
+    /// Sends the request on the connection of the call, unless the leaf has announced its end while
+    /// the call waited for its turn or the connection.
+    async fn exchange(&mut self, spec: &CallSpec, id: &HeaderValue) -> Result<Reply, CallError> {
+        let connection = self.connection.as_mut().ok_or(CallError::Unsent)?;
+        if !self.engine.state().leaves.may_send(self.leaf) {
+            return Err(CallError::LeafLeaving);
+        }
+        let request = build_request(&self.engine.headers, spec, id);
+        let observe_head = |status: StatusCode, headers: &HeaderMap| {
+            let notices = LeafNotices::read(status, headers, &self.engine.headers.leaving);
+            self.engine.record_notices(self.leaf, notices);
+        };
         connection
-            .exchange_within(request, &self.engine.reply_memory)
+            .exchange_within(request, &self.engine.reply_memory, observe_head)
             .await
     }
 
@@ -167,7 +179,7 @@
     fn address_unless_leaving(&self) -> Option<SocketAddr> {
         let state = self.engine.state();
         let leaf = state.leaves.get(self.leaf)?;
-        let is_leaving = leaf.retired || leaf.record.draining;
+        let is_leaving = leaf.retired || leaf.is_departing();
         (!is_leaving).then(|| leaf.address())
     }
 
@@ -264,10 +276,12 @@
             Ok(_) | Err(CallError::Refused) => {
                 leaf.leaf_stats.record_error_reply(self.call_number, now_us)
             }
-            Err(CallError::RequestIdMismatch) => leaf.leaf_stats.record_abandoned(self.call_number),
+            Err(CallError::RequestIdMismatch | CallError::LeafLeaving) => {
+                leaf.leaf_stats.record_abandoned(self.call_number);
+            }
             Err(_) => leaf.leaf_stats.record_failure(self.call_number, now_us),
         }
-        if reply.is_none() {
+        if reply.is_none() && outcome != Err(CallError::LeafLeaving) {
             leaf.record_failed_call(now_us);
         }
         let no_headers = HeaderMap::new();
@@ -280,7 +294,7 @@
         let reusable = connection.zip(reply_headers);
         let idle = reusable.and_then(|(c, headers)| c.into_idle(headers, now_us / 1_000));
         match idle {
-            Some(idle) if !leaf.retired && !leaf.record.draining => leaf.idle.push(idle),
+            Some(idle) if !leaf.retired && !leaf.is_departing() => leaf.idle.push(idle),
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
         state.record_stall(self.leaf, stall);
@@ -332,6 +346,7 @@
             CallError::Connect
             | CallError::ConnectRefused
             | CallError::Unsent
+            | CallError::LeafLeaving
             | CallError::RequestIdMismatch
             | CallError::WrongLeaf,
         ) => None,
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -83,6 +83,9 @@
     /// The connection was closed before the request was written, so nothing was sent.
     #[error("connection had ended")]
     Unsent,
+    /// The leaf announced its end before the request was sent.
+    #[error("leaf leaves")]
+    LeafLeaving,
     /// The connection was closed, or the reply was malformed, after the request was sent.
     #[error("answer broke off")]
     Broken,
@@ -109,7 +112,10 @@
 impl CallError {
     /// Returns whether the request was written to a connection.
     pub fn was_sent(self) -> bool {
-        !matches!(self, Self::Connect | Self::ConnectRefused | Self::Unsent)
+        !matches!(
+            self,
+            Self::Connect | Self::ConnectRefused | Self::Unsent | Self::LeafLeaving
+        )
     }
 
     /// Returns whether the request is certain not to have run and not to run later.
@@ -118,6 +124,7 @@
             Self::Connect
             | Self::ConnectRefused
             | Self::Unsent
+            | Self::LeafLeaving
             | Self::WrongLeaf
             | Self::Refused => true,
             Self::Broken
@@ -180,11 +187,14 @@
     /// Fails if the connection is closed before the reply is complete, or the reply is too large.
     pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
         let memory = Arc::new(ReplyMemory::new(OWN_REPLY_BYTES));
-        self.exchange_within(request, &memory).await
+        self.exchange_within(request, &memory, |_, _| {}).await
     }
 
     /// Sends a request and reads the complete reply, in memory that is shared with other replies.
     ///
+    /// Calls `observe_head` with the status and the headers before the body is read, which may break
+    /// off.
+    ///
     /// # Errors
     ///
     /// Fails as [`Connection::exchange`] does, also if other replies use the memory.
@@ -192,6 +202,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
         memory: &Arc<ReplyMemory>,
+        observe_head: impl FnOnce(StatusCode, &HeaderMap),
     ) -> Result<Reply, CallError> {
         if self.sender.ready().await.is_err() {
             return Err(CallError::Unsent);
@@ -210,6 +221,7 @@
         };
         self.allowance.set(MAX_BODY_READ_BYTES);
         let (head, mut body) = response.into_parts();
+        observe_head(head.status, &head.headers);
         let mut receiver = ReplyReceiver::new(Arc::clone(memory));
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| self.broken())?;
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -52,6 +52,8 @@
     pub not_run: HeaderName,
     /// Requests per second that a leaf takes from all VMs together.
     pub rate_limit: HeaderName,
+    /// Says that the leaf which sent the reply leaves.
+    pub leaving: HeaderName,
     /// Signatures of the parts of a merged response.
     pub part_signatures: HeaderName,
     /// Shards that are missing in a merged response.
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -1,5 +1,5 @@
-//! Records evidence on contents that crash leaves and exchanges it with the other VMs, so that all
-//! of them refuse such a content wherever it is sent next.
+//! Records evidence on contents that crash leaves and on leaves that leave, and exchanges it with the
+//! other VMs, so that all of them refuse such a content and avoid such a leaf.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -12,11 +12,12 @@
     ContentSuccess, ContentVerdict, CrashedAttempt, MAX_LEAVES_PER_ATTEMPT,
 };
 use super::engine::{Engine, State};
+use super::leaf_notices::LeafNotices;
 use super::leaves::Leaf;
 use super::membership::Membership;
 use super::unanswered_runs::UnansweredRun;
-use crate::clock::{boot_us, unix_ms};
-use crate::fact::Fact;
+use crate::clock::{boot_ms, boot_us, unix_ms};
+use crate::fact::{Fact, LeafDeparture};
 use crate::ids::LeafKey;
 
 /// Maximum amount of evidence that waits to be published; further evidence stays on this VM.
@@ -226,6 +227,25 @@
         self.evidence_queued.notify_one();
     }
 
+    /// Records what a leaf says of itself in a reply. That it leaves is evidence for all VMs.
+    pub(super) fn record_notices(&self, leaf: LeafKey, notices: LeafNotices) {
+        if !notices.is_leaving {
+            return;
+        }
+        let state = &mut *self.state();
+        let Some(process) = state.leaves.record_leaving(leaf, boot_ms()) else {
+            return;
+        };
+        if let Some(record) = state.leaves.get(leaf).map(|leaf| &leaf.record) {
+            info!(event = "leaf_leaving", leaf = %record.address, id = %record.id);
+        }
+        let departure = LeafDeparture {
+            process,
+            observed_unix_ms: unix_ms(),
+        };
+        self.queue_evidence(state, Fact::LeafDeparture(departure));
+    }
+
     /// Waits until evidence is queued for the other VMs.
     pub async fn evidence_queued(&self) {
         self.evidence_queued.notified().await;
@@ -247,6 +267,10 @@
                 Fact::ContentSuccess(success) => {
                     state.content_quarantine.add_success(success, unix_ms());
                 }
+                Fact::LeafDeparture(departure) => {
+                    let now_ms = boot_ms();
+                    state.leaves.record_departure(departure.process, now_ms);
+                }
                 _ => {}
             }
         }
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -4,6 +4,7 @@
 //! Handles leaves that are slow, failing, paused, warming up or replaced, and VMs whose own stalls
 //! would be mistaken for stalls of leaves.
 
+mod notices;
 mod process_ends;
 mod rates;
 
@@ -71,6 +72,8 @@
     /// Latest time at which it was known to live: its last reply, or the appearance of its record
     /// in a change of the list. 0 if it is not known.
     pub alive_us: u64,
+    /// Whether the process has said in an answer, to this VM or another one, that it leaves.
+    pub is_leaving: bool,
     /// Limit on the rate of calls that the leaf has named.
     pub rate_limit: Option<RateLimit>,
     /// Time of the first failed call since the leaf last replied, to this VM or another one.
@@ -100,6 +103,8 @@
     pub sharing_vms: SharingVms,
     /// Unanswered runs of processes that have ended since, with the hash of the process.
     ended_runs: Vec<(u64, UnansweredRun)>,
+    /// Processes that have said that they leave, by hash, with the time at which this was learned.
+    departures_ms: HashMap<u64, u64>,
 }
 
 /// Reason why no leaf of a service can take a call.
@@ -171,7 +176,7 @@
                 continue;
             };
             self.by_address.insert(leaf.address(), *key);
-            if !leaf.record.draining {
+            if !leaf.is_departing() {
                 self.by_service.entry(leaf.service).or_default().push(*key);
             }
         }
@@ -198,7 +203,9 @@
         }
         let key = LeafKey::new(self.next_key);
         self.next_key += 1;
+        let is_leaving = self.departures_ms.contains_key(&record.process_hash());
         let leaf = Leaf {
+            is_leaving,
             record: record.clone(),
             service,
             leaf_stats: LeafStats::default(),
@@ -224,6 +231,7 @@
         for leaf in self.arena.values_mut() {
             leaf.close_expired(now_ms);
         }
+        self.forget_departures(now_ms);
         self.arena.retain(|_, leaf| {
             !leaf.retired
                 || leaf.leaf_stats.open_calls() > 0
@@ -352,7 +360,7 @@
         &self.pause_period
     }
 
-    /// Returns the listed leaves of a service that are not draining.
+    /// Returns the listed leaves of a service that have not announced their end.
     pub fn of_service(&self, service: ServiceKey) -> &[LeafKey] {
         self.by_service.get(&service).map_or(&[], Vec::as_slice)
     }
@@ -468,6 +476,12 @@
         self.failed_us.is_some() || self.leaf_stats.is_stalled_anywhere(now_us)
     }
 
+    /// Returns whether the leaf has announced its end, in its record or in an answer: it finishes its
+    /// requests and must get no others.
+    pub fn is_departing(&self) -> bool {
+        self.record.draining || self.is_leaving
+    }
+
     /// Returns the address on which the leaf listens.
     pub fn address(&self) -> SocketAddr {
         self.record.address
--- a/src/gateway/leaves/process_ends.rs
+++ b/src/gateway/leaves/process_ends.rs
@@ -24,7 +24,7 @@
             return;
         };
         let process = leaf.record.process_hash();
-        let is_announced = leaf.record.draining;
+        let is_announced = leaf.is_departing();
         for run in leaf.unanswered_runs.take() {
             if !is_announced {
                 self.ended_runs.push((process, run));
@@ -38,7 +38,7 @@
         let Some(leaf) = self.arena.get_mut(&key) else {
             return;
         };
-        if leaf.record.draining {
+        if leaf.is_departing() {
             return;
         }
         leaf.unanswered_runs.add(run);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,7 @@
 //!
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
-//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`],
-//! [`rate_limit`].
+//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`].
 
 mod attempt;
 pub mod call;
@@ -23,6 +22,7 @@
 pub mod fanout;
 pub mod fanout_schedule;
 pub mod follower;
+pub mod leaf_notices;
 pub mod leaf_reports;
 pub mod leaf_stats;
 pub mod leaves;
@@ -56,6 +56,7 @@
 pub use entry::{Gateway, GatewaySettings};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
+pub use leaf_notices::LeafNotices;
 pub use leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 pub use leaf_stats::LeafStats;
 pub use leaves::{Leaves, NoLeafError};
--- a/src/gossip/fact_table.rs
+++ b/src/gossip/fact_table.rs
@@ -18,8 +18,8 @@
 /// so the hashes of one bucket easily fit in one datagram.
 pub const DIGEST_BUCKETS: usize = 128;
 
-/// Maximum number of facts that are evidence on request contents; the oldest are dropped. Bounds
-/// memory and traffic while many leaves crash.
+/// Maximum number of facts that are evidence on request contents and leaves; the oldest are dropped.
+/// Bounds memory and traffic while many leaves crash or leave.
 const MAX_EVIDENCE_FACTS: usize = 2_048;
 
 /// Fact with the local metadata of its receipt and dissemination.
@@ -287,6 +287,10 @@
             bytes.extend_from_slice(&request_hash.to_le_bytes());
         }
         FactKey::ContentSuccess(content) => push_content(&mut bytes, b's', content),
+        FactKey::LeafDeparture(process) => {
+            bytes.push(b'e');
+            bytes.extend_from_slice(&process.to_le_bytes());
+        }
     }
     let bucket = xxh3_64(&bytes) % DIGEST_BUCKETS as u64;
     for part in precedence {
--- a/tests/gateway_reply_size.rs
+++ b/tests/gateway_reply_size.rs
@@ -57,7 +57,10 @@
 ) -> Result<Reply, CallError> {
     let request = Request::get("/").header("host", "desk.example");
     let request = request.body(Full::new(Bytes::new())).unwrap();
-    let exchanged = timeout(EXCHANGE_LIMIT, connection.exchange_within(request, memory));
+    let exchanged = timeout(
+        EXCHANGE_LIMIT,
+        connection.exchange_within(request, memory, |_, _| {}),
+    );
     exchanged.await.expect("the exchange ends")
 }
 
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -11,6 +11,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -74,6 +75,8 @@
     executed: Arc<Mutex<Vec<String>>>,
     record: u8,
     rate_limit: Arc<Mutex<Option<String>>>,
+    is_leaving: Arc<AtomicBool>,
+    received: Arc<AtomicUsize>,
     serving: Arc<Mutex<Option<AbortHandle>>>,
     /// Connections that fill the backlog of a leaf that was cut off.
     unanswered: Arc<Mutex<Vec<TcpStream>>>,
@@ -88,6 +91,7 @@
         signature: name("x-signature"),
         not_run: name("x-not-run"),
         rate_limit: name("x-rate-limit"),
+        leaving: name("x-leaving"),
         part_signatures: name("x-parts"),
         missing_parts: name("x-missing"),
     }
@@ -121,6 +125,8 @@
             executed: Arc::default(),
             record,
             rate_limit: Arc::default(),
+            is_leaving: Arc::default(),
+            received: Arc::default(),
             serving: Arc::default(),
             unanswered: Arc::default(),
         };
@@ -194,6 +200,16 @@
         *self.rate_limit.lock().unwrap() = rate.map(str::to_owned);
     }
 
+    /// Says in all answers from now on that the leaf leaves.
+    pub fn announce_end(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the number of requests that were received, also of those that were not executed.
+    pub fn received(&self) -> usize {
+        self.received.load(Ordering::SeqCst)
+    }
+
     pub fn executed(&self) -> usize {
         self.executed.lock().unwrap().len()
     }
@@ -202,6 +218,7 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, ConnectionAborted> {
+        self.received.fetch_add(1, Ordering::SeqCst);
         let behaviour = *self.behaviour.lock().unwrap();
         let id = request.headers()["x-request"].clone();
         let mut response = Response::new(Full::new(Bytes::from(vec![self.record; 16])));
@@ -210,6 +227,9 @@
         if let Some(rate) = &*self.rate_limit.lock().unwrap() {
             fields.insert("x-rate-limit", rate.parse().unwrap());
         }
+        if self.is_leaving.load(Ordering::SeqCst) {
+            fields.insert("x-leaving", "1".parse().unwrap());
+        }
         if behaviour == LeafBehaviour::Refuse {
             fields.insert("x-not-run", "1".parse().unwrap());
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
