Send no calls to a leaf within the time that it names in a refusal

Cause: the gateway did not read Retry-After of leaves. A leaf that refused a request and asked for a time without any got the next one within milliseconds, as a retry, a hedge or a first call.

Change: a 503 with Retry-After excludes the leaf from the choice of this VM until the time is over; a call that waits for its turn or a connection fails as not run. Afterwards the leaf gets one call at a time until it answers one. The other active VMs get a leaf report and use it as their last choice. A request that can't be served because too many of its leaves want no calls is refused on arrival, with the earliest time at which enough may be called, spread over half of it.

Ruled out: ending the time by an answer to an earlier call, since the leaf counts its time from the refusal; a hard stop on all VMs, since the leaf speaks to one, and the service would lose capacity that it has.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -135,12 +135,12 @@
         self.exchange(spec, &id).await
     }
 
-    /// Sends the request on the connection of the call, unless the leaf has announced its end while
-    /// the call waited for its turn or the connection.
+    /// Sends the request on the connection of the call, unless the leaf has announced its end or a
+    /// time without calls while the call waited for its turn or the connection.
     async fn exchange(&mut self, spec: &CallSpec, id: &HeaderValue) -> Result<Reply, CallError> {
         let connection = self.connection.as_mut().ok_or(CallError::Unsent)?;
-        if !self.engine.state().leaves.may_send(self.leaf) {
-            return Err(CallError::LeafLeaving);
+        if !self.engine.state().leaves.may_send(self.leaf, boot_us()) {
+            return Err(CallError::Withheld);
         }
         let request = build_request(&self.engine.headers, spec, id);
         let observe_head = |status: StatusCode, headers: &HeaderMap| {
@@ -267,6 +267,9 @@
             return;
         };
         let mut stall = None;
+        if outcome.is_ok() {
+            leaf.retry_after.record_answer(now_us);
+        }
         match outcome {
             Ok(status) if status.is_success() => {
                 stall = leaf
@@ -276,19 +279,19 @@
             Ok(_) | Err(CallError::Refused) => {
                 leaf.leaf_stats.record_error_reply(self.call_number, now_us)
             }
-            Err(CallError::RequestIdMismatch | CallError::LeafLeaving) => {
+            Err(CallError::RequestIdMismatch | CallError::Withheld) => {
                 leaf.leaf_stats.record_abandoned(self.call_number);
             }
             Err(_) => leaf.leaf_stats.record_failure(self.call_number, now_us),
         }
-        if reply.is_none() && outcome != Err(CallError::LeafLeaving) {
+        if reply.is_none() && outcome != Err(CallError::Withheld) {
             leaf.record_failed_call(now_us);
         }
         let no_headers = HeaderMap::new();
         let reply_headers = match outcome {
             Ok(_) | Err(CallError::Refused) => reply.map(|reply| &reply.headers),
-            // The connection was opened after the broken one and has not been used.
-            Err(CallError::Broken) => Some(&no_headers),
+            // The connection was opened after the broken one, or nothing was sent on it.
+            Err(CallError::Broken | CallError::Withheld) => Some(&no_headers),
             Err(_) => None,
         };
         let reusable = connection.zip(reply_headers);
@@ -346,7 +349,7 @@
             CallError::Connect
             | CallError::ConnectRefused
             | CallError::Unsent
-            | CallError::LeafLeaving
+            | CallError::Withheld
             | CallError::RequestIdMismatch
             | CallError::WrongLeaf,
         ) => None,
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -83,9 +83,9 @@
     /// The connection was closed before the request was written, so nothing was sent.
     #[error("connection had ended")]
     Unsent,
-    /// The leaf announced its end before the request was sent.
-    #[error("leaf leaves")]
-    LeafLeaving,
+    /// Before the request was sent, the leaf announced its end or a time without calls.
+    #[error("leaf leaves or wants no calls")]
+    Withheld,
     /// The connection was closed, or the reply was malformed, after the request was sent.
     #[error("answer broke off")]
     Broken,
@@ -114,7 +114,7 @@
     pub fn was_sent(self) -> bool {
         !matches!(
             self,
-            Self::Connect | Self::ConnectRefused | Self::Unsent | Self::LeafLeaving
+            Self::Connect | Self::ConnectRefused | Self::Unsent | Self::Withheld
         )
     }
 
@@ -124,7 +124,7 @@
             Self::Connect
             | Self::ConnectRefused
             | Self::Unsent
-            | Self::LeafLeaving
+            | Self::Withheld
             | Self::WrongLeaf
             | Self::Refused => true,
             Self::Broken
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::header::HeaderName;
+use thiserror::Error;
 use tokio::sync::Notify;
 use tracing::info;
 
@@ -86,6 +87,21 @@
     call_latency: HashMap<Box<str>, CallLatency>,
 }
 
+/// Reason why a request can't be served now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub enum CapacityError {
+    /// Too many services are at the limits that their leaves have named.
+    #[error("leaves take no further requests by the rates that they have named")]
+    RateLimited,
+    /// The leaves of too many services want no calls.
+    #[error("leaves want no requests for now")]
+    RetryAfter {
+        /// Earliest time at which enough services may be called.
+        at_us: u64,
+    },
+}
+
 /// Shared state of the gateway from which requests are routed to leaves.
 #[derive(Debug)]
 pub struct Engine {
@@ -309,20 +325,40 @@
         }
     }
 
-    /// Returns whether a leaf of at least `min_services` services takes a call now, by the limits
-    /// that the leaves have named.
-    pub fn takes_calls(&self, services: &[ServiceKey], min_services: usize) -> bool {
+    /// Checks that a leaf of at least `min_services` services takes a call now, by the limits and the
+    /// times without calls that the leaves have named.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a request to these services can't be served now.
+    pub fn check_capacity(
+        &self,
+        services: &[ServiceKey],
+        min_services: usize,
+    ) -> Result<(), CapacityError> {
         let now_us = boot_us();
         let state = &*self.state();
-        if !state.leaves.has_rate_limits {
-            return true;
+        if !state.leaves.has_rate_limits && !state.leaves.has_retry_after(now_us) {
+            return Ok(());
         }
-        let mut limited = 0;
+        let mut free = 0;
+        let mut retry_at_us = Vec::new();
         for service in services {
-            let chosen = state.leaves.choose(*service, &[], &state.limits, now_us);
-            limited += usize::from(chosen == Err(NoLeafError::RateLimited));
+            match state.leaves.choose(*service, &[], &state.limits, now_us) {
+                Err(NoLeafError::RateLimited) => {}
+                Err(NoLeafError::RetryAfter { at_us }) => retry_at_us.push(at_us),
+                Ok(_) | Err(NoLeafError::NoConnection | NoLeafError::NoneAvailable) => free += 1,
+            }
+        }
+        let missing = min_services.min(services.len()).saturating_sub(free);
+        if missing == 0 {
+            return Ok(());
+        }
+        retry_at_us.sort_unstable();
+        match retry_at_us.get(missing - 1) {
+            Some(at_us) => Err(CapacityError::RetryAfter { at_us: *at_us }),
+            None => Err(CapacityError::RateLimited),
         }
-        services.len() - limited >= min_services.min(services.len())
     }
 
     /// Applies the leaf reports of another active VM.
@@ -404,6 +440,20 @@
         }
     }
 
+    /// Records that a leaf wants no calls from this VM for a time, and queues a report on it for the
+    /// other active VMs.
+    pub(super) fn record_retry_after(&mut self, leaf: LeafKey, wait_ms: u64) {
+        let now_us = boot_us();
+        self.leaves.record_retry_after(leaf, wait_ms, now_us);
+        let Some(leaf) = self.leaves.get(leaf) else {
+            return;
+        };
+        info!(event = "leaf_retry_after", leaf = %leaf.address(), wait_ms);
+        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+        let observation = Observation::RetryAfter { wait_ms };
+        self.report_queue.add(leaf.address(), now_us, observation);
+    }
+
     /// Records a completed stall of a leaf and queues a report on it for the other active VMs.
     pub(super) fn record_stall(&mut self, leaf: LeafKey, stall: Option<Stall>) {
         let address = self.leaves.get(leaf).map(Leaf::address);
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -227,12 +227,19 @@
         self.evidence_queued.notify_one();
     }
 
-    /// Records what a leaf says of itself in a reply. That it leaves is evidence for all VMs.
+    /// Records what a leaf says of itself in a reply. That it leaves is evidence for all VMs; a time
+    /// without calls concerns this VM, and the others get a report of it.
     pub(super) fn record_notices(&self, leaf: LeafKey, notices: LeafNotices) {
-        if !notices.is_leaving {
+        if notices == LeafNotices::default() {
             return;
         }
         let state = &mut *self.state();
+        if let Some(wait_ms) = notices.retry_after_ms {
+            state.record_retry_after(leaf, wait_ms);
+        }
+        if !notices.is_leaving {
+            return;
+        }
         let Some(process) = state.leaves.record_leaving(leaf, boot_ms()) else {
             return;
         };
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -71,6 +71,8 @@
     pub denied_retries: usize,
     /// Whether a call was not sent because the leaves had named a limit on their rate.
     pub is_rate_limited: bool,
+    /// Time at which the shards without a reply whose leaves want no calls may be called again.
+    pub retry_at_us: Option<u64>,
     /// Error of the call that failed last.
     pub last_error: Option<CallError>,
     /// Whether the deadline of the request had passed.
@@ -97,6 +99,7 @@
     sent_calls: usize,
     denied_retries: usize,
     is_rate_limited: bool,
+    retry_at_us: Option<u64>,
     last_error: Option<CallError>,
 }
 
@@ -123,6 +126,7 @@
             sent_calls: 0,
             denied_retries: 0,
             is_rate_limited: false,
+            retry_at_us: None,
             last_error: None,
         }
     }
@@ -251,7 +255,13 @@
                 return;
             }
             Err(NoLeafError::RateLimited) => {
-                self.handle_rate_limited(index);
+                self.is_rate_limited = true;
+                self.handle_calls_unwanted(index);
+                return;
+            }
+            Err(NoLeafError::RetryAfter { at_us }) => {
+                self.retry_at_us = self.retry_at_us.max(Some(at_us));
+                self.handle_calls_unwanted(index);
                 return;
             }
         };
@@ -302,8 +312,7 @@
 
     /// Handles a shard whose leaves take no further calls for now. It is not worth waiting for them:
     /// other requests wait as well.
-    fn handle_rate_limited(&mut self, index: usize) {
-        self.is_rate_limited = true;
+    fn handle_calls_unwanted(&mut self, index: usize) {
         let shard = &mut self.shards[index];
         if shard.open_calls > 0 {
             shard.needs_call = false;
@@ -445,6 +454,7 @@
             sent_calls: self.sent_calls,
             denied_retries: self.denied_retries,
             is_rate_limited: self.is_rate_limited,
+            retry_at_us: self.retry_at_us,
             last_error: self.last_error,
             timed_out,
             median_call_us,
--- a/src/gateway/leaf_notices.rs
+++ b/src/gateway/leaf_notices.rs
@@ -1,11 +1,13 @@
 //! Reads what a leaf says of itself in the head of a reply, by which later requests avoid it.
 //!
-//! Handles leaves that leave before their record says so: any reply may tell, also one that fails,
-//! breaks off or is not the one that was awaited.
+//! Handles leaves that leave before their record says so, and leaves that refuse requests for a
+//! while: any reply may tell, also one that fails, breaks off or is not the one that was awaited.
 
-use http::header::HeaderName;
+use http::header::{HeaderName, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 
+use super::retry_after::parse_retry_after_ms;
+
 /// Value by which a leaf says that it leaves.
 const LEAVING_VALUE: &str = "1";
 
@@ -14,6 +16,8 @@
 pub struct LeafNotices {
     /// Whether the leaf leaves: it finishes its requests and then ends.
     pub is_leaving: bool,
+    /// Time for which the leaf wants no calls from this VM, if it has refused one.
+    pub retry_after_ms: Option<u64>,
 }
 
 impl LeafNotices {
@@ -38,9 +42,14 @@
             return Self::default();
         }
         let mut values = headers.get_all(leaving).iter();
+        let is_leaving =
+            values.any(|value| value.as_bytes().trim_ascii() == LEAVING_VALUE.as_bytes());
+        let named = headers.get_all(RETRY_AFTER).iter();
+        let named_ms = named.filter_map(|value| parse_retry_after_ms(value.to_str().ok()?));
+        let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
         Self {
-            is_leaving: values
-                .any(|value| value.as_bytes().trim_ascii() == LEAVING_VALUE.as_bytes()),
+            is_leaving,
+            retry_after_ms: named_ms.max().filter(|wait_ms| is_refusal && *wait_ms > 0),
         }
     }
 }
--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -1,6 +1,6 @@
 //! Shares leaf observations between active VMs, so that requests avoid leaves on which calls of
-//! other VMs stalled or failed: stalls and their ends, failures, and replies of leaves that failed
-//! recently. VMs also report their calls to leaves that have named a limit on their rate.
+//! other VMs stalled or failed: stalls and their ends, failures, refusals for a named time, and replies
+//! of leaves that failed recently. VMs also report their calls to leaves that have named a limit on their rate.
 //!
 //! Handles leaves that pause, are slow, shed load or lose replies. Each VM observes only its own
 //! calls, a few per second to each leaf of a large fleet: without reports, every VM would spend
@@ -29,7 +29,7 @@
 const STANDBY_FLUSH_MS: u64 = 200;
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-const LEAF_REPORTS_VERSION: u8 = 3;
+const LEAF_REPORTS_VERSION: u8 = 4;
 
 /// Maximum number of reports in one datagram, so that it fits an Ethernet frame: a report takes at
 /// most 20 bytes.
@@ -65,6 +65,11 @@
         /// Duration of the stall, in microseconds.
         stall_us: u32,
     },
+    /// The leaf refused a call and wants none from the VM for a time.
+    RetryAfter {
+        /// That time, in milliseconds.
+        wait_ms: u32,
+    },
     /// The leaf failed or refused a call.
     Failed,
     /// The leaf answered a call after recent failures.
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -20,6 +20,7 @@
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
 use super::rate_limit::{RateLimit, SharingVms};
+use super::retry_after::{Admission, REMOTE_RETRY_AFTER_COST_US, RetryAfter};
 use super::routes::ServiceNames;
 use super::unanswered_runs::{UnansweredRun, UnansweredRuns};
 use crate::ids::{LeafKey, ServiceKey};
@@ -74,6 +75,8 @@
     pub alive_us: u64,
     /// Whether the process has said in an answer, to this VM or another one, that it leaves.
     pub is_leaving: bool,
+    /// Times for which the leaf wants no calls.
+    pub retry_after: RetryAfter,
     /// Limit on the rate of calls that the leaf has named.
     pub rate_limit: Option<RateLimit>,
     /// Time of the first failed call since the leaf last replied, to this VM or another one.
@@ -105,6 +108,8 @@
     ended_runs: Vec<(u64, UnansweredRun)>,
     /// Processes that have said that they leave, by hash, with the time at which this was learned.
     departures_ms: HashMap<u64, u64>,
+    /// Latest end of the times for which leaves want no calls from this VM.
+    retry_after_until_us: u64,
 }
 
 /// Reason why no leaf of a service can take a call.
@@ -116,6 +121,11 @@
     NoConnection,
     /// Its leaves take no further calls for now, by the limits that they have named.
     RateLimited,
+    /// Its leaves want no calls for now.
+    RetryAfter {
+        /// Earliest time at which one may be called.
+        at_us: u64,
+    },
 }
 
 impl Leaves {
@@ -206,6 +216,7 @@
         let is_leaving = self.departures_ms.contains_key(&record.process_hash());
         let leaf = Leaf {
             is_leaving,
+            retry_after: RetryAfter::default(),
             record: record.clone(),
             service,
             leaf_stats: LeafStats::default(),
@@ -253,6 +264,9 @@
                 let since_us = seen_us.saturating_sub(u64::from(silent_us));
                 leaf.leaf_stats.record_remote_stall(since_us, seen_us);
             }
+            Observation::RetryAfter { wait_ms } => {
+                leaf.retry_after.record_remote(u64::from(wait_ms), seen_us);
+            }
             Observation::Failed => {
                 let was_outlier = leaf.leaf_stats.is_outlier(now_us);
                 leaf.leaf_stats.record_remote_failure(now_us);
@@ -380,7 +394,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service has no untried leaf, or none with a free connection.
+    /// Fails if the service has no untried leaf, none with a free connection, or none that takes a
+    /// call now.
     pub fn choose(
         &self,
         service: ServiceKey,
@@ -391,6 +406,7 @@
         let mut best: Option<(u64, LeafKey)> = None;
         let mut has_no_connection = false;
         let mut is_rate_limited = false;
+        let mut retry_at_us: Option<u64> = None;
         for key in self.of_service(service) {
             let Some(leaf) = self.arena.get(key) else {
                 continue;
@@ -406,7 +422,22 @@
                 is_rate_limited = true;
                 continue;
             };
-            let cost_us = self.cost_us(leaf, now_us) + wait_us;
+            let mut cost_us = self.cost_us(leaf, now_us) + wait_us;
+            match leaf
+                .retry_after
+                .admission(leaf.leaf_stats.open_calls(), now_us)
+            {
+                Admission::Allowed => {}
+                Admission::LastChoice => cost_us += REMOTE_RETRY_AFTER_COST_US,
+                Admission::Recovering => {
+                    has_no_connection = true;
+                    continue;
+                }
+                Admission::NotBefore(at_us) => {
+                    retry_at_us = Some(retry_at_us.map_or(at_us, |earlier| earlier.min(at_us)));
+                    continue;
+                }
+            }
             if best.is_none_or(|(lowest_us, _)| cost_us < lowest_us) {
                 best = Some((cost_us, *key));
             }
@@ -416,6 +447,8 @@
                 NoLeafError::NoConnection
             } else if is_rate_limited {
                 NoLeafError::RateLimited
+            } else if let Some(at_us) = retry_at_us {
+                NoLeafError::RetryAfter { at_us }
             } else {
                 NoLeafError::NoneAvailable
             }
--- a/src/gateway/leaves/notices.rs
+++ b/src/gateway/leaves/notices.rs
@@ -56,9 +56,25 @@
         });
     }
 
+    /// Records that a leaf wants no calls from this VM for a time.
+    pub fn record_retry_after(&mut self, key: LeafKey, wait_ms: u64, now_us: u64) {
+        if let Some(leaf) = self.arena.get_mut(&key) {
+            leaf.retry_after.record(wait_ms, now_us);
+            let until_us = leaf.retry_after.until_us();
+            self.retry_after_until_us = self.retry_after_until_us.max(until_us);
+        }
+    }
+
+    /// Returns whether a leaf may want no calls from this VM now.
+    pub fn has_retry_after(&self, now_us: u64) -> bool {
+        now_us < self.retry_after_until_us
+    }
+
     /// Returns whether a call that was assigned to a leaf may still be sent: the leaf has not said
-    /// since that it leaves.
-    pub fn may_send(&self, key: LeafKey) -> bool {
-        self.arena.get(&key).is_some_and(|leaf| !leaf.is_leaving)
+    /// since that it leaves or wants no calls.
+    pub fn may_send(&self, key: LeafKey, now_us: u64) -> bool {
+        self.arena
+            .get(&key)
+            .is_some_and(|leaf| !leaf.is_leaving && now_us >= leaf.retry_after.until_us())
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
-//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`].
+//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
+//! [`retry_after`].
 
 mod attempt;
 pub mod call;
@@ -33,6 +34,7 @@
 pub mod pause_predictor;
 pub mod rate_limit;
 pub mod reply_memory;
+pub mod retry_after;
 pub mod retry_budgets;
 pub mod routes;
 pub mod service;
@@ -52,7 +54,7 @@
 pub use connection_limits::{ConnectionLimits, connection_share};
 pub use content::Content;
 pub use content_quarantine::{ContentQuarantine, ContentSuccess, ContentVerdict, CrashedAttempt};
-pub use engine::{Engine, Headers};
+pub use engine::{CapacityError, Engine, Headers};
 pub use entry::{Gateway, GatewaySettings};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
@@ -66,6 +68,7 @@
 pub use pause_predictor::{PausePeriod, PausePredictor, Stall};
 pub use rate_limit::{RateLimit, RateUsage, SharingVms};
 pub use reply_memory::{ReplyBuffer, ReplyMemory, ReplyReceiver};
+pub use retry_after::RetryAfter;
 pub use retry_budgets::{RetryBudgetLimits, RetryBudgets};
 pub use routes::{
     CallerLimits, Destination, RouteDocument, RouteSpec, RouteTable, ServiceNames, ServiceSpec,
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -22,7 +22,7 @@
 use super::connection::Reply;
 use super::content::Content;
 use super::content_quarantine::ContentVerdict;
-use super::engine::Engine;
+use super::engine::{CapacityError, Engine};
 use super::fanout::{Fanout, FanoutPlan, FanoutResult};
 use super::fanout_schedule::FanoutSchedule;
 use super::merge::merge_records;
@@ -81,8 +81,10 @@
     BodyIncomplete,
     #[error("content is quarantined, since it crashed leaves")]
     Quarantined { until_unix_ms: u64 },
-    #[error("leaves take no further requests by the rates that they have named")]
+    #[error("{}", CapacityError::RateLimited)]
     RateLimited { remaining_ms: u64 },
+    #[error("leaves want no requests for another {wait_ms} ms")]
+    RetryAfter { wait_ms: u64 },
     /// `pressure` is the smoothed ratio of the median call latency to the acceptable one.
     #[error("leaf queues are too long: limit {limit:.1}, pressure {pressure:.2}")]
     Overloaded {
@@ -98,6 +100,7 @@
             Self::NoConfiguration
             | Self::Overloaded { .. }
             | Self::RateLimited { .. }
+            | Self::RetryAfter { .. }
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoRequestId => StatusCode::BAD_REQUEST,
@@ -116,6 +119,7 @@
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
                 max_wait_ms / 2..max_wait_ms.max(MIN_RETRY_WAIT_MS)
             }
+            Self::RetryAfter { wait_ms } => retry_wait_after_ms(wait_ms),
             Self::Quarantined { until_unix_ms } => {
                 let remaining_ms = until_unix_ms.saturating_sub(unix_ms());
                 remaining_ms..remaining_ms.saturating_add(RETRY_WAIT_MS.end)
@@ -150,10 +154,15 @@
             route,
             spec.deadline_us.saturating_sub(started_us),
         );
-        if !self.engine.takes_calls(&plan.services, plan.min_parts) {
-            let remaining_ms = spec.deadline_us.saturating_sub(started_us) / 1_000;
-            return Err(Refusal::RateLimited { remaining_ms });
-        }
+        let capacity = self.engine.check_capacity(&plan.services, plan.min_parts);
+        capacity.map_err(|error| match error {
+            CapacityError::RateLimited => Refusal::RateLimited {
+                remaining_ms: spec.deadline_us.saturating_sub(started_us) / 1_000,
+            },
+            CapacityError::RetryAfter { at_us } => Refusal::RetryAfter {
+                wait_ms: at_us.saturating_sub(started_us).div_ceil(1_000),
+            },
+        })?;
         let request_id = spec.request_id.clone();
         let content = spec.content;
         let is_merged = !plan.relays_errors;
@@ -412,10 +421,19 @@
     headers
 }
 
+/// Returns the range of the retry time after a time without requests that ends in `wait_ms`. The longer
+/// it lasts, the more callers are refused, and the longer the time over which they return.
+fn retry_wait_after_ms(wait_ms: u64) -> Range<u64> {
+    wait_ms..wait_ms + RETRY_WAIT_MS.end.max(wait_ms / 2)
+}
+
 /// Builds the response to a failed request. The status 503 means that no leaf has executed it.
 fn failure_response(fanout_result: &FanoutResult) -> HttpResponse {
     if !fanout_result.may_have_run {
-        return refusal_response(StatusCode::SERVICE_UNAVAILABLE, RETRY_WAIT_MS);
+        let retry_wait_ms = fanout_result.retry_at_us.map_or(RETRY_WAIT_MS, |at_us| {
+            retry_wait_after_ms(at_us.saturating_sub(boot_us()).div_ceil(1_000))
+        });
+        return refusal_response(StatusCode::SERVICE_UNAVAILABLE, retry_wait_ms);
     }
     if fanout_result.timed_out {
         return empty_response(StatusCode::GATEWAY_TIMEOUT);
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -52,6 +52,8 @@
     Break,
     /// Replies "not run" without running the request.
     Refuse,
+    /// Replies "not run" without running the request, with this time to come back.
+    RetryAfter(&'static str),
     /// Answers with the identifier of another request.
     WrongRequestId,
     /// Answers without a signature.
@@ -230,7 +232,13 @@
         if self.is_leaving.load(Ordering::SeqCst) {
             fields.insert("x-leaving", "1".parse().unwrap());
         }
-        if behaviour == LeafBehaviour::Refuse {
+        if let LeafBehaviour::RetryAfter(retry_after) = behaviour {
+            fields.insert("retry-after", retry_after.parse().unwrap());
+        }
+        if matches!(
+            behaviour,
+            LeafBehaviour::Refuse | LeafBehaviour::RetryAfter(_)
+        ) {
             fields.insert("x-not-run", "1".parse().unwrap());
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             return Ok(response);
