--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -4,6 +4,7 @@
 //! Handles leaves that are slow, failing, paused, warming up or replaced, and VMs whose own stalls
 //! would be mistaken for stalls of leaves.
 
+mod notices;
 mod process_ends;
 mod rates;
 
@@ -19,6 +20,7 @@
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
 use super::rate_limit::{RateLimit, SharingVms};
+use super::retry_after::{Admission, REMOTE_RETRY_AFTER_COST_US, RetryAfter};
 use super::routes::ServiceNames;
 use super::unanswered_runs::{UnansweredRun, UnansweredRuns};
 use crate::ids::{LeafKey, ServiceKey};
@@ -71,6 +73,10 @@
     /// Latest time at which it was known to live: its last reply, or the appearance of its record
     /// in a change of the list. 0 if it is not known.
     pub alive_us: u64,
+    /// Whether the process has said in an answer, to this VM or another one, that it leaves.
+    pub is_leaving: bool,
+    /// Times for which the leaf wants no calls.
+    pub retry_after: RetryAfter,
     /// Limit on the rate of calls that the leaf has named.
     pub rate_limit: Option<RateLimit>,
     /// Time of the first failed call since the leaf last replied, to this VM or another one.
@@ -100,6 +106,10 @@
     pub sharing_vms: SharingVms,
     /// Unanswered runs of processes that have ended since, with the hash of the process.
     ended_runs: Vec<(u64, UnansweredRun)>,
+    /// Processes that have said that they leave, by hash, with the time at which this was learned.
+    departures_ms: HashMap<u64, u64>,
+    /// Latest end of the times for which leaves want no calls from this VM.
+    retry_after_until_us: u64,
 }
 
 /// Reason why no leaf of a service can take a call.
@@ -111,6 +121,11 @@
     NoConnection,
     /// Its leaves take no further calls for now, by the limits that they have named.
     RateLimited,
+    /// Its leaves want no calls for now.
+    RetryAfter {
+        /// Earliest time at which one may be called.
+        at_us: u64,
+    },
 }
 
 impl Leaves {
@@ -171,7 +186,7 @@
                 continue;
             };
             self.by_address.insert(leaf.address(), *key);
-            if !leaf.record.draining {
+            if !leaf.is_departing() {
                 self.by_service.entry(leaf.service).or_default().push(*key);
             }
         }
@@ -198,7 +213,10 @@
         }
         let key = LeafKey::new(self.next_key);
         self.next_key += 1;
+        let is_leaving = self.departures_ms.contains_key(&record.process_hash());
         let leaf = Leaf {
+            is_leaving,
+            retry_after: RetryAfter::default(),
             record: record.clone(),
             service,
             leaf_stats: LeafStats::default(),
@@ -224,6 +242,7 @@
         for leaf in self.arena.values_mut() {
             leaf.close_expired(now_ms);
         }
+        self.forget_departures(now_ms);
         self.arena.retain(|_, leaf| {
             !leaf.retired
                 || leaf.leaf_stats.open_calls() > 0
@@ -245,6 +264,9 @@
                 let since_us = seen_us.saturating_sub(u64::from(silent_us));
                 leaf.leaf_stats.record_remote_stall(since_us, seen_us);
             }
+            Observation::RetryAfter { wait_ms } => {
+                leaf.retry_after.record_remote(u64::from(wait_ms), seen_us);
+            }
             Observation::Failed => {
                 let was_outlier = leaf.leaf_stats.is_outlier(now_us);
                 leaf.leaf_stats.record_remote_failure(now_us);
@@ -352,7 +374,7 @@
         &self.pause_period
     }
 
-    /// Returns the listed leaves of a service that are not draining.
+    /// Returns the listed leaves of a service that have not announced their end.
     pub fn of_service(&self, service: ServiceKey) -> &[LeafKey] {
         self.by_service.get(&service).map_or(&[], Vec::as_slice)
     }
@@ -372,7 +394,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service has no untried leaf, or none with a free connection.
+    /// Fails if the service has no untried leaf, none with a free connection, or none that takes a
+    /// call now.
     pub fn choose(
         &self,
         service: ServiceKey,
@@ -383,6 +406,7 @@
         let mut best: Option<(u64, LeafKey)> = None;
         let mut has_no_connection = false;
         let mut is_rate_limited = false;
+        let mut retry_at_us: Option<u64> = None;
         for key in self.of_service(service) {
             let Some(leaf) = self.arena.get(key) else {
                 continue;
@@ -398,7 +422,22 @@
                 is_rate_limited = true;
                 continue;
             };
-            let cost_us = self.cost_us(leaf, now_us) + wait_us;
+            let mut cost_us = self.cost_us(leaf, now_us) + wait_us;
+            match leaf
+                .retry_after
+                .admission(leaf.leaf_stats.open_calls(), now_us)
+            {
+                Admission::Allowed => {}
+                Admission::LastChoice => cost_us += REMOTE_RETRY_AFTER_COST_US,
+                Admission::Recovering => {
+                    has_no_connection = true;
+                    continue;
+                }
+                Admission::NotBefore(at_us) => {
+                    retry_at_us = Some(retry_at_us.map_or(at_us, |earlier| earlier.min(at_us)));
+                    continue;
+                }
+            }
             if best.is_none_or(|(lowest_us, _)| cost_us < lowest_us) {
                 best = Some((cost_us, *key));
             }
@@ -408,6 +447,8 @@
                 NoLeafError::NoConnection
             } else if is_rate_limited {
                 NoLeafError::RateLimited
+            } else if let Some(at_us) = retry_at_us {
+                NoLeafError::RetryAfter { at_us }
             } else {
                 NoLeafError::NoneAvailable
             }
@@ -468,6 +509,12 @@
         self.failed_us.is_some() || self.leaf_stats.is_stalled_anywhere(now_us)
     }
 
+    /// Returns whether the leaf has announced its end, in its record or in an answer: it finishes its
+    /// requests and must get no others.
+    pub fn is_departing(&self) -> bool {
+        self.record.draining || self.is_leaving
+    }
+
     /// Returns the address on which the leaf listens.
     pub fn address(&self) -> SocketAddr {
         self.record.address
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -11,6 +11,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -51,6 +52,8 @@
     Break,
     /// Replies "not run" without running the request.
     Refuse,
+    /// Replies "not run" without running the request, with this time to come back.
+    RetryAfter(&'static str),
     /// Answers with the identifier of another request.
     WrongRequestId,
     /// Answers without a signature.
@@ -74,6 +77,8 @@
     executed: Arc<Mutex<Vec<String>>>,
     record: u8,
     rate_limit: Arc<Mutex<Option<String>>>,
+    is_leaving: Arc<AtomicBool>,
+    received: Arc<AtomicUsize>,
     serving: Arc<Mutex<Option<AbortHandle>>>,
     /// Connections that fill the backlog of a leaf that was cut off.
     unanswered: Arc<Mutex<Vec<TcpStream>>>,
@@ -88,6 +93,7 @@
         signature: name("x-signature"),
         not_run: name("x-not-run"),
         rate_limit: name("x-rate-limit"),
+        leaving: name("x-leaving"),
         part_signatures: name("x-parts"),
         missing_parts: name("x-missing"),
     }
@@ -121,6 +127,8 @@
             executed: Arc::default(),
             record,
             rate_limit: Arc::default(),
+            is_leaving: Arc::default(),
+            received: Arc::default(),
             serving: Arc::default(),
             unanswered: Arc::default(),
         };
@@ -194,6 +202,16 @@
         *self.rate_limit.lock().unwrap() = rate.map(str::to_owned);
     }
 
+    /// Says in all answers from now on that the leaf leaves.
+    pub fn announce_end(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the number of requests that were received, also of those that were not executed.
+    pub fn received(&self) -> usize {
+        self.received.load(Ordering::SeqCst)
+    }
+
     pub fn executed(&self) -> usize {
         self.executed.lock().unwrap().len()
     }
@@ -202,6 +220,7 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, ConnectionAborted> {
+        self.received.fetch_add(1, Ordering::SeqCst);
         let behaviour = *self.behaviour.lock().unwrap();
         let id = request.headers()["x-request"].clone();
         let mut response = Response::new(Full::new(Bytes::from(vec![self.record; 16])));
@@ -210,7 +229,16 @@
         if let Some(rate) = &*self.rate_limit.lock().unwrap() {
             fields.insert("x-rate-limit", rate.parse().unwrap());
         }
-        if behaviour == LeafBehaviour::Refuse {
+        if self.is_leaving.load(Ordering::SeqCst) {
+            fields.insert("x-leaving", "1".parse().unwrap());
+        }
+        if let LeafBehaviour::RetryAfter(retry_after) = behaviour {
+            fields.insert("retry-after", retry_after.parse().unwrap());
+        }
+        if matches!(
+            behaviour,
+            LeafBehaviour::Refuse | LeafBehaviour::RetryAfter(_)
+        ) {
             fields.insert("x-not-run", "1".parse().unwrap());
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             return Ok(response);
