Refuse requests at once while the leaves that they need are unreachable

Cause: only the requests themselves found out whether leaves that refuse connections were back. While all leaves of two shards were down, a request called the other shards, polled the addresses up to 187 times and ended with 504 at its deadline; a request to one leaf did the same.

Change: a leaf that refuses a connection is not chosen until a task, which tries every 25 to 50 ms, has connected to it again. A request that needs services whose leaves have all been unreachable for 60 ms, or that have none, is refused on arrival as not run with a time to come back; one that finds out on its way ends at once, and an answer that may leave the shard out does not wait for it. Silent leaves and leaves that reset connections are called as before.

Ruled out: counting a leaf as gone after a failed call, a reset or a connection that times out, since a cut or silent leaf may run requests.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,6 +20,7 @@
 use super::leaf_notices::LeafNotices;
 use super::leaf_reports::Observation;
 use super::rate_limit::parse_rate;
+use super::reconnect;
 use crate::clock::boot_us;
 use crate::ids::LeafKey;
 
@@ -254,8 +255,13 @@
         match outcome {
             Err(CallError::ConnectRefused | CallError::LeafCrashed | CallError::WrongLeaf) => {
                 state.leaves.record_end(self.leaf);
+                let is_unreachable = outcome != Err(CallError::WrongLeaf);
+                if is_unreachable && state.leaves.record_unreachable(self.leaf, now_us) {
+                    tokio::spawn(reconnect::run(Arc::downgrade(&self.engine), self.leaf));
+                }
             }
             _ if reply.is_some() => {
+                state.leaves.record_reachable(self.leaf);
                 state
                     .leaves
                     .record_alive(self.leaf, self.started_us, now_us);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -254,6 +254,15 @@
         !self.sender.is_closed()
     }
 
+    /// Returns a connection on which nothing was sent, for use by a call.
+    pub fn into_unused(self, now_ms: u64) -> IdleConnection {
+        IdleConnection {
+            sender: self.sender,
+            allowance: self.allowance,
+            usable_until_ms: now_ms + DEFAULT_IDLE_TIMEOUT_MS,
+        }
+    }
+
     /// Returns the connection for reuse, unless it is closed or the reply's headers announce that
     /// it will be closed.
     pub fn into_idle(self, headers: &HeaderMap, now_ms: u64) -> Option<IdleConnection> {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -38,6 +38,10 @@
 /// Size of the memory that the replies of leaves share, unless it is set.
 const DEFAULT_REPLY_MEMORY_BYTES: usize = 32 * 1_048_576;
 
+/// Time for which a request waits for leaves that all refuse connections. A leaf that only starts again
+/// accepts connections within this time.
+const SHORT_OUTAGE_US: u64 = 60_000;
+
 /// Names of the headers used between callers, the gateway and leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
@@ -91,6 +95,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Error)]
 pub enum CapacityError {
+    /// Too many services have no leaves, or none whose address does not refuse connections.
+    #[error("services have no reachable leaves")]
+    Unreachable,
     /// Too many services are at the limits that their leaves have named.
     #[error("leaves take no further requests by the rates that they have named")]
     RateLimited,
@@ -325,8 +332,8 @@
         }
     }
 
-    /// Checks that a leaf of at least `min_services` services takes a call now, by the limits and the
-    /// times without calls that the leaves have named.
+    /// Checks that a leaf of at least `min_services` services takes a call now: its address does not
+    /// refuse connections, and the limits and the times without calls that it has named allow it.
     ///
     /// # Errors
     ///
@@ -338,16 +345,27 @@
     ) -> Result<(), CapacityError> {
         let now_us = boot_us();
         let state = &*self.state();
-        if !state.leaves.has_rate_limits && !state.leaves.has_retry_after(now_us) {
+        let leaves = &state.leaves;
+        let is_empty = |service: &ServiceKey| leaves.of_service(*service).is_empty();
+        if !leaves.has_rate_limits
+            && !leaves.has_retry_after(now_us)
+            && !leaves.has_unreachable()
+            && !services.iter().any(is_empty)
+        {
             return Ok(());
         }
         let mut free = 0;
+        let mut unreachable = 0;
         let mut retry_at_us = Vec::new();
         for service in services {
             match state.leaves.choose(*service, &[], &state.limits, now_us) {
                 Err(NoLeafError::RateLimited) => {}
                 Err(NoLeafError::RetryAfter { at_us }) => retry_at_us.push(at_us),
-                Ok(_) | Err(NoLeafError::NoConnection | NoLeafError::NoneAvailable) => free += 1,
+                Err(NoLeafError::NoneAvailable) => unreachable += 1,
+                Err(NoLeafError::Unreachable { since_us }) if is_lasting(since_us, now_us) => {
+                    unreachable += 1;
+                }
+                Ok(_) | Err(_) => free += 1,
             }
         }
         let missing = min_services.min(services.len()).saturating_sub(free);
@@ -355,6 +373,9 @@
             return Ok(());
         }
         retry_at_us.sort_unstable();
+        if services.len() - unreachable < min_services.min(services.len()) {
+            return Err(CapacityError::Unreachable);
+        }
         match retry_at_us.get(missing - 1) {
             Some(at_us) => Err(CapacityError::RetryAfter { at_us: *at_us }),
             None => Err(CapacityError::RateLimited),
@@ -418,6 +439,12 @@
     }
 }
 
+/// Returns whether the leaves of a service have refused connections for so long that a request
+/// should not wait for them.
+pub(super) fn is_lasting(since_us: u64, now_us: u64) -> bool {
+    now_us.saturating_sub(since_us) >= SHORT_OUTAGE_US
+}
+
 /// Takes the connection that has been idle longest, on which late bytes of an earlier reply are
 /// most likely to have been detected.
 fn take_idle_connection(leaf: &mut Leaf, now_ms: u64) -> Option<Connection> {
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -15,7 +15,7 @@
 use super::attempt::Attempt;
 use super::call::{CallSpec, OpenCall};
 use super::connection::{CallError, Reply};
-use super::engine::Engine;
+use super::engine::{Engine, is_lasting};
 use super::fanout_schedule::{FanoutDecision, FanoutSchedule, ShardCounts};
 use super::leaves::NoLeafError;
 use super::shard::Shard;
@@ -259,6 +259,12 @@
                 self.handle_calls_unwanted(index);
                 return;
             }
+            Err(NoLeafError::Unreachable { since_us }) => {
+                if is_lasting(since_us, boot_us()) {
+                    self.handle_calls_unwanted(index);
+                }
+                return;
+            }
             Err(NoLeafError::RetryAfter { at_us }) => {
                 self.retry_at_us = self.retry_at_us.max(Some(at_us));
                 self.handle_calls_unwanted(index);
@@ -310,8 +316,8 @@
         shard.finish();
     }
 
-    /// Handles a shard whose leaves take no further calls for now. It is not worth waiting for them:
-    /// other requests wait as well.
+    /// Handles a shard whose leaves take no further calls for now, or refuse connections. It is not
+    /// worth waiting for them: other requests wait as well, and the caller may be told to come back.
     fn handle_calls_unwanted(&mut self, index: usize) {
         let shard = &mut self.shards[index];
         if shard.open_calls > 0 {
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -7,8 +7,9 @@
 mod notices;
 mod process_ends;
 mod rates;
+mod reachability;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use tracing::info;
@@ -75,6 +76,8 @@
     pub alive_us: u64,
     /// Whether the process has said in an answer, to this VM or another one, that it leaves.
     pub is_leaving: bool,
+    /// Time since which the address of the leaf refuses connections, if it does.
+    pub unreachable_since_us: Option<u64>,
     /// Times for which the leaf wants no calls.
     pub retry_after: RetryAfter,
     /// Limit on the rate of calls that the leaf has named.
@@ -108,6 +111,8 @@
     ended_runs: Vec<(u64, UnansweredRun)>,
     /// Processes that have said that they leave, by hash, with the time at which this was learned.
     departures_ms: HashMap<u64, u64>,
+    /// Leaves whose addresses refuse connections.
+    unreachable: HashSet<LeafKey>,
     /// Latest end of the times for which leaves want no calls from this VM.
     retry_after_until_us: u64,
 }
@@ -126,6 +131,11 @@
         /// Earliest time at which one may be called.
         at_us: u64,
     },
+    /// The addresses of its leaves refuse connections.
+    Unreachable {
+        /// Time since which all of them do.
+        since_us: u64,
+    },
 }
 
 impl Leaves {
@@ -216,6 +226,7 @@
         let is_leaving = self.departures_ms.contains_key(&record.process_hash());
         let leaf = Leaf {
             is_leaving,
+            unreachable_since_us: None,
             retry_after: RetryAfter::default(),
             record: record.clone(),
             service,
@@ -248,6 +259,7 @@
                 || leaf.leaf_stats.open_calls() > 0
                 || now_ms < leaf.retired_ms + RETIRED_RETENTION_MS
         });
+        self.forget_unreachable();
     }
 
     /// Applies another VM's report of a leaf.
@@ -407,6 +419,7 @@
         let mut has_no_connection = false;
         let mut is_rate_limited = false;
         let mut retry_at_us: Option<u64> = None;
+        let mut unreachable_since_us: Option<u64> = None;
         for key in self.of_service(service) {
             let Some(leaf) = self.arena.get(key) else {
                 continue;
@@ -414,6 +427,10 @@
             if tried.contains(key) || now_us / 1_000 < leaf.misdirected_until_ms {
                 continue;
             }
+            if let Some(since_us) = leaf.unreachable_since_us {
+                unreachable_since_us = unreachable_since_us.max(Some(since_us));
+                continue;
+            }
             if leaf.idle.is_empty() && leaf.connections >= limits.per_leaf(service) {
                 has_no_connection = true;
                 continue;
@@ -449,6 +466,8 @@
                 NoLeafError::RateLimited
             } else if let Some(at_us) = retry_at_us {
                 NoLeafError::RetryAfter { at_us }
+            } else if let Some(since_us) = unreachable_since_us {
+                NoLeafError::Unreachable { since_us }
             } else {
                 NoLeafError::NoneAvailable
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod metrics;
 pub mod pause_predictor;
 pub mod rate_limit;
+mod reconnect;
 pub mod reply_memory;
 pub mod retry_after;
 pub mod retry_budgets;
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -83,6 +83,8 @@
     Quarantined { until_unix_ms: u64 },
     #[error("{}", CapacityError::RateLimited)]
     RateLimited { remaining_ms: u64 },
+    #[error("{}", CapacityError::Unreachable)]
+    Unreachable { remaining_ms: u64 },
     #[error("leaves want no requests for another {wait_ms} ms")]
     RetryAfter { wait_ms: u64 },
     /// `pressure` is the smoothed ratio of the median call latency to the acceptable one.
@@ -101,6 +103,7 @@
             | Self::Overloaded { .. }
             | Self::RateLimited { .. }
             | Self::RetryAfter { .. }
+            | Self::Unreachable { .. }
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoRequestId => StatusCode::BAD_REQUEST,
@@ -115,7 +118,9 @@
     /// random spread keeps callers that were rejected together from retrying together.
     fn retry_wait_ms(self) -> Range<u64> {
         match self {
-            Self::Overloaded { remaining_ms, .. } | Self::RateLimited { remaining_ms } => {
+            Self::Overloaded { remaining_ms, .. }
+            | Self::RateLimited { remaining_ms }
+            | Self::Unreachable { remaining_ms } => {
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
                 max_wait_ms / 2..max_wait_ms.max(MIN_RETRY_WAIT_MS)
             }
@@ -155,10 +160,10 @@
             spec.deadline_us.saturating_sub(started_us),
         );
         let capacity = self.engine.check_capacity(&plan.services, plan.min_parts);
+        let remaining_ms = spec.deadline_us.saturating_sub(started_us) / 1_000;
         capacity.map_err(|error| match error {
-            CapacityError::RateLimited => Refusal::RateLimited {
-                remaining_ms: spec.deadline_us.saturating_sub(started_us) / 1_000,
-            },
+            CapacityError::Unreachable => Refusal::Unreachable { remaining_ms },
+            CapacityError::RateLimited => Refusal::RateLimited { remaining_ms },
             CapacityError::RetryAfter { at_us } => Refusal::RetryAfter {
                 wait_ms: at_us.saturating_sub(started_us).div_ceil(1_000),
             },
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -114,6 +114,7 @@
     /// Starts a leaf that answers with one record of 16 bytes, each equal to `record`.
     pub async fn spawn(id: &str, record: u8, behaviour: LeafBehaviour) -> Self {
         let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
         socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let backlog = match behaviour {
             LeafBehaviour::CutOff => CUT_OFF_BACKLOG,
@@ -151,6 +152,14 @@
         }
     }
 
+    /// Starts the leaf again at its address after it has ended.
+    pub fn restart(&self) {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind(self.address).unwrap();
+        self.serve(socket.listen(BACKLOG).unwrap());
+    }
+
     /// Returns the record that the leaf publishes.
     pub fn record(&self, service: &str) -> LeafRecord {
         LeafRecord {
