List and select VMs again only when a VM has changed

Cause: each VM listed all live VMs with copies of their profiles every 100 ms, to find out whether it watches the platform, and every 250 ms and for each address resolution, to select the active VMs; the selection hashed the text of an address in each comparison of a sort. On a standby VM, which carries no requests, this work grew with the size of the fleet.

Change: the list is kept until a fact about a VM or its profile changes, the active VMs until the list or the limits in the routes change, and the sort hashes each address once.

--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -90,6 +90,7 @@
     }
     let mut announced = Version::default();
     let mut behind_since_ms = None;
+    let mut known_watcher: Option<(Arc<[LiveVm]>, bool)> = None;
     loop {
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         let (own_version, last_change) = {
@@ -98,8 +99,13 @@
         };
         let age_ms = boot_ms().saturating_sub(started_ms);
         let is_settling = age_ms < STARTUP_SETTLE_MS && engine.route_table().is_some();
-        let is_watcher =
-            !is_settling && watches_platform(&membership.live_vms(), membership.address());
+        let live_vms = membership.live_vms();
+        let is_among_watchers = match &known_watcher {
+            Some((known, is_among_watchers)) if Arc::ptr_eq(known, &live_vms) => *is_among_watchers,
+            _ => watches_platform(&live_vms, membership.address()),
+        };
+        known_watcher = Some((live_vms, is_among_watchers));
+        let is_watcher = !is_settling && is_among_watchers;
         engine.set_platform_watcher(is_watcher);
         if last_change > announced && engine.route_table().is_some() {
             announced = last_change;
@@ -135,8 +141,9 @@
     if engine.route_table().is_some() {
         return None;
     }
-    let mut peers = membership.live_vms();
-    peers.retain(|vm| vm.address != membership.address());
+    let live_vms = membership.live_vms();
+    let own = membership.address();
+    let peers: Vec<&LiveVm> = live_vms.iter().filter(|vm| vm.address != own).collect();
     peers.choose(&mut rand::rng()).map(|vm| vm.address)
 }
 
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -109,6 +109,14 @@
     },
 }
 
+/// Active VMs, and what they were selected from.
+#[derive(Debug)]
+struct ActiveVms {
+    live: Arc<[LiveVm]>,
+    desired: usize,
+    selected: Arc<[LiveVm]>,
+}
+
 /// Shared state of the gateway from which requests are routed to leaves.
 #[derive(Debug)]
 pub struct Engine {
@@ -119,6 +127,7 @@
     /// Memory that the replies of leaves share.
     pub reply_memory: Arc<ReplyMemory>,
     active_addresses: Mutex<Arc<[SocketAddr]>>,
+    active_vms: Mutex<Option<ActiveVms>>,
     is_watcher: AtomicBool,
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
@@ -153,6 +162,7 @@
             metrics,
             reply_memory: Arc::new(ReplyMemory::new(DEFAULT_REPLY_MEMORY_BYTES)),
             active_addresses: Mutex::new(Arc::from([])),
+            active_vms: Mutex::default(),
             is_watcher: AtomicBool::new(true),
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
@@ -257,13 +267,27 @@
     }
 
     /// Returns the VMs of `live` that should be active, by the connection limits in the current
-    /// routes.
-    pub fn active_vms(&self, live: &[LiveVm]) -> Vec<LiveVm> {
+    /// routes. They are selected again only if the list or the limits have changed.
+    pub fn active_vms(&self, live: &Arc<[LiveVm]>) -> Arc<[LiveVm]> {
         let route_table = self.route_table();
         let min_connections =
             route_table.and_then(|route_table| route_table.min_shard_connections());
-        let desired_vms = min_connections.map_or(live.len(), desired_active_vms);
-        active_vms(live, desired_vms)
+        let desired = min_connections.map_or(live.len(), desired_active_vms);
+        let latest = self.active_vms.lock();
+        let mut latest = latest.unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = &*latest
+            && known.desired == desired
+            && Arc::ptr_eq(&known.live, live)
+        {
+            return Arc::clone(&known.selected);
+        }
+        let selected: Arc<[LiveVm]> = active_vms(live, desired).into();
+        *latest = Some(ActiveVms {
+            live: Arc::clone(live),
+            desired,
+            selected: Arc::clone(&selected),
+        });
+        selected
     }
 
     /// Credits the retry budget of a service for one request.
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -55,6 +55,8 @@
 struct State {
     gossip: Gossip,
     rng: SmallRng,
+    /// Live VMs, and the value of `Gossip::vm_changes` for which they were listed.
+    live_vms: Option<(u64, Arc<[LiveVm]>)>,
 }
 
 /// Membership of this VM.
@@ -105,6 +107,7 @@
         let state = State {
             gossip,
             rng: SmallRng::from_rng(&mut rand::rng()),
+            live_vms: None,
         };
         Ok(Arc::new(Self {
             address,
@@ -130,20 +133,20 @@
     }
 
     /// Returns the live VMs, including this one unless it is leaving.
-    pub fn live_vms(&self) -> Vec<LiveVm> {
-        let state = self.state();
-        let mut vms = Vec::new();
-        for address in state.gossip.live_vms() {
-            let Some(entry) = state.gossip.fact(&FactKey::Profile(address)) else {
-                continue;
-            };
-            let Fact::Profile { profile, .. } = &entry.fact else {
-                continue;
-            };
-            let profile = profile.clone();
-            vms.push(LiveVm { address, profile });
+    ///
+    /// The list is the same one until a VM changes, so that a large fleet costs a VM nothing while it
+    /// does not change.
+    pub fn live_vms(&self) -> Arc<[LiveVm]> {
+        let state = &mut *self.state();
+        let changes = state.gossip.vm_changes();
+        if let Some((listed_changes, live_vms)) = &state.live_vms
+            && *listed_changes == changes
+        {
+            return Arc::clone(live_vms);
         }
-        vms
+        let live_vms = list_live_vms(&state.gossip);
+        state.live_vms = Some((changes, Arc::clone(&live_vms)));
+        live_vms
     }
 
     /// Returns the internal address of this VM.
@@ -299,3 +302,18 @@
         }
     }
 }
+
+fn list_live_vms(gossip: &Gossip) -> Arc<[LiveVm]> {
+    let mut live_vms = Vec::new();
+    for address in gossip.live_vms() {
+        let Some(entry) = gossip.fact(&FactKey::Profile(address)) else {
+            continue;
+        };
+        let Fact::Profile { profile, .. } = &entry.fact else {
+            continue;
+        };
+        let profile = profile.clone();
+        live_vms.push(LiveVm { address, profile });
+    }
+    live_vms.into()
+}
--- a/src/gateway/vm_selection.rs
+++ b/src/gateway/vm_selection.rs
@@ -89,7 +89,7 @@
     let mut selected = Vec::new();
     for candidates in domains.values_mut() {
         let hash = |vm: &LiveVm| xxh3_64(vm.address.to_string().as_bytes());
-        candidates.sort_by_key(|vm| (std::cmp::Reverse(capacity_score(vm)), hash(vm)));
+        candidates.sort_by_cached_key(|vm| (std::cmp::Reverse(capacity_score(vm)), hash(vm)));
         selected.extend(candidates.iter().take(per_domain).map(|vm| (*vm).clone()));
     }
     selected
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -152,7 +152,7 @@
         live.map(|(address, ..)| address).collect()
     }
 
-    /// Returns the number of changes to facts about VMs so far.
+    /// Returns the number of changes to facts about VMs and their profiles so far.
     pub fn vm_changes(&self) -> u64 {
         self.fact_table.vm_changes()
     }
--- a/src/gossip/fact_table.rs
+++ b/src/gossip/fact_table.rs
@@ -126,7 +126,7 @@
         Some(oldest)
     }
 
-    /// Returns the number of changes to facts about VMs so far.
+    /// Returns the number of changes to facts about VMs and their profiles so far.
     pub(super) fn vm_changes(&self) -> u64 {
         self.vm_changes
     }
@@ -178,7 +178,7 @@
         }
         let (bucket, hash) = bucket_and_hash(&key, &precedence);
         self.buckets[usize::from(bucket)] ^= hash;
-        self.vm_changes += u64::from(matches!(key, FactKey::Vm(_)));
+        self.vm_changes += u64::from(describes_vm(&key));
         let is_evidence = fact.evidence_unix_ms().is_some();
         let entry = StoredFact {
             encoded_bytes: encoded_bytes(&fact),
@@ -202,7 +202,7 @@
     pub(super) fn remove(&mut self, key: &FactKey) -> Option<StoredFact> {
         let entry = self.facts.remove(key)?;
         self.buckets[usize::from(entry.bucket)] ^= entry.hash;
-        self.vm_changes += u64::from(matches!(key, FactKey::Vm(_)));
+        self.vm_changes += u64::from(describes_vm(key));
         if let Some(position) = entry.queue_position {
             self.queue.remove(&position);
         }
@@ -259,6 +259,11 @@
     }
 }
 
+/// Returns whether a key belongs to a fact about the state or the profile of a VM.
+fn describes_vm(key: &FactKey) -> bool {
+    matches!(key, FactKey::Vm(_) | FactKey::Profile(_))
+}
+
 /// Returns the bucket of a key, and the hash of key and precedence.
 fn bucket_and_hash(key: &FactKey, precedence: &[u64; 3]) -> (u8, u32) {
     let mut bytes = Vec::with_capacity(64);
--- a/tests/gateway_bootstrap.rs
+++ b/tests/gateway_bootstrap.rs
@@ -86,6 +86,37 @@
     }
 }
 
+/// Guards against work that grows with the fleet while nothing changes, and against a list of live VMs
+/// that is kept although a VM has joined, has left, or has only now published its profile.
+#[tokio::test]
+async fn the_list_of_live_vms_is_kept_until_a_vm_changes() {
+    let seed_address = free_address().await;
+    let seed = spawn_membership(seed_address, vec![seed_address]).await;
+    let alone = seed.live_vms();
+    assert!(Arc::ptr_eq(&alone, &seed.live_vms()));
+    let joining = spawn_membership(free_address().await, vec![seed_address]).await;
+    let lists_both = |membership: &Membership| membership.live_vms().len() == 2;
+    let started = Instant::now();
+    while !lists_both(&seed) || !lists_both(&joining) {
+        assert!(started.elapsed() < SETTLE_TIME, "a VM is not listed");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let both = seed.live_vms();
+    let engine = engine();
+    let active = engine.active_vms(&both);
+    assert_eq!(active.len(), 2);
+    sleep(SETTLE_TIME).await;
+    assert!(Arc::ptr_eq(&both, &seed.live_vms()), "nothing changed");
+    assert!(Arc::ptr_eq(&active, &engine.active_vms(&seed.live_vms())));
+    joining.leave();
+    let left = Instant::now();
+    while seed.live_vms().len() == 2 {
+        assert!(left.elapsed() < SETTLE_TIME, "a VM that left is listed");
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(engine.active_vms(&seed.live_vms()).len(), 1);
+}
+
 /// Guards against a VM that waits for a peer's catalog indefinitely. With no peers to answer, it
 /// has to watch the platform itself after the bootstrap timeout.
 #[tokio::test]
