Share connections and retry budgets with unknown VMs after a start

Cause: a VM divides the connections of a leaf and the retry budgets among the active VMs that it knows.

Change: for 2.5 s after its start a VM uses at most the share of one of the active VMs that the connection limits call for. Departures of leaves are kept for 3 hours, since the wall clocks of VMs may be an hour off and 10 minutes would make them ignore each other.

--- a/src/fact.rs
+++ b/src/fact.rs
@@ -169,8 +169,10 @@
 }
 
 /// Time for which departures of leaves are remembered. A leaf may serve on for minutes after its
-/// announcement, and its record outlives it while the platform's store is down.
-pub const DEPARTURE_RETENTION_MS: u64 = 600_000;
+/// announcement, and its record outlives it while the platform's store is down. It exceeds the
+/// errors of the wall clocks of VMs by far, so that a VM whose clock is an hour off neither
+/// ignores departures nor is ignored.
+pub const DEPARTURE_RETENTION_MS: u64 = 3 * 3_600_000;
 
 /// Caller address, failure domain and capacity of a VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -38,8 +38,9 @@
 
 /// Time after a start during which a VM that has a catalog doesn't watch the platform.
 ///
-/// It has discovered only some of the VMs then, and would count itself among the watchers.
-const STARTUP_SETTLE_MS: u64 = 2_500;
+/// It has discovered only some of the VMs then, and would count itself among the watchers. Nor does it
+/// use more connections and extra calls than one of the active VMs of a large fleet.
+pub const STARTUP_SETTLE_MS: u64 = 2_500;
 
 /// Delay after a fetch from a peer that brought no newer revision.
 const RETRY_DELAY_MS: u64 = 200;
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -16,6 +16,7 @@
 
 use super::call::OpenCall;
 use super::catalog::Catalog;
+use super::catalog_sync::STARTUP_SETTLE_MS;
 use super::concurrency_limiter::ConcurrencyLimiter;
 use super::connection::Connection;
 use super::connection_limits::ConnectionLimits;
@@ -128,6 +129,7 @@
     pub reply_memory: Arc<ReplyMemory>,
     active_addresses: Mutex<Arc<[SocketAddr]>>,
     active_vms: Mutex<Option<ActiveVms>>,
+    started_ms: u64,
     is_watcher: AtomicBool,
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
@@ -163,6 +165,7 @@
             reply_memory: Arc::new(ReplyMemory::new(DEFAULT_REPLY_MEMORY_BYTES)),
             active_addresses: Mutex::new(Arc::from([])),
             active_vms: Mutex::default(),
+            started_ms: boot_ms(),
             is_watcher: AtomicBool::new(true),
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
@@ -231,9 +234,28 @@
         let records = state.catalog.leaves();
         state.leaves.update(records, &mut state.names, boot_ms());
         self.record_ended_runs(state);
+        let vms = state.vms.max(self.min_sharing_vms(state));
+        if vms != state.vms {
+            state.vms = vms;
+            state.retry_budgets.set_vms(vms);
+        }
         state.update_connection_limits();
     }
 
+    /// Returns the least number of VMs with which this VM shares connections and retry budgets.
+    ///
+    /// After its start a VM has discovered only some of the others, while those that start at the
+    /// same moment take their shares as well.
+    fn min_sharing_vms(&self, state: &State) -> u32 {
+        if boot_ms().saturating_sub(self.started_ms) >= STARTUP_SETTLE_MS {
+            return 1;
+        }
+        let route_table = state.route_table.as_ref();
+        let min_connections = route_table.and_then(|table| table.min_shard_connections());
+        let desired = min_connections.map_or(1, desired_active_vms);
+        u32::try_from(desired).unwrap_or(u32::MAX)
+    }
+
     /// Sets the active VMs, which serve requests, and divides connections and retry budgets among
     /// them.
     pub fn set_active_vms(&self, active_vms: &[LiveVm]) {
@@ -258,6 +280,7 @@
     pub fn set_vms(&self, vms: u32) {
         let state = &mut *self.state();
         state.leaves.sharing_vms.set_live(vms, boot_ms());
+        let vms = vms.max(self.min_sharing_vms(state));
         if state.vms == vms {
             return;
         }
--- a/tests/gateway_leaf_notices.rs
+++ b/tests/gateway_leaf_notices.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cloverrack::fact::LeafDeparture;
 use cloverrack::gateway::{Change, LeafRecord};
 use gateway::{
     Leaf, LeafBehaviour, TestGateway, apply_change, gather_route, publish_service, single_route,
@@ -215,3 +216,22 @@
         assert_eq!(leaving.received(), before + 1, "the new process is used");
     }
 }
+
+/// Guards against VMs that ignore an announced end because their wall clocks differ, or that send it on
+/// for ever.
+#[test]
+fn announced_ends_outlast_wrong_clocks() {
+    let now_unix_ms: u64 = 1_800_000_000_000;
+    let hour_ms = 3_600_000;
+    for (observed_unix_ms, is_expired) in [
+        (now_unix_ms - hour_ms, false),
+        (now_unix_ms + hour_ms, false),
+        (now_unix_ms - 4 * hour_ms, true),
+    ] {
+        let departure = LeafDeparture {
+            process: 7,
+            observed_unix_ms,
+        };
+        assert_eq!(departure.is_expired(now_unix_ms), is_expired);
+    }
+}
