Reject a late copy of the previous answer on a connection

Cause, reported by operators of similar systems: a leaf may send a second copy of an answer when the connection is in use again. The identifier that leaves echo tells such a copy from the answer, but an answer without an identifier was accepted if it was signed.

Change: a connection remembers the hash of the signature of its latest reply. A reply without an identifier that repeats it is a copy, and fails the call and the connection as an answer to another request does. Each run has a signature of its own.

Ruled out: refusing all answers without an identifier, since parts of scatter-gather requests may come without one.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -227,7 +227,7 @@
     }
 
     /// Returns the error if a complete reply is not a valid reply of this leaf to this request.
-    fn validate_reply(&self, spec: &CallSpec, reply: &Reply) -> Option<CallError> {
+    fn validate_reply(&mut self, spec: &CallSpec, reply: &Reply) -> Option<CallError> {
         let headers = &self.engine.headers;
         if reply.status == StatusCode::MISDIRECTED_REQUEST {
             return Some(CallError::WrongLeaf);
@@ -236,6 +236,14 @@
         if echoed.is_some_and(|echoed| echoed != spec.request_id) {
             return Some(CallError::RequestIdMismatch);
         }
+        // A reply without the ID may be a late copy of the previous one on the connection.
+        let signature = reply.headers.get(&headers.signature);
+        if let (Some(signature), Some(connection)) = (signature, &mut self.connection)
+            && connection.repeats_signature(signature.as_bytes())
+            && echoed.is_none()
+        {
+            return Some(CallError::RequestIdMismatch);
+        }
         if reply.headers.contains_key(&headers.not_run) {
             return Some(CallError::Refused);
         }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::metered_stream::{MeteredStream, ReadAllowance};
 use super::reply_memory::{ReplyMemory, ReplyReceiver};
@@ -49,6 +50,7 @@
 pub struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
+    last_signature_hash: Option<u64>,
     usable_until_ms: u64,
 }
 
@@ -57,6 +59,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
+    /// Hash of the signature of the latest reply.
+    last_signature_hash: Option<u64>,
 }
 
 /// A complete reply of a leaf.
@@ -95,7 +99,7 @@
     /// The leaf's process ended after the request was sent.
     #[error("leaf crashed")]
     LeafCrashed,
-    /// The reply echoes the ID of another request.
+    /// The reply echoes the ID of another request, or is a copy of the reply to another request.
     #[error("answer belongs to another request")]
     RequestIdMismatch,
     /// The reply is a success without a leaf's signature.
@@ -175,7 +179,11 @@
                 tracing::trace!(event = "leaf_connection_ended", %error);
             }
         });
-        Ok(Self { sender, allowance })
+        Ok(Self {
+            sender,
+            allowance,
+            last_signature_hash: None,
+        })
     }
 
     /// Sends a request and reads the complete reply, in memory of its own.
@@ -249,6 +257,13 @@
         }
     }
 
+    /// Records the signature of a reply; returns whether the previous reply on this connection had the
+    /// same one. A leaf signs each run differently, so the reply is then a copy of the previous one.
+    pub fn repeats_signature(&mut self, signature: &[u8]) -> bool {
+        let hash = Some(xxh3_64(signature));
+        std::mem::replace(&mut self.last_signature_hash, hash) == hash
+    }
+
     /// Returns whether another request can be sent.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -259,6 +274,7 @@
         IdleConnection {
             sender: self.sender,
             allowance: self.allowance,
+            last_signature_hash: self.last_signature_hash,
             usable_until_ms: now_ms + DEFAULT_IDLE_TIMEOUT_MS,
         }
     }
@@ -276,6 +292,7 @@
         Some(IdleConnection {
             sender: self.sender,
             allowance: self.allowance,
+            last_signature_hash: self.last_signature_hash,
             usable_until_ms: now_ms + idle_timeout_ms,
         })
     }
@@ -292,6 +309,7 @@
         Connection {
             sender: self.sender,
             allowance: self.allowance,
+            last_signature_hash: self.last_signature_hash,
         }
     }
 }
