Move the decision whether a request can be served to a file of its own

The decision about services that are unreachable, want no calls or have used up their rates was part of the engine. No change of behaviour.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -10,11 +10,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::header::HeaderName;
-use thiserror::Error;
 use tokio::sync::Notify;
 use tracing::info;
 
 use super::call::OpenCall;
+use super::capacity::CapacityError;
 use super::catalog::Catalog;
 use super::catalog_sync::STARTUP_SETTLE_MS;
 use super::concurrency_limiter::ConcurrencyLimiter;
@@ -39,10 +39,6 @@
 /// Size of the memory that the replies of leaves share, unless it is set.
 const DEFAULT_REPLY_MEMORY_BYTES: usize = 32 * 1_048_576;
 
-/// Time for which a request waits for leaves that all refuse connections. A leaf that only starts again
-/// accepts connections within this time.
-const SHORT_OUTAGE_US: u64 = 60_000;
-
 /// Names of the headers used between callers, the gateway and leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
@@ -92,24 +88,6 @@
     call_latency: HashMap<Box<str>, CallLatency>,
 }
 
-/// Reason why a request can't be served now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Error)]
-pub enum CapacityError {
-    /// Too many services have no leaves, or none whose address does not refuse connections.
-    #[error("services have no reachable leaves")]
-    Unreachable,
-    /// Too many services are at the limits that their leaves have named.
-    #[error("leaves take no further requests by the rates that they have named")]
-    RateLimited,
-    /// The leaves of too many services want no calls.
-    #[error("leaves want no requests for now")]
-    RetryAfter {
-        /// Earliest time at which enough services may be called.
-        at_us: u64,
-    },
-}
-
 /// Active VMs, and what they were selected from.
 #[derive(Debug)]
 struct ActiveVms {
@@ -379,54 +357,20 @@
         }
     }
 
-    /// Checks that a leaf of at least `min_services` services takes a call now: its address does not
-    /// refuse connections, and the limits and the times without calls that it has named allow it.
+    /// Checks that a request which needs a leaf of at least `min_services` services can be served now.
     ///
     /// # Errors
     ///
-    /// Fails if a request to these services can't be served now.
+    /// Fails if it can't.
     pub fn check_capacity(
         &self,
         services: &[ServiceKey],
         min_services: usize,
     ) -> Result<(), CapacityError> {
-        let now_us = boot_us();
         let state = &*self.state();
-        let leaves = &state.leaves;
-        let is_empty = |service: &ServiceKey| leaves.of_service(*service).is_empty();
-        if !leaves.has_rate_limits
-            && !leaves.has_retry_after(now_us)
-            && !leaves.has_unreachable()
-            && !services.iter().any(is_empty)
-        {
-            return Ok(());
-        }
-        let mut free = 0;
-        let mut unreachable = 0;
-        let mut retry_at_us = Vec::new();
-        for service in services {
-            match state.leaves.choose(*service, &[], &state.limits, now_us) {
-                Err(NoLeafError::RateLimited) => {}
-                Err(NoLeafError::RetryAfter { at_us }) => retry_at_us.push(at_us),
-                Err(NoLeafError::NoneAvailable) => unreachable += 1,
-                Err(NoLeafError::Unreachable { since_us }) if is_lasting(since_us, now_us) => {
-                    unreachable += 1;
-                }
-                Ok(_) | Err(_) => free += 1,
-            }
-        }
-        let missing = min_services.min(services.len()).saturating_sub(free);
-        if missing == 0 {
-            return Ok(());
-        }
-        retry_at_us.sort_unstable();
-        if services.len() - unreachable < min_services.min(services.len()) {
-            return Err(CapacityError::Unreachable);
-        }
-        match retry_at_us.get(missing - 1) {
-            Some(at_us) => Err(CapacityError::RetryAfter { at_us: *at_us }),
-            None => Err(CapacityError::RateLimited),
-        }
+        state
+            .leaves
+            .check_capacity(services, min_services, &state.limits, boot_us())
     }
 
     /// Applies the leaf reports of another active VM.
@@ -486,12 +430,6 @@
     }
 }
 
-/// Returns whether the leaves of a service have refused connections for so long that a request
-/// should not wait for them.
-pub(super) fn is_lasting(since_us: u64, now_us: u64) -> bool {
-    now_us.saturating_sub(since_us) >= SHORT_OUTAGE_US
-}
-
 /// Takes the connection that has been idle longest, on which late bytes of an earlier reply are
 /// most likely to have been detected.
 fn take_idle_connection(leaf: &mut Leaf, now_ms: u64) -> Option<Connection> {
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -14,8 +14,9 @@
 
 use super::attempt::Attempt;
 use super::call::{CallSpec, OpenCall};
+use super::capacity::is_lasting;
 use super::connection::{CallError, Reply};
-use super::engine::{Engine, is_lasting};
+use super::engine::Engine;
 use super::fanout_schedule::{FanoutDecision, FanoutSchedule, ShardCounts};
 use super::leaves::NoLeafError;
 use super::shard::Shard;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,10 +4,11 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`].
+//! [`retry_after`], [`capacity`].
 
 mod attempt;
 pub mod call;
+pub mod capacity;
 pub mod catalog;
 pub mod catalog_rpc;
 pub mod catalog_sync;
@@ -44,6 +45,7 @@
 pub mod vm_selection;
 
 pub use call::{CallSpec, OpenCall};
+pub use capacity::CapacityError;
 pub use catalog::{
     Catalog, CatalogImage, CatalogUpdate, Change, ChangeSet, ChangeSummary, LeafRecord,
 };
@@ -55,7 +57,7 @@
 pub use connection_limits::{ConnectionLimits, connection_share};
 pub use content::Content;
 pub use content_quarantine::{ContentQuarantine, ContentSuccess, ContentVerdict, CrashedAttempt};
-pub use engine::{CapacityError, Engine, Headers};
+pub use engine::{Engine, Headers};
 pub use entry::{Gateway, GatewaySettings};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -18,11 +18,12 @@
 use tracing::{info, warn};
 
 use super::call::CallSpec;
+use super::capacity::CapacityError;
 use super::concurrency_permit::ConcurrencyPermit;
 use super::connection::Reply;
 use super::content::Content;
 use super::content_quarantine::ContentVerdict;
-use super::engine::{CapacityError, Engine};
+use super::engine::Engine;
 use super::fanout::{Fanout, FanoutPlan, FanoutResult};
 use super::fanout_schedule::FanoutSchedule;
 use super::merge::merge_records;
