Detect and log the loss of all links to the leaves

Neither logs nor metrics told a VM that is cut off from the leaves from one whose leaves are overloaded or down. A VM now compares its failures over all leaves; if several fail and none replies, or several accept no connection, it checks six leaves by status checks. No answer means that the links are lost. Requests are handled as before.

Ruled out: a connection as the check, since a proxy may accept it behind a cut.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -133,6 +133,7 @@
             }
         }
         self.connection = Some(Connection::open(address).await?);
+        self.engine.state().link_monitor.record_connection();
         self.exchange(spec, &id).await
     }
 
@@ -165,6 +166,7 @@
         match timeout(limit, Connection::open(address)).await {
             Ok(Ok(connection)) => {
                 self.engine.metrics.count_connection();
+                self.engine.state().link_monitor.record_connection();
                 self.connection = Some(connection);
                 CallError::Broken
             }
@@ -256,6 +258,17 @@
         let now_us = boot_us();
         let connection = self.connection.take();
         let state = &mut *self.engine.state();
+        let links = &mut state.link_monitor;
+        match outcome {
+            _ if reply.is_some() => links.record_reply(now_us),
+            Err(CallError::Connect | CallError::ConnectRefused) => {
+                links.record_no_connection(self.leaf, now_us);
+            }
+            Err(CallError::Broken | CallError::LeafCrashed) => {
+                links.record_failure(self.leaf, now_us);
+            }
+            _ => {}
+        }
         if let Some(reply) = reply {
             state.leaves.record_reply(now_us);
             self.record_rate_limit(state, outcome, reply, now_us);
--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -20,7 +20,7 @@
 use super::catalog::CatalogUpdate;
 use super::engine::Engine;
 use crate::document::Version;
-use crate::wire::{MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
+use crate::wire::{MAX_FRAME_BYTES, decode, encode};
 
 /// Timeout for a complete exchange: a network round trip and the transfer of an image of some
 /// hundred kilobytes.
@@ -36,7 +36,10 @@
 /// Header with the version up to which the requesting VM has all changes, as `EPOCH.REVISION`.
 const AFTER_HEADER: &str = "cloverrack-after";
 
-/// Header with the version of the internal protocol.
+/// Version of the format of a catalog; VMs exchange none with those of another version.
+const CATALOG_VERSION: u16 = 2;
+
+/// Header with that version.
 const VERSION_HEADER: &str = "cloverrack-protocol";
 
 /// Reason why a catalog update could not be fetched from a peer.
@@ -91,7 +94,7 @@
     let request = Request::builder()
         .uri(format!("http://{peer}/catalog"))
         .header(AFTER_HEADER, format!("{}.{}", after.epoch, after.revision))
-        .header(VERSION_HEADER, PROTOCOL_VERSION)
+        .header(VERSION_HEADER, CATALOG_VERSION)
         .body(())
         .map_err(|_| CatalogRpcError::Malformed)?;
     let (response, _) = client
@@ -176,10 +179,10 @@
 
 fn handle_request<B>(request: &Request<B>, engine: &Engine) -> (StatusCode, Bytes) {
     let header_text = |name| request.headers().get(name)?.to_str().ok();
-    let protocol_version = header_text(VERSION_HEADER).and_then(|text| text.parse().ok());
+    let catalog_version = header_text(VERSION_HEADER).and_then(|text| text.parse().ok());
     let (Some(after), true) = (
         header_text(AFTER_HEADER).and_then(parse_version),
-        protocol_version == Some(u64::from(PROTOCOL_VERSION)),
+        catalog_version == Some(u64::from(CATALOG_VERSION)),
     ) else {
         return (StatusCode::BAD_REQUEST, Bytes::new());
     };
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -24,6 +24,7 @@
 use super::fanout_schedule::CallLatency;
 use super::leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 use super::leaves::{Leaf, Leaves, NoLeafError};
+use super::link_monitor::LinkMonitor;
 use super::membership::LiveVm;
 use super::metrics::Metrics;
 use super::pause_predictor::Stall;
@@ -81,6 +82,8 @@
     pub concurrency_limiter: ConcurrencyLimiter,
     /// Contents that crash leaves.
     pub content_quarantine: ContentQuarantine,
+    /// Links between this VM and the leaves.
+    pub link_monitor: LinkMonitor,
     pub(super) recent_successes: RecentSuccesses,
     pub(super) evidence_queue: Vec<Fact>,
     report_queue: ReportQueue,
@@ -131,6 +134,7 @@
             vms: 1,
             concurrency_limiter: ConcurrencyLimiter::default(),
             content_quarantine: ContentQuarantine::default(),
+            link_monitor: LinkMonitor::default(),
             recent_successes: RecentSuccesses::default(),
             evidence_queue: Vec::new(),
             report_queue: ReportQueue::default(),
@@ -422,6 +426,7 @@
         let state = &mut *self.state();
         let leaf = state.leaves.choose(service, tried, &state.limits, now_us)?;
         let started_us = state.leaves.reserve_call(leaf, now_us);
+        state.link_monitor.record_call(now_us);
         let leaf_entry = state
             .leaves
             .get_mut(leaf)
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -19,6 +19,7 @@
 use super::evidence_sync;
 use super::follower::{CatalogSource, Follower};
 use super::leaf_reports;
+use super::link_check;
 use super::membership::Membership;
 use super::metrics::Metrics;
 use super::retry_budgets::RetryBudgetLimits;
@@ -182,6 +183,7 @@
             Arc::clone(&engine),
             Arc::clone(&membership),
         ));
+        tokio::spawn(link_check::run(Arc::clone(&engine)));
         tokio::spawn(run_maintenance(Arc::clone(&engine), membership));
         let shutdown_signals = ShutdownSignals::default();
         let service = Arc::new(CallerService::new(engine));
--- a/src/gateway/leaf_stats.rs
+++ b/src/gateway/leaf_stats.rs
@@ -138,6 +138,12 @@
         Some(oldest_us.max(self.last_success_us))
     }
 
+    /// Returns whether a call has been open for a time without a successful reply.
+    pub fn is_silent_for(&self, silence_us: u64, now_us: u64) -> bool {
+        let since_us = self.unanswered_since_us();
+        since_us.is_some_and(|since_us| since_us + silence_us <= now_us)
+    }
+
     /// Returns the time without a reply from which the leaf counts as stalled.
     pub fn stall_limit_us(&self) -> u64 {
         self.average_us * STALL_FACTOR + STALL_MARGIN_US
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -163,6 +163,11 @@
         listed.map(|(key, leaf)| (*key, leaf))
     }
 
+    /// Returns the number of listed leaves.
+    pub fn count(&self) -> usize {
+        self.by_id.len()
+    }
+
     /// Applies the current list of records: adds new leaves, updates changed ones and retires
     /// missing ones.
     pub fn update<'a>(
--- /dev/null
+++ b/src/gateway/link_check.rs
@@ -0,0 +1,124 @@
+//! Checks the links between this VM and the leaves by status checks of some leaves.
+//!
+//! Handles VMs that are cut off from the leaves, which have to find this out before their callers'
+//! requests fail, and find the end of the partition without requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Request;
+use http_body_util::Full;
+use rand::seq::IteratorRandom;
+use tokio::time::{sleep, timeout};
+use tracing::{debug, info, warn};
+
+use super::connection::Connection;
+use super::engine::{Engine, State};
+use super::link_monitor::{LinkChange, SILENCE_US};
+use crate::clock::boot_us;
+
+/// Interval at which the monitor is asked whether a check is due.
+const POLL_INTERVAL_MS: u64 = 50;
+
+/// Interval on a VM without calls, since each poll costs processor time.
+const IDLE_POLL_INTERVAL_MS: u64 = 250;
+
+/// Time after the latest call for which a VM counts as one with calls.
+const IN_USE_US: u64 = 1_000_000;
+
+/// Timeout of a status check: a new connection and an answer, which a regular pause of the leaf may
+/// delay.
+const CHECK_TIMEOUT_MS: u64 = 250;
+
+/// Checks the links whenever that is due, until the task is dropped.
+pub(super) async fn run(engine: Arc<Engine>) {
+    loop {
+        let is_in_use = engine.state().link_monitor.is_in_use(IN_USE_US, boot_us());
+        let interval_ms = if is_in_use {
+            POLL_INTERVAL_MS
+        } else {
+            IDLE_POLL_INTERVAL_MS
+        };
+        sleep(Duration::from_millis(interval_ms)).await;
+        engine.check_links_if_due().await;
+    }
+}
+
+impl Engine {
+    /// Checks the links to the leaves if calls fail in a way that may be due to them.
+    pub async fn check_links_if_due(&self) {
+        let Some(checked) = self.state().link_check() else {
+            return;
+        };
+        let answers = checked.iter().map(|(address, request)| {
+            let limit = Duration::from_millis(CHECK_TIMEOUT_MS);
+            timeout(limit, answers(*address, request.clone()))
+        });
+        let answers = join_all(answers).await;
+        let answered = answers.iter().filter(|answer| **answer == Ok(true)).count();
+        let state = &mut *self.state();
+        let links = &mut state.link_monitor;
+        let change = links.record_check(answered, checked.len(), boot_us());
+        self.metrics.count_link_check(answered > 0, links.is_lost());
+        match change {
+            Some(LinkChange::Lost {
+                failed_leaves,
+                silent_us,
+            }) => {
+                let checked = checked.len();
+                warn!(event = "leaf_links_lost", checked, failed_leaves, silent_us);
+            }
+            Some(LinkChange::Answering { lost_us }) => {
+                info!(event = "leaf_links_answering", lost_us);
+            }
+            None => debug!(
+                event = "leaf_links_checked",
+                answered,
+                checked = checked.len()
+            ),
+        }
+    }
+}
+
+impl State {
+    /// Returns the leaves to check with the requests for their status, if a check is due.
+    fn link_check(&self) -> Option<Vec<(SocketAddr, Request<Full<Bytes>>)>> {
+        let now_us = boot_us();
+        let leaves = &self.leaves;
+        let silent = || {
+            let leaves = leaves.iter();
+            leaves
+                .filter(|(_, leaf)| leaf.leaf_stats.is_silent_for(SILENCE_US, now_us))
+                .count()
+        };
+        let links = &self.link_monitor;
+        if !links.is_check_due(leaves.count(), silent, now_us) {
+            return None;
+        }
+        let route_table = self.route_table.as_ref()?;
+        let listed = leaves.iter().filter(|(_, leaf)| !leaf.is_departing());
+        let chosen = listed.sample(&mut rand::rng(), links.checked_leaves());
+        let mut checked = Vec::new();
+        for (_, leaf) in chosen {
+            let path = route_table.health_path(leaf.service);
+            let request = Request::get(path.unwrap_or("/"))
+                .header(http::header::HOST, leaf.address().to_string())
+                .body(Full::default());
+            if let Ok(request) = request {
+                checked.push((leaf.address(), request));
+            }
+        }
+        Some(checked)
+    }
+}
+
+/// Returns whether a leaf sends any answer to a request on a new connection.
+async fn answers(address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
+    match Connection::open(address).await {
+        Ok(mut connection) => connection.exchange(request).await.is_ok(),
+        Err(_) => false,
+    }
+}
--- /dev/null
+++ b/src/gateway/link_monitor.rs
@@ -0,0 +1,244 @@
+//! Decides whether this VM has lost its links to the leaves, without I/O.
+//!
+//! Handles partitions between the VM and all leaves, while callers and other VMs still reach it. The
+//! calls to each leaf then fail as if the leaf had ended, hung or refused connections; only the
+//! comparison with the other leaves shows that the VM is at fault. Status checks of some leaves
+//! confirm a loss, and its end.
+
+use std::collections::BTreeMap;
+
+use crate::ids::LeafKey;
+
+/// Time without a reply from any leaf after which the links are checked, if several leaves have
+/// failed or not replied.
+pub const SILENCE_US: u64 = 100_000;
+
+/// Number of leaves that have to fail before the links are checked. Fewer may fail together by
+/// chance.
+const MIN_FAILED_LEAVES: usize = 3;
+
+/// Number of leaves that are checked at a time, to find a loss and to find its end.
+const CHECKED_LEAVES: usize = 6;
+const CHECKED_LEAVES_LOST: usize = 3;
+
+/// Interval between checks while the links are lost.
+const LOST_CHECK_INTERVAL_US: u64 = 200_000;
+
+/// Interval between checks that pass although calls fail.
+const PASSED_CHECK_INTERVAL_US: u64 = 300_000;
+
+/// Checks in a row that have to pass before the leaves are used again, so that links which come and
+/// go are not.
+const CHECKS_TO_RECOVER: u32 = 3;
+
+/// Time over which requests return to the leaves after a loss: all VMs of a partition open their
+/// connections at the same time.
+const RECOVERY_US: u64 = 1_000_000;
+
+/// State of the links between this VM and the leaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkState {
+    /// Leaves can be reached.
+    #[default]
+    Connected,
+    /// No leaf can be reached.
+    Lost {
+        /// Time at which this was found, on the boot clock.
+        since_us: u64,
+    },
+    /// Leaves can be reached again, and a growing share of the requests is sent to them.
+    Recovering {
+        /// Time at which this was found, on the boot clock.
+        since_us: u64,
+    },
+}
+
+/// Change of the state after a check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkChange {
+    /// The links are lost.
+    Lost {
+        /// Number of leaves that had failed or not replied.
+        failed_leaves: usize,
+        /// Time since the latest reply of a leaf.
+        silent_us: u64,
+    },
+    /// Leaves can be reached again.
+    Answering {
+        /// Time for which no leaf could be reached.
+        lost_us: u64,
+    },
+}
+
+/// Failures of calls and connections, compared over all leaves.
+#[derive(Debug, Default)]
+pub struct LinkMonitor {
+    state: LinkState,
+    called_us: u64,
+    replied_us: u64,
+    /// Leaves whose calls have failed since the latest reply of any leaf, with the time.
+    failed: BTreeMap<LeafKey, u64>,
+    /// Leaves that have not accepted a connection since the latest one that did, with the time.
+    unconnected: BTreeMap<LeafKey, u64>,
+    checked_us: u64,
+    passed_checks: u32,
+}
+
+impl LinkMonitor {
+    /// Returns the state of the links.
+    pub fn state(&self) -> LinkState {
+        self.state
+    }
+
+    /// Returns whether no leaf can be reached.
+    pub fn is_lost(&self) -> bool {
+        matches!(self.state, LinkState::Lost { .. })
+    }
+
+    /// Records that a call to a leaf starts.
+    pub fn record_call(&mut self, now_us: u64) {
+        self.called_us = now_us;
+    }
+
+    /// Returns whether a call started within a time before `now_us`, or the links are lost.
+    pub fn is_in_use(&self, within_us: u64, now_us: u64) -> bool {
+        self.is_lost() || now_us < self.called_us + within_us
+    }
+
+    /// Records a reply of a leaf.
+    pub fn record_reply(&mut self, now_us: u64) {
+        self.replied_us = now_us;
+        self.failed.clear();
+    }
+
+    /// Records that a call to a leaf ended without a reply.
+    pub fn record_failure(&mut self, leaf: LeafKey, now_us: u64) {
+        self.failed.entry(leaf).or_insert(now_us);
+    }
+
+    /// Records that a leaf accepted a connection.
+    pub fn record_connection(&mut self) {
+        self.unconnected.clear();
+    }
+
+    /// Records that a leaf did not accept a connection.
+    pub fn record_no_connection(&mut self, leaf: LeafKey, now_us: u64) {
+        self.failed.entry(leaf).or_insert(now_us);
+        self.unconnected.entry(leaf).or_insert(now_us);
+    }
+
+    /// Returns whether calls fail in a way that may be due to the links.
+    ///
+    /// `listed` is the number of leaves, and `silent` the number of those that have not replied to
+    /// an open call for [`SILENCE_US`].
+    pub fn is_suspect(&self, listed: usize, silent: impl FnOnce() -> usize, now_us: u64) -> bool {
+        let wanted = MIN_FAILED_LEAVES.min(listed).max(1);
+        let first_unconnected_us = self.unconnected.values().min();
+        if self.unconnected.len() >= wanted
+            && first_unconnected_us.is_some_and(|first_us| *first_us + SILENCE_US <= now_us)
+        {
+            return true;
+        }
+        self.called_us > self.replied_us
+            && self.replied_us + SILENCE_US <= now_us
+            && (self.failed.len() >= wanted || silent() >= wanted)
+    }
+
+    /// Returns whether the links are to be checked now.
+    pub fn is_check_due(&self, listed: usize, silent: impl FnOnce() -> usize, now_us: u64) -> bool {
+        let since_check_us = now_us.saturating_sub(self.checked_us);
+        if listed == 0 {
+            return false;
+        }
+        if self.is_lost() {
+            return since_check_us >= LOST_CHECK_INTERVAL_US;
+        }
+        since_check_us >= PASSED_CHECK_INTERVAL_US && self.is_suspect(listed, silent, now_us)
+    }
+
+    /// Returns the number of leaves to check.
+    pub fn checked_leaves(&self) -> usize {
+        if self.is_lost() {
+            CHECKED_LEAVES_LOST
+        } else {
+            CHECKED_LEAVES
+        }
+    }
+
+    /// Records the result of a check: how many of the checked leaves answered.
+    ///
+    /// One answer disproves a loss, since leaves may have ended. A recovery needs half of them, in
+    /// several checks.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::{LinkMonitor, LinkState};
+    /// let mut link_monitor = LinkMonitor::default();
+    /// link_monitor.record_check(0, 6, 1_000);
+    /// assert!(link_monitor.is_lost());
+    /// for now_us in [2_000, 3_000, 4_000] {
+    ///     link_monitor.record_check(6, 6, now_us);
+    /// }
+    /// assert_eq!(link_monitor.state(), LinkState::Recovering { since_us: 4_000 });
+    /// ```
+    pub fn record_check(
+        &mut self,
+        answered: usize,
+        checked: usize,
+        now_us: u64,
+    ) -> Option<LinkChange> {
+        self.checked_us = now_us;
+        if let LinkState::Lost { since_us } = self.state {
+            let has_passed = answered * 2 >= checked && answered > 0;
+            self.passed_checks = if has_passed {
+                self.passed_checks + 1
+            } else {
+                0
+            };
+            if self.passed_checks < CHECKS_TO_RECOVER {
+                return None;
+            }
+            self.state = LinkState::Recovering { since_us: now_us };
+            self.forget_failures(now_us);
+            let lost_us = now_us.saturating_sub(since_us);
+            return Some(LinkChange::Answering { lost_us });
+        }
+        if answered > 0 || checked == 0 {
+            self.forget_failures(now_us);
+            return None;
+        }
+        let failed_leaves = self.failed.len().max(self.unconnected.len());
+        self.state = LinkState::Lost { since_us: now_us };
+        self.passed_checks = 0;
+        Some(LinkChange::Lost {
+            failed_leaves,
+            silent_us: now_us.saturating_sub(self.replied_us),
+        })
+    }
+
+    fn forget_failures(&mut self, now_us: u64) {
+        self.failed.clear();
+        self.unconnected.clear();
+        self.replied_us = now_us;
+    }
+
+    /// Returns whether a request uses the leaves itself, by a number drawn from 0 to 1. After a loss
+    /// a growing share does; a recovery that is over ends here.
+    pub fn uses_leaves(&mut self, drawn: f64, now_us: u64) -> bool {
+        match self.state {
+            LinkState::Connected => true,
+            LinkState::Lost { .. } => false,
+            LinkState::Recovering { since_us } => {
+                let elapsed_us = now_us.saturating_sub(since_us);
+                if elapsed_us >= RECOVERY_US {
+                    self.state = LinkState::Connected;
+                    return true;
+                }
+                #[expect(clippy::cast_precision_loss, reason = "a share needs no precision")]
+                let share = elapsed_us as f64 / RECOVERY_US as f64;
+                drawn < share
+            }
+        }
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 
 use error_stack::Report;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::connection::CallError;
 use crate::telemetry::{Exporter, TelemetryError};
@@ -18,6 +18,8 @@
     extra_calls: Counter<u64>,
     connections: Counter<u64>,
     platform_calls: Counter<u64>,
+    link_checks: Counter<u64>,
+    links_lost: Gauge<u64>,
 }
 
 impl Metrics {
@@ -38,6 +40,8 @@
             platform_calls: meter
                 .u64_counter("cloverrack_gateway_platform_calls")
                 .build(),
+            link_checks: meter.u64_counter("cloverrack_gateway_link_checks").build(),
+            links_lost: meter.u64_gauge("cloverrack_gateway_links_lost").build(),
             exporter,
         })
     }
@@ -72,6 +76,13 @@
             .add(1, &[KeyValue::new("succeeded", succeeded)]);
     }
 
+    /// Counts a check of the links to the leaves, and records whether they are lost after it.
+    pub fn count_link_check(&self, answered: bool, are_lost: bool) {
+        self.link_checks
+            .add(1, &[KeyValue::new("answered", answered)]);
+        self.links_lost.record(u64::from(are_lost), &[]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`].
+//! [`retry_after`], [`capacity`], [`link_monitor`].
 
 mod attempt;
 pub mod call;
@@ -28,6 +28,8 @@
 pub mod leaf_reports;
 pub mod leaf_stats;
 pub mod leaves;
+mod link_check;
+pub mod link_monitor;
 pub mod membership;
 pub mod merge;
 mod metered_stream;
@@ -65,6 +67,7 @@
 pub use leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 pub use leaf_stats::LeafStats;
 pub use leaves::{Leaves, NoLeafError};
+pub use link_monitor::{LinkChange, LinkMonitor, LinkState};
 pub use membership::{LiveVm, Membership};
 pub use merge::merge_records;
 pub use metrics::Metrics;
--- a/src/gateway/reconnect.rs
+++ b/src/gateway/reconnect.rs
@@ -48,6 +48,9 @@
             return;
         };
         let state = &mut *engine.state();
+        if connected.is_ok() {
+            state.link_monitor.record_connection();
+        }
         state.leaves.record_reachable(leaf);
         let Some(leaf) = state.leaves.get_mut(leaf) else {
             return;
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -64,6 +64,8 @@
     pub name: Box<str>,
     /// Maximum number of connections that one of its leaves accepts from all VMs together.
     pub max_connections: u32,
+    /// Path of the status check of its leaves.
+    pub health_path: Box<str>,
 }
 
 /// Limits on callers' requests and connections.
@@ -153,6 +155,7 @@
     pub limits: CallerLimits,
     hosts: HashMap<Box<str>, Vec<Route>>,
     max_connections: HashMap<ServiceKey, u32>,
+    health_paths: HashMap<ServiceKey, Box<str>>,
 }
 
 /// Denominator of fractions in parts per million.
@@ -220,14 +223,18 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.spec.prefix.len()));
         }
         let mut max_connections = HashMap::new();
+        let mut health_paths = HashMap::new();
         for service in document.services {
-            max_connections.insert(names.intern(&service.name), service.max_connections);
+            let key = names.intern(&service.name);
+            max_connections.insert(key, service.max_connections);
+            health_paths.insert(key, service.health_path);
         }
         Self {
             version: document.version,
             limits: document.limits,
             hosts,
             max_connections,
+            health_paths,
         }
     }
 
@@ -244,6 +251,11 @@
         self.max_connections.get(&service).copied()
     }
 
+    /// Returns the path of the status check of a service's leaves.
+    pub fn health_path(&self, service: ServiceKey) -> Option<&str> {
+        self.health_paths.get(&service).map(|path| &**path)
+    }
+
     /// Returns the lowest nonzero connection limit of a leaf among the services of shards, which
     /// get the most calls.
     pub fn min_shard_connections(&self) -> Option<u32> {
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -34,6 +34,9 @@
 /// Target latency of the routes that this module makes.
 pub const TARGET_LATENCY_MS: u64 = 300;
 
+/// Path of the status check of the leaves.
+pub const HEALTH_PATH: &str = "/health";
+
 /// Backlog of a leaf's address. One that is cut off has a short one, which is soon full.
 const BACKLOG: u32 = 1_024;
 const CUT_OFF_BACKLOG: u32 = 1;
@@ -230,8 +233,15 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, ConnectionAborted> {
-        self.received.fetch_add(1, Ordering::SeqCst);
         let behaviour = *self.behaviour.lock().unwrap();
+        if request.uri().path() == HEALTH_PATH {
+            return match behaviour {
+                LeafBehaviour::Hang => std::future::pending().await,
+                LeafBehaviour::Break => Err(ConnectionAborted),
+                _ => Ok(Response::new(Full::default())),
+            };
+        }
+        self.received.fetch_add(1, Ordering::SeqCst);
         let id = request.headers()["x-request"].clone();
         let mut response = Response::new(Full::new(Bytes::from(vec![self.record; 16])));
         let fields = response.headers_mut();
@@ -349,6 +359,7 @@
     let services = leaves.iter().map(|(service, _)| ServiceSpec {
         name: (*service).into(),
         max_connections: 31,
+        health_path: HEALTH_PATH.into(),
     });
     let document = RouteDocument {
         version,
