--- /dev/null
+++ b/tests/gateway_lost_links.rs
@@ -0,0 +1,114 @@
+//! VMs that are cut off from the leaves while callers and other VMs still reach them.
+//!
+//! The VMs run in this process, each with links of its own to the leaves.
+
+#![expect(clippy::unwrap_used, reason = "a failure of the harness ends the test")]
+
+#[path = "support/fleet.rs"]
+mod fleet;
+#[path = "support/gateway.rs"]
+mod gateway;
+#[path = "../platform/tests/soak/link.rs"]
+#[allow(dead_code, reason = "the tests use a part of the links")]
+mod link;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{CUTS, Cut, TestFleet};
+use gateway::{order, request};
+use http::Request;
+use http_body_util::Full;
+use tokio::time::sleep;
+
+/// Time after which a cut counts as known. The users' bound is 4 s.
+const KNOWN: Duration = Duration::from_millis(1_000);
+
+/// Requests to each VM, and pause between two of them.
+const REQUESTS: usize = 40;
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// First tries that may fail: ten, and one in fifty.
+fn tolerated_failures(requests: usize) -> usize {
+    10 + requests / 50
+}
+
+/// Returns one of the three kinds of requests.
+fn any_request(number: usize) -> Request<Full<Bytes>> {
+    match number % 3 {
+        0 => request("/g/x"),
+        1 => request("/a/x"),
+        _ => order("x"),
+    }
+}
+
+/// Sends requests of all kinds to a VM; returns the number of those that are not served.
+async fn failures(fleet: &TestFleet, vm: usize) -> usize {
+    let mut failed = 0;
+    for number in 0..REQUESTS {
+        failed += usize::from(!fleet.vms[vm].serves(any_request(number)).await);
+        sleep(PAUSE).await;
+    }
+    failed
+}
+
+/// Guards against callers of VMs that are cut off from all leaves being served worse than the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_vms_without_links_to_leaves_are_served() {
+    for cut in CUTS {
+        let fleet = TestFleet::start(4).await;
+        for vm in 0..4 {
+            assert_eq!(failures(&fleet, vm).await, 0, "{cut:?} before the cut");
+        }
+        for vm in 0..3 {
+            fleet.cut(vm, cut).await;
+        }
+        // Requests during the cut let the VMs find out.
+        for vm in 0..3 {
+            fleet.vms[vm].serves(request("/g/x")).await;
+        }
+        sleep(KNOWN).await;
+        let (first, second, third, connected) = tokio::join!(
+            failures(&fleet, 0),
+            failures(&fleet, 1),
+            failures(&fleet, 2),
+            failures(&fleet, 3)
+        );
+        let failed = first + second + third + connected;
+        let tolerated = tolerated_failures(4 * REQUESTS);
+        assert!(
+            failed <= tolerated,
+            "{cut:?}: {first}, {second} and {third} of {REQUESTS} failed at VMs that were cut off, \
+             {connected} at the other"
+        );
+    }
+}
+
+/// Guards against contents that are quarantined, or leaves that count as failing, because a VM lost
+/// its links to the leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_links_are_no_evidence_against_contents() {
+    for (first, second) in [
+        (Cut::Reset, Cut::Refuse),
+        (Cut::Hang, Cut::Refuse),
+        (Cut::RefuseNew, Cut::Reset),
+    ] {
+        let fleet = TestFleet::start(4).await;
+        failures(&fleet, 0).await;
+        for cut in [first, second] {
+            fleet.cut(0, cut).await;
+            let requests = (0..30).map(|number| fleet.vms[0].serves(any_request(number)));
+            futures_util::future::join_all(requests).await;
+            fleet.heal(0).await;
+            sleep(2 * KNOWN).await;
+        }
+        for vm in &fleet.vms {
+            let state = vm.engine.state();
+            assert!(
+                state.content_quarantine.is_empty(),
+                "{first:?}, {second:?}: {:?}",
+                state.content_quarantine
+            );
+        }
+    }
+}
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -229,6 +229,11 @@
         self.executed.lock().unwrap().len()
     }
 
+    /// Returns the identifiers of the requests that were executed.
+    pub fn executed_ids(&self) -> Vec<String> {
+        self.executed.lock().unwrap().clone()
+    }
+
     async fn answer(
         self,
         request: Request<Incoming>,
