Withdraw the addresses of VMs without links to the leaves

Callers saw: the directory returned the addresses of VMs that were cut off from all leaves for as long as the cut lasted. Cause: gossip tells which VMs live, and nothing told which of them reach the leaves. Change: a VM publishes the state of its links as a fact. The active VMs, to which callers are sent, are selected among the VMs with links, with the number that all failure domains together would have; if none has links, among all. A VM whose links recover shares the connections of the leaves and gets no callers until its recovery is over.

--- a/src/control/leaf_views.rs
+++ b/src/control/leaf_views.rs
@@ -152,7 +152,8 @@
                 Fact::Profile { .. }
                 | Fact::CrashedAttempt(_)
                 | Fact::ContentSuccess(_)
-                | Fact::LeafDeparture(_) => {}
+                | Fact::LeafDeparture(_)
+                | Fact::LeafLinks { .. } => {}
             }
         }
     }
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -84,6 +84,8 @@
     ContentSuccess(Content),
     /// Announced end of a leaf, by the hash of its process.
     LeafDeparture(u64),
+    /// Links of a VM to the leaves, by the VM's internal address.
+    LeafLinks(SocketAddr),
 }
 
 /// Piece of state that one VM publishes and all VMs replicate.
@@ -149,6 +151,30 @@
     ContentSuccess(ContentSuccess),
     /// Announced end of a leaf of the gateway.
     LeafDeparture(LeafDeparture),
+    /// Links of a VM of the gateway to the leaves.
+    LeafLinks {
+        /// Internal address.
+        address: SocketAddr,
+        /// Process on that address.
+        incarnation: Incarnation,
+        /// Number of changes that the process has published before.
+        sequence: u64,
+        /// State of the links.
+        links: LeafLinks,
+    },
+}
+
+/// Whether a VM reaches the leaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Encode, Decode)]
+pub enum LeafLinks {
+    /// It does, as far as is known.
+    #[default]
+    Connected,
+    /// It reaches them again since a moment and uses them for a growing share of its requests.
+    Recovering,
+    /// It reaches none.
+    Lost,
 }
 
 /// A leaf that has said in an answer that it leaves.
@@ -242,6 +268,7 @@
             }
             Self::ContentSuccess(success) => FactKey::ContentSuccess(success.content),
             Self::LeafDeparture(departure) => FactKey::LeafDeparture(departure.process),
+            Self::LeafLinks { address, .. } => FactKey::LeafLinks(*address),
         }
     }
 
@@ -290,6 +317,11 @@
             Self::ContentSuccess(success) => [success.until_unix_ms, 0, 0],
             // The observations of several VMs are the same fact, which is sent once.
             Self::LeafDeparture(_) => [0, 0, 0],
+            Self::LeafLinks {
+                incarnation,
+                sequence,
+                ..
+            } => [incarnation.bits(), *sequence, 0],
         }
     }
 
@@ -331,7 +363,8 @@
             Self::Profile { .. }
             | Self::CrashedAttempt(_)
             | Self::ContentSuccess(_)
-            | Self::LeafDeparture(_) => true,
+            | Self::LeafDeparture(_)
+            | Self::LeafLinks { .. } => true,
         }
     }
 }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -32,7 +32,7 @@
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
 use super::routes::{RouteTable, ServiceNames};
 use super::unanswered_runs::RecentSuccesses;
-use super::vm_selection::{active_vms, desired_active_vms};
+use super::vm_selection::{active_vms, desired_active_vms, leaf_using_vms};
 use crate::clock::{boot_ms, boot_us};
 use crate::fact::Fact;
 use crate::ids::{LeafKey, ServiceKey};
@@ -97,6 +97,8 @@
     live: Arc<[LiveVm]>,
     desired: usize,
     selected: Arc<[LiveVm]>,
+    /// Number of VMs that use the leaves.
+    leaf_users: usize,
 }
 
 /// Shared state of the gateway from which requests are routed to leaves.
@@ -238,13 +240,16 @@
         u32::try_from(desired).unwrap_or(u32::MAX)
     }
 
-    /// Sets the active VMs, which serve requests, and divides connections and retry budgets among
-    /// them.
-    pub fn set_active_vms(&self, active_vms: &[LiveVm]) {
+    /// Selects the active VMs, which serve requests, and divides connections and retry budgets among
+    /// the VMs that use the leaves.
+    pub fn update_active_vms(&self, live: &Arc<[LiveVm]>) {
+        let selection = self.selection(live, |selection| {
+            (Arc::clone(&selection.selected), selection.leaf_users)
+        });
+        let (active_vms, leaf_users) = selection;
         let addresses = active_vms.iter().map(|active_vm| active_vm.address);
         let addresses: Arc<[SocketAddr]> = addresses.collect();
-        let vms = addresses.len().max(1);
-        self.set_vms(u32::try_from(vms).unwrap_or(u32::MAX));
+        self.set_vms(u32::try_from(leaf_users.max(1)).unwrap_or(u32::MAX));
         *self
             .active_addresses
             .lock()
@@ -274,6 +279,10 @@
     /// Returns the VMs of `live` that should be active, by the connection limits in the current
     /// routes. They are selected again only if the list or the limits have changed.
     pub fn active_vms(&self, live: &Arc<[LiveVm]>) -> Arc<[LiveVm]> {
+        self.selection(live, |selection| Arc::clone(&selection.selected))
+    }
+
+    fn selection<T>(&self, live: &Arc<[LiveVm]>, read: impl FnOnce(&ActiveVms) -> T) -> T {
         let route_table = self.route_table();
         let min_connections =
             route_table.and_then(|route_table| route_table.min_shard_connections());
@@ -284,15 +293,14 @@
             && known.desired == desired
             && Arc::ptr_eq(&known.live, live)
         {
-            return Arc::clone(&known.selected);
+            return read(known);
         }
-        let selected: Arc<[LiveVm]> = active_vms(live, desired).into();
-        *latest = Some(ActiveVms {
+        read(latest.insert(ActiveVms {
             live: Arc::clone(live),
             desired,
-            selected: Arc::clone(&selected),
-        });
-        selected
+            selected: active_vms(live, desired).into(),
+            leaf_users: leaf_using_vms(live, desired).len(),
+        }))
     }
 
     /// Credits the retry budget of a service for one request.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -183,7 +183,10 @@
             Arc::clone(&engine),
             Arc::clone(&membership),
         ));
-        tokio::spawn(link_check::run(Arc::clone(&engine)));
+        tokio::spawn(link_check::run(
+            Arc::clone(&engine),
+            Arc::clone(&membership),
+        ));
         tokio::spawn(run_maintenance(Arc::clone(&engine), membership));
         let shutdown_signals = ShutdownSignals::default();
         let service = Arc::new(CallerService::new(engine));
@@ -271,8 +274,7 @@
 async fn run_maintenance(engine: Arc<Engine>, membership: Arc<Membership>) {
     loop {
         sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
-        let active_vms = engine.active_vms(&membership.live_vms());
-        engine.set_active_vms(&active_vms);
+        engine.update_active_vms(&membership.live_vms());
         let changed = {
             let state = &mut *engine.state();
             state.leaves.close_expired(boot_ms());
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -17,8 +17,10 @@
 
 use super::connection::Connection;
 use super::engine::{Engine, State};
-use super::link_monitor::{LinkChange, SILENCE_US};
+use super::link_monitor::{LinkChange, LinkState, SILENCE_US};
+use super::membership::Membership;
 use crate::clock::boot_us;
+use crate::fact::LeafLinks;
 
 /// Interval at which the monitor is asked whether a check is due.
 const POLL_INTERVAL_MS: u64 = 50;
@@ -33,8 +35,9 @@
 /// delay.
 const CHECK_TIMEOUT_MS: u64 = 250;
 
-/// Checks the links whenever that is due, until the task is dropped.
-pub(super) async fn run(engine: Arc<Engine>) {
+/// Checks the links whenever that is due and publishes their state, until the task is dropped.
+pub(super) async fn run(engine: Arc<Engine>, membership: Arc<Membership>) {
+    let mut published = LeafLinks::Connected;
     loop {
         let is_in_use = engine.state().link_monitor.is_in_use(IN_USE_US, boot_us());
         let interval_ms = if is_in_use {
@@ -44,6 +47,19 @@
         };
         sleep(Duration::from_millis(interval_ms)).await;
         engine.check_links_if_due().await;
+        let links = leaf_links(engine.state().link_monitor.update(boot_us()));
+        if links != published {
+            published = links;
+            membership.publish_leaf_links(links);
+        }
+    }
+}
+
+fn leaf_links(state: LinkState) -> LeafLinks {
+    match state {
+        LinkState::Connected => LeafLinks::Connected,
+        LinkState::Lost { .. } => LeafLinks::Lost,
+        LinkState::Recovering { .. } => LeafLinks::Recovering,
     }
 }
 
--- a/src/gateway/link_monitor.rs
+++ b/src/gateway/link_monitor.rs
@@ -223,18 +223,24 @@
         self.replied_us = now_us;
     }
 
+    /// Ends a recovery that has lasted long enough, and returns the state.
+    pub fn update(&mut self, now_us: u64) -> LinkState {
+        if let LinkState::Recovering { since_us } = self.state
+            && now_us >= since_us + RECOVERY_US
+        {
+            self.state = LinkState::Connected;
+        }
+        self.state
+    }
+
     /// Returns whether a request uses the leaves itself, by a number drawn from 0 to 1. After a loss
-    /// a growing share does; a recovery that is over ends here.
-    pub fn uses_leaves(&mut self, drawn: f64, now_us: u64) -> bool {
+    /// a growing share does.
+    pub fn uses_leaves(&self, drawn: f64, now_us: u64) -> bool {
         match self.state {
             LinkState::Connected => true,
             LinkState::Lost { .. } => false,
             LinkState::Recovering { since_us } => {
                 let elapsed_us = now_us.saturating_sub(since_us);
-                if elapsed_us >= RECOVERY_US {
-                    self.state = LinkState::Connected;
-                    return true;
-                }
                 #[expect(clippy::cast_precision_loss, reason = "a share needs no precision")]
                 let share = elapsed_us as f64 / RECOVERY_US as f64;
                 drawn < share
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -16,7 +16,7 @@
 
 use crate::clock::{boot_ms, unix_ms};
 use crate::document::Version;
-use crate::fact::{Fact, FactKey, Profile, VmState};
+use crate::fact::{Fact, FactKey, LeafLinks, Profile, VmState};
 use crate::gossip::{Datagram, Gossip, GossipTiming, Outgoing};
 use crate::ids::Incarnation;
 use crate::wire::{decode, encode};
@@ -49,12 +49,16 @@
     pub address: SocketAddr,
     /// Profile that the VM published.
     pub profile: Profile,
+    /// Whether the VM reaches the leaves.
+    pub leaf_links: LeafLinks,
 }
 
 #[derive(Debug)]
 struct State {
     gossip: Gossip,
     rng: SmallRng,
+    /// Number of changes of the links to the leaves that were published.
+    link_changes: u64,
     /// Live VMs, and the value of `Gossip::vm_changes` for which they were listed.
     live_vms: Option<(u64, Arc<[LiveVm]>)>,
 }
@@ -63,6 +67,7 @@
 #[derive(Debug)]
 pub struct Membership {
     address: SocketAddr,
+    incarnation: Incarnation,
     seeds: Mutex<Vec<SocketAddr>>,
     socket: UdpSocket,
     state: Mutex<State>,
@@ -107,10 +112,12 @@
         let state = State {
             gossip,
             rng: SmallRng::from_rng(&mut rand::rng()),
+            link_changes: 0,
             live_vms: None,
         };
         Ok(Arc::new(Self {
             address,
+            incarnation,
             seeds: Mutex::new(seeds),
             socket,
             state: Mutex::new(state),
@@ -185,6 +192,19 @@
         self.state().gossip.publish(fact, boot_ms());
     }
 
+    /// Publishes whether this VM reaches the leaves.
+    pub fn publish_leaf_links(&self, links: LeafLinks) {
+        let state = &mut *self.state();
+        state.link_changes += 1;
+        let fact = Fact::LeafLinks {
+            address: self.address,
+            incarnation: self.incarnation,
+            sequence: state.link_changes,
+            links,
+        };
+        state.gossip.publish(fact, boot_ms());
+    }
+
     /// Waits until evidence of other VMs on contents is received.
     pub async fn evidence_received(&self) {
         self.evidence_received.notified().await;
@@ -309,11 +329,31 @@
         let Some(entry) = gossip.fact(&FactKey::Profile(address)) else {
             continue;
         };
-        let Fact::Profile { profile, .. } = &entry.fact else {
+        let Fact::Profile {
+            profile,
+            incarnation,
+            ..
+        } = &entry.fact
+        else {
             continue;
         };
-        let profile = profile.clone();
-        live_vms.push(LiveVm { address, profile });
+        live_vms.push(LiveVm {
+            address,
+            profile: profile.clone(),
+            leaf_links: leaf_links_of(gossip, address, *incarnation),
+        });
     }
     live_vms.into()
 }
+
+/// Returns the links that the current process of a VM has published. A new process has published
+/// none.
+fn leaf_links_of(gossip: &Gossip, address: SocketAddr, current: Incarnation) -> LeafLinks {
+    let entry = gossip.fact(&FactKey::LeafLinks(address));
+    match entry.map(|entry| &entry.fact) {
+        Some(Fact::LeafLinks {
+            incarnation, links, ..
+        }) if *incarnation == current => *links,
+        _ => LeafLinks::Connected,
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -82,4 +82,4 @@
 };
 pub use service::CallerService;
 pub use unanswered_runs::{RecentSuccesses, UnansweredRun, UnansweredRuns};
-pub use vm_selection::{active_vms, caller_addresses, desired_active_vms};
+pub use vm_selection::{active_vms, caller_addresses, desired_active_vms, leaf_using_vms};
--- a/src/gateway/vm_selection.rs
+++ b/src/gateway/vm_selection.rs
@@ -3,14 +3,16 @@
 //!
 //! Handles fleets in which each VM's share of a leaf's connections would be too small: a few
 //! VMs of each failure domain handle the requests, so that they have enough connections and
-//! observe enough replies to estimate the state of the leaves. All others are on standby.
+//! observe enough replies to estimate the state of the leaves. All others are on standby. VMs that
+//! are cut off from the leaves are not selected while there are others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::membership::LiveVm;
+use crate::fact::LeafLinks;
 
 /// Connections to one leaf that an active VM should have. With fewer, calls wait for connections to
 /// a paused leaf although the leaf has free slots.
@@ -61,7 +63,7 @@
 /// # Examples
 ///
 /// ```
-/// use cloverrack::fact::Profile;
+/// use cloverrack::fact::{LeafLinks, Profile};
 /// use cloverrack::gateway::{LiveVm, active_vms};
 /// let vm = |port: u16, millicores| LiveVm {
 ///     address: ([127, 0, 0, 1], port).into(),
@@ -71,6 +73,7 @@
 ///         millicores,
 ///         link_mbps: 100,
 ///     },
+///     leaf_links: LeafLinks::Connected,
 /// };
 /// let vms = [vm(10, 120), vm(20, 500), vm(30, 250)];
 /// let selected = active_vms(&vms, 1);
@@ -78,14 +81,31 @@
 /// assert!(selected.iter().all(|vm| vm.profile.millicores > 120));
 /// ```
 pub fn active_vms(vms: &[LiveVm], desired: usize) -> Vec<LiveVm> {
+    let connected = |vm: &&LiveVm| vm.leaf_links == LeafLinks::Connected;
+    select(vms, desired, connected)
+}
+
+/// Returns the VMs that use the leaves: the active VMs, and those that would be active if their links
+/// were not recovering.
+pub fn leaf_using_vms(vms: &[LiveVm], desired: usize) -> Vec<LiveVm> {
+    select(vms, desired, |vm| vm.leaf_links != LeafLinks::Lost)
+}
+
+/// Selects VMs among those that are usable, or among all if none is. The others of a failure domain,
+/// and those of other domains, take the place of VMs that are not.
+fn select(vms: &[LiveVm], desired: usize, is_usable: impl Fn(&&LiveVm) -> bool) -> Vec<LiveVm> {
+    let all_domains: BTreeSet<&str> = vms.iter().map(|vm| &*vm.profile.failure_domain).collect();
+    let mut usable: Vec<&LiveVm> = vms.iter().filter(is_usable).collect();
+    if usable.is_empty() {
+        usable = vms.iter().collect();
+    }
     let mut domains: BTreeMap<&str, Vec<&LiveVm>> = BTreeMap::new();
-    for vm in vms {
+    for vm in usable {
         let domain = &*vm.profile.failure_domain;
         domains.entry(domain).or_default().push(vm);
     }
-    let per_domain = desired
-        .div_ceil(domains.len().max(1))
-        .max(MIN_ACTIVE_VMS_PER_DOMAIN);
+    let wanted = desired.max(MIN_ACTIVE_VMS_PER_DOMAIN * all_domains.len());
+    let per_domain = wanted.div_ceil(domains.len().max(1));
     let mut selected = Vec::new();
     for candidates in domains.values_mut() {
         let hash = |vm: &LiveVm| xxh3_64(vm.address.to_string().as_bytes());
@@ -101,7 +121,7 @@
 /// # Examples
 ///
 /// ```
-/// use cloverrack::fact::Profile;
+/// use cloverrack::fact::{LeafLinks, Profile};
 /// use cloverrack::gateway::{LiveVm, caller_addresses};
 /// let vm = |port: u16, domain: &str| LiveVm {
 ///     address: ([127, 0, 0, 1], port).into(),
@@ -111,6 +131,7 @@
 ///         millicores: 250,
 ///         link_mbps: 100,
 ///     },
+///     leaf_links: LeafLinks::Connected,
 /// };
 /// let active_vms = [vm(10, "a"), vm(20, "a"), vm(30, "b")];
 /// assert_eq!(caller_addresses(&active_vms, "a", 64).len(), 2);
--- a/src/gossip/fact_table.rs
+++ b/src/gossip/fact_table.rs
@@ -259,9 +259,12 @@
     }
 }
 
-/// Returns whether a key belongs to a fact about the state or the profile of a VM.
+/// Returns whether a key belongs to a fact about the state, the profile or the links of a VM.
 fn describes_vm(key: &FactKey) -> bool {
-    matches!(key, FactKey::Vm(_) | FactKey::Profile(_))
+    matches!(
+        key,
+        FactKey::Vm(_) | FactKey::Profile(_) | FactKey::LeafLinks(_)
+    )
 }
 
 /// Returns the bucket of a key, and the hash of key and precedence.
@@ -296,6 +299,7 @@
             bytes.push(b'e');
             bytes.extend_from_slice(&process.to_le_bytes());
         }
+        FactKey::LeafLinks(address) => push_address(&mut bytes, b'k', *address),
     }
     let bucket = xxh3_64(&bytes) % DIGEST_BUCKETS as u64;
     for part in precedence {
--- a/tests/gateway_link_monitor.rs
+++ b/tests/gateway_link_monitor.rs
@@ -109,18 +109,21 @@
         link_monitor.record_check(3, 3, round * 200 * MS);
     }
     let healed_us = 600 * MS;
-    let share_after = |link_monitor: &mut LinkMonitor, after_ms: u64| {
+    let share_after = |link_monitor: &LinkMonitor, after_ms: u64| {
         let now_us = healed_us + after_ms * MS;
         let drawn = (0..100).map(|percent| f64::from(percent) / 100.0);
         drawn
             .filter(|drawn| link_monitor.uses_leaves(*drawn, now_us))
             .count()
     };
-    assert_eq!(share_after(&mut link_monitor, 0), 0);
-    assert!((20..=30).contains(&share_after(&mut link_monitor, 250)));
-    assert!((70..=80).contains(&share_after(&mut link_monitor, 750)));
-    assert_eq!(share_after(&mut link_monitor, 1_000), 100);
-    assert_eq!(link_monitor.state(), LinkState::Connected);
+    assert_eq!(share_after(&link_monitor, 0), 0);
+    assert!((20..=30).contains(&share_after(&link_monitor, 250)));
+    assert!((70..=80).contains(&share_after(&link_monitor, 750)));
+    assert_eq!(
+        link_monitor.update(healed_us + 1_000 * MS),
+        LinkState::Connected
+    );
+    assert_eq!(share_after(&link_monitor, 1_000), 100);
 }
 
 /// Guards against a loss during the recovery that goes unnoticed.
--- a/tests/gateway_vm_selection.rs
+++ b/tests/gateway_vm_selection.rs
@@ -2,9 +2,9 @@
 //!
 //! Pure functions of the live VMs; covered are VMs that fail and VMs of different capacity.
 
-use cloverrack::fact::Profile;
+use cloverrack::fact::{LeafLinks, Profile};
 use cloverrack::gateway::{
-    LiveVm, active_vms, caller_addresses, connection_share, watches_platform,
+    LiveVm, active_vms, caller_addresses, connection_share, leaf_using_vms, watches_platform,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -24,6 +24,7 @@
                 millicores: if is_small { 120 } else { 500 },
                 link_mbps: if is_small { 14 } else { 140 },
             },
+            leaf_links: LeafLinks::Connected,
         });
     }
     live_vms
@@ -95,3 +96,59 @@
     assert_eq!(watching(&live_vms), 5);
     assert_eq!(watching(&live_vms[..10]), 10);
 }
+
+/// Guards against callers being sent to VMs that are cut off from the leaves while others are not,
+/// and against fewer VMs than usual taking the load.
+#[test]
+fn vms_without_links_to_leaves_are_replaced() {
+    let mut live_vms = fleet();
+    let before = active_vms(&live_vms, 12);
+    for vm in &mut live_vms {
+        if before
+            .iter()
+            .any(|active_vm| active_vm.address == vm.address)
+        {
+            vm.leaf_links = LeafLinks::Lost;
+        }
+    }
+    let after = active_vms(&live_vms, 12);
+    assert_eq!(after.len(), 12);
+    assert!(after.iter().all(|vm| vm.leaf_links == LeafLinks::Connected));
+    for vm in &mut live_vms {
+        if &*vm.profile.failure_domain != "c" {
+            vm.leaf_links = LeafLinks::Lost;
+        }
+    }
+    let after = active_vms(&live_vms, 12);
+    assert_eq!(after.len(), 12);
+    assert!(after.iter().all(|vm| &*vm.profile.failure_domain == "c"));
+    assert_eq!(caller_addresses(&after, "a", 64).len(), 12);
+}
+
+/// Guards against callers getting no address because all VMs are cut off from the leaves.
+#[test]
+fn all_vms_are_candidates_if_none_has_links() {
+    let mut live_vms = fleet();
+    let before = active_vms(&live_vms, 12);
+    for vm in &mut live_vms {
+        vm.leaf_links = LeafLinks::Lost;
+    }
+    let addresses = |vms: &[LiveVm]| vms.iter().map(|vm| vm.address).collect::<Vec<_>>();
+    assert_eq!(addresses(&active_vms(&live_vms, 12)), addresses(&before));
+}
+
+/// Guards against VMs whose links recover using a leaf's connections that others have been promised,
+/// and against callers being sent to them before they are ready.
+#[test]
+fn recovering_vms_share_connections_and_get_no_callers() {
+    let mut live_vms = fleet();
+    let recovering = active_vms(&live_vms, 12)[0].address;
+    for vm in &mut live_vms {
+        if vm.address == recovering {
+            vm.leaf_links = LeafLinks::Recovering;
+        }
+    }
+    let is_recovering = |vm: &LiveVm| vm.address == recovering;
+    assert!(!active_vms(&live_vms, 12).iter().any(is_recovering));
+    assert!(leaf_using_vms(&live_vms, 12).iter().any(is_recovering));
+}
