--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod pause_predictor;
 pub mod rate_limit;
 mod reconnect;
+mod refusal;
 pub mod reply_memory;
 pub mod retry_after;
 pub mod retry_budgets;
