--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod reconnect;
 mod refusal;
 pub mod reply_memory;
+mod request_run;
 pub mod retry_after;
 pub mod retry_budgets;
 pub mod routes;
