Forward requests from VMs without links to VMs with links

Callers saw: requests that arrived at a VM which was cut off from all leaves were refused as overload or ended at their deadline; callers keep the address of such a VM for up to three times the TTL after it is withdrawn. Cause: a request had no other way to a leaf than the connections of the VM that had read it. Change: while no leaf can be reached, a request is forwarded over HTTP/2 to one of two random VMs with links, the one with fewer forwarded requests. That VM runs it or not at all; it forwards nothing. A request that failed while the loss was not known yet waits for the check and is forwarded too, if leaves of each shard are left and it may run twice or has not run. Calls that were sent before count against the attempts and the retry budget on the other VM. The caller's leaving cancels the stream and thereby the calls. A request that may have run on a VM that dies or is suspended is not sent to a second one.

Ruled out: a redirect (callers don't follow it), closing the connection unread (a failed attempt for the caller).

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::header::HeaderName;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tracing::info;
 
 use super::call::OpenCall;
@@ -116,6 +116,7 @@
     is_watcher: AtomicBool,
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
+    pub(super) forwards: watch::Sender<bool>,
     state: Mutex<State>,
 }
 
@@ -153,6 +154,7 @@
             is_watcher: AtomicBool::new(true),
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
+            forwards: watch::Sender::new(false),
             state: Mutex::new(state),
         }
     }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -18,6 +18,8 @@
 use super::engine::{Engine, Headers};
 use super::evidence_sync;
 use super::follower::{CatalogSource, Follower};
+use super::forward_server::ForwardServer;
+use super::forwarder::Forwarder;
 use super::leaf_reports;
 use super::link_check;
 use super::membership::Membership;
@@ -49,7 +51,8 @@
     pub caller_address: SocketAddr,
     /// Address for other VMs.
     pub internal_address: SocketAddr,
-    /// UDP address for leaf reports; its port is the same on all VMs.
+    /// Address for leaf reports over UDP and forwarded requests over TCP; its port is the same on all
+    /// VMs.
     pub leaf_reports_address: SocketAddr,
     /// Internal addresses of the VMs that are contacted at the start to join the membership.
     pub seeds: Vec<SocketAddr>,
@@ -136,6 +139,7 @@
             link_mbps: settings.link_mbps,
         };
         let internal = bind(settings.internal_address, "internal").await?;
+        let forward_listener = bind(settings.leaf_reports_address, "forwarding").await?;
         let membership =
             Membership::bind(settings.internal_address, settings.seeds.clone(), profile);
         let membership = membership
@@ -183,15 +187,34 @@
             Arc::clone(&engine),
             Arc::clone(&membership),
         ));
+        tokio::spawn(run_maintenance(
+            Arc::clone(&engine),
+            Arc::clone(&membership),
+        ));
+        let forwarder = Arc::new(Forwarder::new(
+            Arc::clone(&engine),
+            Arc::clone(&membership),
+            settings.leaf_reports_address.port(),
+        ));
         tokio::spawn(link_check::run(
             Arc::clone(&engine),
             Arc::clone(&membership),
+            Arc::clone(&forwarder),
         ));
-        tokio::spawn(run_maintenance(Arc::clone(&engine), membership));
         let shutdown_signals = ShutdownSignals::default();
-        let service = Arc::new(CallerService::new(engine));
+        let service = CallerService::new(engine).with_forwarder(forwarder);
+        let service = Arc::new(service);
         component_registry.register(TELEMETRY, Arc::clone(&service));
-        let serve_task = tokio::spawn(serve(listener, service, shutdown_signals.clone()));
+        let forward_server = ForwardServer::new(Arc::clone(&service), membership);
+        let forward_server = serve(
+            forward_listener,
+            Arc::new(forward_server),
+            shutdown_signals.clone(),
+        );
+        let server = serve(listener, service, shutdown_signals.clone());
+        let serve_task = tokio::spawn(async {
+            tokio::join!(server, forward_server);
+        });
         info!(event = "gateway_serving", vm = %settings.vm, address = %settings.caller_address);
         Ok(Self {
             component_registry,
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -10,6 +10,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep_until, timeout};
 
 use super::attempt::Attempt;
@@ -18,6 +19,7 @@
 use super::connection::{CallError, Reply};
 use super::engine::Engine;
 use super::fanout_schedule::{FanoutDecision, FanoutSchedule, ShardCounts};
+use super::forwarded_request::PriorCalls;
 use super::leaves::NoLeafError;
 use super::shard::Shard;
 use crate::clock::boot_us;
@@ -55,6 +57,8 @@
     pub target_us: u64,
     /// Deadlines of the request.
     pub schedule: FanoutSchedule,
+    /// What other VMs have done with the request.
+    pub prior_calls: PriorCalls,
 }
 
 /// Result of a request.
@@ -68,6 +72,10 @@
     pub may_have_run: bool,
     /// Number of calls that were sent.
     pub sent_calls: usize,
+    /// Calls after which another VM may run the request, or `None` if it must not.
+    pub movable: Option<PriorCalls>,
+    /// Whether a shard has no reply because its leaves refuse connections.
+    pub is_unreachable: bool,
     /// Number of shards for which an extra call was denied.
     pub denied_retries: usize,
     /// Whether a call was not sent because the leaves had named a limit on their rate.
@@ -100,8 +108,11 @@
     sent_calls: usize,
     denied_retries: usize,
     is_rate_limited: bool,
+    is_unreachable: bool,
     retry_at_us: Option<u64>,
     last_error: Option<CallError>,
+    /// Whether requests are forwarded to other VMs, since this one reaches no leaf.
+    forwards: watch::Receiver<bool>,
 }
 
 impl Fanout {
@@ -109,17 +120,20 @@
     pub fn new(
         engine: Arc<Engine>,
         plan: Arc<FanoutPlan>,
-        spec: CallSpec,
+        spec: Arc<CallSpec>,
         started_us: u64,
     ) -> Self {
-        let shards = plan.services.iter().copied().map(Shard::new).collect();
+        let sent = plan.prior_calls.sent as usize;
+        let services = plan.services.iter().copied();
+        let shards = services.map(|service| Shard::new(service, sent)).collect();
+        let forwards = engine.forwards();
         let request_id = spec.request_id.as_bytes();
         let attempt = Attempt::new(Arc::clone(&engine), spec.content, request_id);
         Self {
             engine,
             attempt,
             plan,
-            spec: Arc::new(spec),
+            spec,
             shards,
             calls: FuturesUnordered::new(),
             started_us,
@@ -127,8 +141,10 @@
             sent_calls: 0,
             denied_retries: 0,
             is_rate_limited: false,
+            is_unreachable: false,
             retry_at_us: None,
             last_error: None,
+            forwards,
         }
     }
 
@@ -136,12 +152,17 @@
     ///
     /// Dropping the future cancels all its calls.
     pub async fn run(mut self) -> FanoutResult {
-        self.engine.earn_retry(self.plan.budget);
+        if !self.plan.prior_calls.is_credited {
+            self.engine.earn_retry(self.plan.budget);
+        }
         let timer = sleep_until(Instant::now());
         tokio::pin!(timer);
         let mut timer_at_us = 0;
         loop {
             let elapsed_us = self.elapsed_us();
+            if *self.forwards.borrow_and_update() && self.is_movable() {
+                return self.finish(false);
+            }
             self.start_calls(elapsed_us);
             self.stop_pending_shards();
             match self
@@ -162,10 +183,25 @@
                 Some(ended) = self.calls.next(), if !self.calls.is_empty() =>
                     self.handle_call_end(ended),
                 () = timer.as_mut() => timer_at_us = 0,
+                Ok(()) = self.forwards.changed() => {}
             }
         }
     }
 
+    /// Returns the largest number of leaves of a shard to which the request was sent.
+    fn sent(&self) -> usize {
+        let sent = self.shards.iter().map(|shard| shard.sent);
+        sent.max().unwrap_or(0)
+    }
+
+    /// Returns whether another VM may run the request: leaves of each shard are left, and it may run
+    /// twice or has not run.
+    fn is_movable(&self) -> bool {
+        let any_open = self.shards.iter().any(|shard| shard.open_calls > 0);
+        let may_run = self.plan.idempotent || !(self.may_have_run || any_open);
+        may_run && self.sent() < self.plan.max_attempts
+    }
+
     fn elapsed_us(&self) -> u64 {
         boot_us().saturating_sub(self.started_us)
     }
@@ -262,6 +298,7 @@
             }
             Err(NoLeafError::Unreachable { since_us }) => {
                 if is_lasting(since_us, boot_us()) {
+                    self.is_unreachable = true;
                     self.handle_calls_unwanted(index);
                 }
                 return;
@@ -449,6 +486,11 @@
         let elapsed_us = self.elapsed_us();
         let timed_out = elapsed_us >= self.plan.schedule.timeout_us;
         let median_call_us = self.median_call_us(elapsed_us);
+        let prior_calls = PriorCalls {
+            sent: u32::try_from(self.sent()).unwrap_or(u32::MAX),
+            is_credited: true,
+        };
+        let movable = (!complete && self.is_movable()).then_some(prior_calls);
         if complete && !self.calls.is_empty() {
             let remaining_calls = finish_calls(self.calls, self.attempt);
             let limit = Duration::from_millis(LINGER_MS);
@@ -459,6 +501,8 @@
             complete,
             may_have_run: self.may_have_run || any_open,
             sent_calls: self.sent_calls,
+            movable,
+            is_unreachable: self.is_unreachable,
             denied_retries: self.denied_retries,
             is_rate_limited: self.is_rate_limited,
             retry_at_us: self.retry_at_us,
--- /dev/null
+++ b/src/gateway/forward_server.rs
@@ -0,0 +1,91 @@
+//! Serves the requests that other VMs forward, which have lost their links to the leaves.
+//!
+//! A forwarded request is run here or not at all: it is never forwarded again, so that it can't
+//! circulate between VMs.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use http::header::{HeaderName, HeaderValue};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use tokio::sync::Semaphore;
+use tracing::info;
+
+use super::forwarded_request::{ForwardedRequest, NotRunReason};
+use super::forwarder::{
+    FORWARD_PATH, FORWARD_VERSION, HANDLED_HEADER, NOT_RUN_HEADER, VERSION_HEADER,
+};
+use super::membership::Membership;
+use super::refusal::empty_response;
+use super::service::CallerService;
+use crate::http_server::{CallerAddress, Handler, HttpResponse, read_body};
+use crate::wire::{MAX_FRAME_BYTES, decode};
+
+/// Maximum number of forwarded requests that are handled at a time, which bounds the memory of their
+/// bodies.
+const MAX_FORWARDED_REQUESTS: usize = 256;
+
+/// Handler of forwarded requests.
+#[derive(Debug)]
+pub struct ForwardServer {
+    service: Arc<CallerService>,
+    membership: Arc<Membership>,
+    permits: Semaphore,
+}
+
+impl ForwardServer {
+    /// Creates the handler.
+    pub fn new(service: Arc<CallerService>, membership: Arc<Membership>) -> Self {
+        Self {
+            service,
+            membership,
+            permits: Semaphore::new(MAX_FORWARDED_REQUESTS),
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Result<HttpResponse, NotRunReason> {
+        let version = request.headers().get(VERSION_HEADER);
+        let version = version.and_then(|version| version.to_str().ok()?.parse().ok());
+        let sender = request.extensions().get::<CallerAddress>();
+        let is_known = sender.is_some_and(|sender| self.is_vm(sender.0));
+        if request.uri().path() != FORWARD_PATH || version != Some(FORWARD_VERSION) || !is_known {
+            return Err(NotRunReason::Rejected);
+        }
+        let permit = self.permits.try_acquire();
+        let _permit = permit.map_err(|_| NotRunReason::Busy)?;
+        let body = read_body(request.into_body(), MAX_FRAME_BYTES).await;
+        let body = body.map_err(|_| NotRunReason::Rejected)?;
+        let forwarded: ForwardedRequest = decode(&body).map_err(|error| {
+            info!(event = "forwarded_request_malformed", %error);
+            NotRunReason::Rejected
+        })?;
+        self.service.serve_forwarded(forwarded).await
+    }
+
+    fn is_vm(&self, ip: IpAddr) -> bool {
+        let live_vms = self.membership.live_vms();
+        live_vms.iter().any(|vm| vm.address.ip() == ip)
+    }
+}
+
+impl Handler for ForwardServer {
+    async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
+        match self.serve(request).await {
+            Ok(mut response) => {
+                let name = HeaderName::from_static(HANDLED_HEADER);
+                let value = HeaderValue::from_static("1");
+                response.headers_mut().insert(name, value);
+                response
+            }
+            Err(reason) => {
+                let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+                if let Ok(value) = HeaderValue::from_str(&reason.to_string()) {
+                    let name = HeaderName::from_static(NOT_RUN_HEADER);
+                    response.headers_mut().insert(name, value);
+                }
+                response
+            }
+        }
+    }
+}
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -12,11 +12,13 @@
 use http::Request;
 use http_body_util::Full;
 use rand::seq::IteratorRandom;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
 
 use super::connection::Connection;
 use super::engine::{Engine, State};
+use super::forwarder::Forwarder;
 use super::link_monitor::{LinkChange, LinkState, SILENCE_US};
 use super::membership::Membership;
 use crate::clock::boot_us;
@@ -36,7 +38,11 @@
 const CHECK_TIMEOUT_MS: u64 = 250;
 
 /// Checks the links whenever that is due and publishes their state, until the task is dropped.
-pub(super) async fn run(engine: Arc<Engine>, membership: Arc<Membership>) {
+pub(super) async fn run(
+    engine: Arc<Engine>,
+    membership: Arc<Membership>,
+    forwarder: Arc<Forwarder>,
+) {
     let mut published = LeafLinks::Connected;
     loop {
         let is_in_use = engine.state().link_monitor.is_in_use(IN_USE_US, boot_us());
@@ -48,9 +54,15 @@
         sleep(Duration::from_millis(interval_ms)).await;
         engine.check_links_if_due().await;
         let links = leaf_links(engine.state().link_monitor.update(boot_us()));
-        if links != published {
-            published = links;
-            membership.publish_leaf_links(links);
+        let forwards = links == LeafLinks::Lost && forwarder.has_candidate();
+        engine.set_forwards(forwards);
+        if links == published {
+            continue;
+        }
+        published = links;
+        membership.publish_leaf_links(links);
+        if links == LeafLinks::Connected {
+            forwarder.close_idle();
         }
     }
 }
@@ -64,6 +76,38 @@
 }
 
 impl Engine {
+    /// Returns whether a request is to be sent to the leaves by this VM.
+    pub(super) fn uses_leaves(&self) -> bool {
+        let links = &self.state().link_monitor;
+        links.uses_leaves(rand::random(), boot_us())
+    }
+
+    /// Follows whether requests are forwarded, since this VM reaches no leaf and another one does.
+    pub(super) fn forwards(&self) -> watch::Receiver<bool> {
+        self.forwards.subscribe()
+    }
+
+    fn set_forwards(&self, forwards: bool) {
+        self.forwards
+            .send_if_modified(|current| std::mem::replace(current, forwards) != forwards);
+    }
+
+    /// Returns whether no leaf can be reached, after a check within `limit` if calls fail.
+    pub(super) async fn links_are_lost(&self, limit: Duration) -> bool {
+        {
+            let state = &*self.state();
+            if state.link_monitor.is_lost() {
+                return true;
+            }
+            if !state.link_monitor.may_be_lost(state.leaves.count()) {
+                return false;
+            }
+        }
+        let mut forwards = self.forwards.subscribe();
+        let lost = forwards.wait_for(|forwards| *forwards);
+        matches!(timeout(limit, lost).await, Ok(Ok(_)))
+    }
+
     /// Checks the links to the leaves if calls fail in a way that may be due to them.
     pub async fn check_links_if_due(&self) {
         let Some(checked) = self.state().link_check() else {
--- a/src/gateway/link_monitor.rs
+++ b/src/gateway/link_monitor.rs
@@ -127,6 +127,13 @@
         self.unconnected.entry(leaf).or_insert(now_us);
     }
 
+    /// Returns whether several leaves have failed and none has replied since, so that a check may
+    /// follow.
+    pub fn may_be_lost(&self, listed: usize) -> bool {
+        let wanted = MIN_FAILED_LEAVES.min(listed).max(1);
+        self.failed.len() >= wanted || self.unconnected.len() >= wanted
+    }
+
     /// Returns whether calls fail in a way that may be due to the links.
     ///
     /// `listed` is the number of leaves, and `silent` the number of those that have not replied to
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -18,6 +18,7 @@
     extra_calls: Counter<u64>,
     connections: Counter<u64>,
     platform_calls: Counter<u64>,
+    forwarded: Counter<u64>,
     link_checks: Counter<u64>,
     links_lost: Gauge<u64>,
 }
@@ -40,6 +41,9 @@
             platform_calls: meter
                 .u64_counter("cloverrack_gateway_platform_calls")
                 .build(),
+            forwarded: meter
+                .u64_counter("cloverrack_gateway_forwarded_requests")
+                .build(),
             link_checks: meter.u64_counter("cloverrack_gateway_link_checks").build(),
             links_lost: meter.u64_gauge("cloverrack_gateway_links_lost").build(),
             exporter,
@@ -76,6 +80,11 @@
             .add(1, &[KeyValue::new("succeeded", succeeded)]);
     }
 
+    /// Counts a request that was offered to another VM, by outcome.
+    pub fn count_forwarded(&self, outcome: &'static str) {
+        self.forwarded.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a check of the links to the leaves, and records whether they are lost after it.
     pub fn count_link_check(&self, answered: bool, are_lost: bool) {
         self.link_checks
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -18,6 +18,7 @@
 use super::engine::Engine;
 use super::fanout::{Fanout, FanoutPlan, FanoutResult};
 use super::fanout_schedule::FanoutSchedule;
+use super::forwarded_request::PriorCalls;
 use super::merge::merge_records;
 use super::refusal::{Refusal, empty_response, failure_response};
 use super::routes::{ResolvedDestination, Route, RouteTable, pick_weighted};
@@ -29,34 +30,52 @@
 /// One in this many successful requests is logged; the others are only counted.
 const SUCCESS_LOG_SAMPLING: u32 = 32;
 
-/// Runs a request that arrived at `started_us`.
+/// End of a request at the leaves of this VM.
+pub(super) struct RunEnd {
+    pub(super) response: Result<HttpResponse, Refusal>,
+    /// Calls after which another VM may run the request, or `None` if it must not or need not.
+    pub(super) movable: Option<PriorCalls>,
+    /// Whether the leaves of a service refuse connections.
+    pub(super) is_unreachable: bool,
+}
+
+impl From<HttpResponse> for RunEnd {
+    fn from(response: HttpResponse) -> Self {
+        Self {
+            response: Ok(response),
+            movable: None,
+            is_unreachable: false,
+        }
+    }
+}
+
+/// Runs a request that arrived at `started_us`, and with which other VMs have done `prior_calls`.
 pub(super) async fn run(
     engine: &Arc<Engine>,
     route_table: &RouteTable,
     route: &Route,
-    spec: CallSpec,
+    spec: &Arc<CallSpec>,
+    prior_calls: PriorCalls,
     started_us: u64,
-) -> Result<HttpResponse, Refusal> {
-    let plan = build_plan(engine, route, spec.deadline_us.saturating_sub(started_us));
-    let capacity = engine.check_capacity(&plan.services, plan.min_parts);
-    let remaining_ms = spec.deadline_us.saturating_sub(started_us) / 1_000;
-    capacity.map_err(|error| match error {
-        CapacityError::Unreachable => Refusal::Unreachable { remaining_ms },
-        CapacityError::RateLimited => Refusal::RateLimited { remaining_ms },
-        CapacityError::RetryAfter { at_us } => Refusal::RetryAfter {
-            wait_ms: at_us.saturating_sub(started_us).div_ceil(1_000),
-        },
-    })?;
-    let request_id = spec.request_id.clone();
-    let content = spec.content;
+) -> RunEnd {
+    let timeout_us = spec.deadline_us.saturating_sub(started_us);
+    let plan = build_plan(engine, route, timeout_us, prior_calls);
     let is_merged = !plan.relays_errors;
-    let concurrency_permit = if is_merged {
-        Some(admit(engine, &plan, route, &spec, started_us)?)
-    } else {
-        None
+    let admitted = check_capacity(engine, &plan, spec, started_us).and_then(|()| {
+        let permit = is_merged.then(|| admit(engine, &plan, route, spec, started_us));
+        permit.transpose()
+    });
+    let concurrency_permit = match admitted {
+        Ok(concurrency_permit) => concurrency_permit,
+        Err(refusal) => return refused(refusal, prior_calls),
     };
     let plan = Arc::new(plan);
-    let fanout = Fanout::new(Arc::clone(engine), Arc::clone(&plan), spec, started_us);
+    let fanout = Fanout::new(
+        Arc::clone(engine),
+        Arc::clone(&plan),
+        Arc::clone(spec),
+        started_us,
+    );
     let fanout_result = fanout.run().await;
     if let (Some(concurrency_permit), Some(median_call_us)) =
         (concurrency_permit, fanout_result.median_call_us)
@@ -64,20 +83,54 @@
         concurrency_permit.finish(&plan, median_call_us);
     }
     let request_log = RequestLog {
-        request_id: &request_id,
-        content,
+        request_id: &spec.request_id,
+        content: spec.content,
         route,
         elapsed_us: boot_us().saturating_sub(started_us),
     };
     request_log.log(&fanout_result, route_table.version);
     if !fanout_result.complete {
-        return Ok(failure_response(&fanout_result));
+        return RunEnd {
+            response: Ok(failure_response(&fanout_result)),
+            movable: fanout_result.movable,
+            is_unreachable: fanout_result.is_unreachable,
+        };
     }
     if is_merged {
-        return Ok(merge_response(engine, route, fanout_result));
+        return merge_response(engine, route, fanout_result).into();
     }
     let reply = fanout_result.parts.into_iter().flatten().next();
-    Ok(reply.map_or_else(|| empty_response(StatusCode::BAD_GATEWAY), relay_reply))
+    let response = reply.map_or_else(|| empty_response(StatusCode::BAD_GATEWAY), relay_reply);
+    response.into()
+}
+
+/// Returns the end of a request that is refused on arrival. Another VM may have what this one lacks,
+/// unless the leaves refuse requests of all VMs.
+fn refused(refusal: Refusal, prior_calls: PriorCalls) -> RunEnd {
+    let is_unreachable = matches!(refusal, Refusal::Unreachable { .. });
+    let is_movable = is_unreachable || matches!(refusal, Refusal::Overloaded { .. });
+    RunEnd {
+        response: Err(refusal),
+        movable: is_movable.then_some(prior_calls),
+        is_unreachable,
+    }
+}
+
+fn check_capacity(
+    engine: &Engine,
+    plan: &FanoutPlan,
+    spec: &CallSpec,
+    started_us: u64,
+) -> Result<(), Refusal> {
+    let capacity = engine.check_capacity(&plan.services, plan.min_parts);
+    let remaining_ms = spec.deadline_us.saturating_sub(started_us) / 1_000;
+    capacity.map_err(|error| match error {
+        CapacityError::Unreachable => Refusal::Unreachable { remaining_ms },
+        CapacityError::RateLimited => Refusal::RateLimited { remaining_ms },
+        CapacityError::RetryAfter { at_us } => Refusal::RetryAfter {
+            wait_ms: at_us.saturating_sub(started_us).div_ceil(1_000),
+        },
+    })
 }
 
 /// Admits a scatter-gather request, or rejects it if the leaves' queues are too long.
@@ -171,7 +224,12 @@
     }
 }
 
-fn build_plan(engine: &Engine, route: &Route, timeout_us: u64) -> FanoutPlan {
+fn build_plan(
+    engine: &Engine,
+    route: &Route,
+    timeout_us: u64,
+    prior_calls: PriorCalls,
+) -> FanoutPlan {
     let spec = &route.spec;
     let target_us = spec.target_latency_ms * 1_000;
     let (services, min_parts, merges) = match &route.resolved_destination {
@@ -201,6 +259,7 @@
         relays_errors: !merges,
         target_us,
         schedule,
+        prior_calls,
     }
 }
 
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -6,16 +6,19 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
+use std::time::Duration;
 
-use http::header::HeaderName;
+use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Request};
 use hyper::body::Incoming;
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::call::CallSpec;
 use super::content::Content;
 use super::content_quarantine::ContentVerdict;
 use super::engine::Engine;
+use super::forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
+use super::forwarder::Forwarder;
 use super::refusal::{Refusal, refusal_response};
 use super::request_run;
 use super::routes::{Route, RouteTable};
@@ -25,6 +28,10 @@
 /// Time reserved for sending the response before the caller's deadline.
 const END_MARGIN_MS: u64 = 10;
 
+/// Longest time for which a failed request waits for a check of the links to the leaves: the silence
+/// before the check, and its timeout.
+const LINK_CHECK_WAIT: Duration = Duration::from_millis(450);
+
 /// Hop-by-hop headers and `Content-Length`, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     http::header::CONNECTION,
@@ -40,12 +47,22 @@
 #[derive(Debug)]
 pub struct CallerService {
     engine: Arc<Engine>,
+    forwarder: Option<Arc<Forwarder>>,
 }
 
 impl CallerService {
-    /// Creates the service.
+    /// Creates the service of a VM without others.
     pub fn new(engine: Arc<Engine>) -> Self {
-        Self { engine }
+        Self {
+            engine,
+            forwarder: None,
+        }
+    }
+
+    /// Lets other VMs serve requests while this one reaches no leaf.
+    pub fn with_forwarder(mut self, forwarder: Arc<Forwarder>) -> Self {
+        self.forwarder = Some(forwarder);
+        self
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<HttpResponse, Refusal> {
@@ -57,12 +74,101 @@
         let spec = self
             .call_spec(request, &route_table, route, started_us)
             .await?;
-        if let ContentVerdict::Quarantined { until_unix_ms } =
-            self.engine.content_verdict(&spec.content)
-        {
-            return Err(Refusal::Quarantined { until_unix_ms });
+        self.check_quarantine(&spec)?;
+        let spec = Arc::new(spec);
+        let mut prior_calls = PriorCalls::default();
+        let forward = async |prior_calls| {
+            let forwarder = self.forwarder.as_ref()?;
+            let name = &route.spec.name;
+            forwarder
+                .forward(name, &host, &spec, route_table.version, prior_calls)
+                .await
+        };
+        let uses_leaves = self.engine.uses_leaves();
+        if !uses_leaves && let Some(response) = forward(prior_calls).await {
+            return Ok(response);
+        }
+        let engine = &self.engine;
+        let run = request_run::run(engine, &route_table, route, &spec, prior_calls, started_us);
+        let end = run.await;
+        let Some(calls) = end.movable.filter(|_| uses_leaves) else {
+            return end.response;
+        };
+        prior_calls = calls;
+        let may_help = self.links_are_lost(&spec).await
+            || (end.is_unreachable && self.may_reach_elsewhere(&route.spec.name));
+        if may_help && let Some(response) = forward(prior_calls).await {
+            return Ok(response);
         }
-        request_run::run(&self.engine, &route_table, route, spec, started_us).await
+        end.response
+    }
+
+    fn check_quarantine(&self, spec: &CallSpec) -> Result<(), Refusal> {
+        match self.engine.content_verdict(&spec.content) {
+            ContentVerdict::Quarantined { until_unix_ms } => {
+                Err(Refusal::Quarantined { until_unix_ms })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns whether this VM reaches no leaf. If calls fail in a way that may be due to its links,
+    /// waits until they have been checked.
+    async fn links_are_lost(&self, spec: &CallSpec) -> bool {
+        let remaining_us = spec.deadline_us.saturating_sub(boot_us());
+        let limit = Duration::from_micros(remaining_us / 2);
+        self.forwarder.is_some() && self.engine.links_are_lost(limit.min(LINK_CHECK_WAIT)).await
+    }
+
+    fn may_reach_elsewhere(&self, route: &str) -> bool {
+        let forwarder = self.forwarder.as_ref();
+        forwarder.is_some_and(|forwarder| forwarder.may_reach(route))
+    }
+
+    /// Runs a request that another VM has read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this VM has not run it and another one may.
+    pub(super) async fn serve_forwarded(
+        &self,
+        forwarded: ForwardedRequest,
+    ) -> Result<HttpResponse, NotRunReason> {
+        let started_us = boot_us();
+        let route_table = self.engine.route_table();
+        let route_table = route_table.filter(|table| table.version >= forwarded.route_version);
+        let route_table = route_table.ok_or(NotRunReason::OlderConfiguration)?;
+        if self.engine.state().link_monitor.is_lost() {
+            return Err(NotRunReason::LinksLost);
+        }
+        let (host, prior_calls) = (forwarded.host.clone(), forwarded.prior_calls);
+        let spec = forwarded.into_call_spec(&self.engine.headers.request_id);
+        let spec = Arc::new(spec.map_err(|error| {
+            info!(event = "forwarded_request_malformed", %error);
+            NotRunReason::Rejected
+        })?);
+        let request_id = Some(&spec.request_id);
+        let Some(route) = route_table.find(&host, spec.uri.path()) else {
+            return Ok(refuse(request_id, Refusal::NoRoute));
+        };
+        if let Err(refusal) = self.check_quarantine(&spec) {
+            return Ok(refuse(request_id, refusal));
+        }
+        let engine = &self.engine;
+        let run = request_run::run(engine, &route_table, route, &spec, prior_calls, started_us);
+        let end = run.await;
+        let has_not_run = end
+            .movable
+            .is_some_and(|calls| calls.sent == prior_calls.sent);
+        if has_not_run && engine.state().link_monitor.is_lost() {
+            return Err(NotRunReason::LinksLost);
+        }
+        if has_not_run && end.is_unreachable {
+            return Err(NotRunReason::Unreachable);
+        }
+        Ok(end
+            .response
+            .unwrap_or_else(|refusal| refuse(request_id, refusal)))
     }
 
     /// Reads the body of a request, and limits its deadline by the timeout of the route.
@@ -110,11 +216,7 @@
         let request_id = request_id.cloned();
         let response = match self.answer(request).await {
             Ok(response) => response,
-            Err(refusal) => {
-                let request_id = request_id.as_ref().and_then(|id| id.to_str().ok());
-                warn!(event = "request_refused", request_id, reason = %refusal);
-                refusal_response(refusal.status(), refusal.retry_wait_ms())
-            }
+            Err(refusal) => refuse(request_id.as_ref(), refusal),
         };
         let elapsed_us = boot_us().saturating_sub(started_us);
         self.engine
@@ -124,6 +226,13 @@
     }
 }
 
+/// Logs a refusal and returns its response.
+fn refuse(request_id: Option<&HeaderValue>, refusal: Refusal) -> HttpResponse {
+    let request_id = request_id.and_then(|id| id.to_str().ok());
+    warn!(event = "request_refused", request_id, reason = %refusal);
+    refusal_response(refusal.status(), refusal.retry_wait_ms())
+}
+
 fn request_host(request: &Request<Incoming>) -> Box<str> {
     let host = request.headers().get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
--- a/src/gateway/shard.rs
+++ b/src/gateway/shard.rs
@@ -31,11 +31,12 @@
 }
 
 impl Shard {
-    pub(super) fn new(service: ServiceKey) -> Self {
+    /// Creates the state of a shard. Other VMs may have sent the request to `sent` of its leaves.
+    pub(super) fn new(service: ServiceKey, sent: usize) -> Self {
         Self {
             service,
             tried: Vec::new(),
-            sent: 0,
+            sent,
             open_calls: 0,
             last_sent_us: 0,
             needs_call: true,
