Move calls between VMs out of the forwarder

No change of behaviour: connections to other VMs, their choice and the distinction of calls that were not sent are to serve other calls than forwarded requests too.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -26,6 +26,7 @@
 use super::metrics::Metrics;
 use super::retry_budgets::RetryBudgetLimits;
 use super::service::CallerService;
+use super::vm_client::VmClient;
 use crate::clock::{boot_ms, unix_ms};
 use crate::component_registry::{CONTROL, ComponentRegistry, ROOT, TELEMETRY};
 use crate::fact::Profile;
@@ -191,11 +192,12 @@
             Arc::clone(&engine),
             Arc::clone(&membership),
         ));
-        let forwarder = Arc::new(Forwarder::new(
+        let vm_client = Arc::new(VmClient::new(
             Arc::clone(&engine),
             Arc::clone(&membership),
             settings.leaf_reports_address.port(),
         ));
+        let forwarder = Arc::new(Forwarder::new(Arc::clone(&engine), vm_client));
         tokio::spawn(link_check::run(
             Arc::clone(&engine),
             Arc::clone(&membership),
--- a/src/gateway/forward_server.rs
+++ b/src/gateway/forward_server.rs
@@ -13,12 +13,11 @@
 use tracing::info;
 
 use super::forwarded_request::{ForwardedRequest, NotRunReason};
-use super::forwarder::{
-    FORWARD_PATH, FORWARD_VERSION, HANDLED_HEADER, NOT_RUN_HEADER, VERSION_HEADER,
-};
+use super::forwarder::{FORWARD_PATH, HANDLED_HEADER, NOT_RUN_HEADER};
 use super::membership::Membership;
 use super::refusal::empty_response;
 use super::service::CallerService;
+use super::vm_client::{MESSAGE_VERSION, VERSION_HEADER};
 use crate::http_server::{CallerAddress, Handler, HttpResponse, read_body};
 use crate::wire::{MAX_FRAME_BYTES, decode};
 
@@ -49,7 +48,7 @@
         let version = version.and_then(|version| version.to_str().ok()?.parse().ok());
         let sender = request.extensions().get::<CallerAddress>();
         let is_known = sender.is_some_and(|sender| self.is_vm(sender.0));
-        if request.uri().path() != FORWARD_PATH || version != Some(FORWARD_VERSION) || !is_known {
+        if request.uri().path() != FORWARD_PATH || version != Some(MESSAGE_VERSION) || !is_known {
             return Err(NotRunReason::Rejected);
         }
         let permit = self.permits.try_acquire();
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -62,7 +62,7 @@
         published = links;
         membership.publish_leaf_links(links);
         if links == LeafLinks::Connected {
-            forwarder.close_idle();
+            forwarder.clear();
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 pub mod service;
 mod shard;
 pub mod unanswered_runs;
+pub mod vm_client;
 pub mod vm_selection;
 
 pub use call::{CallSpec, OpenCall};
@@ -90,4 +91,5 @@
 };
 pub use service::CallerService;
 pub use unanswered_runs::{RecentSuccesses, UnansweredRun, UnansweredRuns};
+pub use vm_client::{ChosenVm, VmCallError, VmClient};
 pub use vm_selection::{active_vms, caller_addresses, desired_active_vms, leaf_using_vms};
