--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -18,7 +18,6 @@
 use super::engine::{Engine, Headers};
 use super::evidence_sync;
 use super::follower::{CatalogSource, Follower};
-use super::forward_server::ForwardServer;
 use super::forwarder::Forwarder;
 use super::leaf_reports;
 use super::link_check;
@@ -27,6 +26,7 @@
 use super::retry_budgets::RetryBudgetLimits;
 use super::service::CallerService;
 use super::vm_client::VmClient;
+use super::vm_server::VmServer;
 use crate::clock::{boot_ms, unix_ms};
 use crate::component_registry::{CONTROL, ComponentRegistry, ROOT, TELEMETRY};
 use crate::fact::Profile;
@@ -207,15 +207,15 @@
         let service = CallerService::new(engine).with_forwarder(forwarder);
         let service = Arc::new(service);
         component_registry.register(TELEMETRY, Arc::clone(&service));
-        let forward_server = ForwardServer::new(Arc::clone(&service), membership);
-        let forward_server = serve(
+        let vm_server = VmServer::new(Arc::clone(&service), membership);
+        let vm_server = serve(
             forward_listener,
-            Arc::new(forward_server),
+            Arc::new(vm_server),
             shutdown_signals.clone(),
         );
         let server = serve(listener, service, shutdown_signals.clone());
         let serve_task = tokio::spawn(async {
-            tokio::join!(server, forward_server);
+            tokio::join!(server, vm_server);
         });
         info!(event = "gateway_serving", vm = %settings.vm, address = %settings.caller_address);
         Ok(Self {
--- a/src/gateway/forward_server.rs
+++ b/src/gateway/vm_server.rs
@@ -1,4 +1,5 @@
-//! Serves the requests that other VMs forward, which have lost their links to the leaves.
+//! Internal server, which handles the calls of other VMs: requests that they forward, since they have
+//! lost their links to the leaves.
 //!
 //! A forwarded request is run here or not at all: it is never forwarded again, so that it can't
 //! circulate between VMs.
@@ -25,15 +26,15 @@
 /// bodies.
 const MAX_FORWARDED_REQUESTS: usize = 256;
 
-/// Handler of forwarded requests.
+/// Handler of the calls of other VMs.
 #[derive(Debug)]
-pub struct ForwardServer {
+pub struct VmServer {
     service: Arc<CallerService>,
     membership: Arc<Membership>,
     permits: Semaphore,
 }
 
-impl ForwardServer {
+impl VmServer {
     /// Creates the handler.
     pub fn new(service: Arc<CallerService>, membership: Arc<Membership>) -> Self {
         Self {
@@ -68,7 +69,7 @@
     }
 }
 
-impl Handler for ForwardServer {
+impl Handler for VmServer {
     async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
         match self.serve(request).await {
             Ok(mut response) => {
