Confirm the end of a leaf with another VM before it counts as evidence

Cause: a refused connection counted as the end of the leaf's process, and with it each run without an answer as a crash, whether the leaf or the VM's own link was at fault. Change: a refusal waits until another VM with links was asked for the leaf. If that VM is refused too, the process has ended; if it reaches the leaf, or has had a reply since, the refusal is dropped. Without another VM's answer a status check of other leaves decides; a VM without others blames the leaf as before. A loss of all links drops refusals and unanswered runs, which also covers runs that hung in one cut and would count in a second one that refuses. leaf_crashed is logged once confirmed.

Ruled out: waiting for a new connection to any leaf, which says nothing about a cut to some leaves only.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use tokio::time::{sleep, timeout};
-use tracing::warn;
+use tracing::debug;
 
 use super::connection::{CallError, Connection, Reply};
 use super::content::Content;
@@ -171,7 +171,7 @@
                 CallError::Broken
             }
             Ok(Err(CallError::ConnectRefused)) => {
-                self.log_crash(spec, address);
+                self.log_refusal(spec, address);
                 CallError::LeafCrashed
             }
             _ => CallError::Broken,
@@ -186,7 +186,7 @@
         (!is_leaving).then(|| leaf.address())
     }
 
-    fn log_crash(&self, spec: &CallSpec, address: SocketAddr) {
+    fn log_refusal(&self, spec: &CallSpec, address: SocketAddr) {
         let state = self.engine.state();
         let Some(leaf) = state.leaves.get(self.leaf) else {
             return;
@@ -196,8 +196,8 @@
             fingerprint,
             caller,
         } = spec.content;
-        warn!(
-            event = "leaf_crashed",
+        debug!(
+            event = "leaf_refuses_after_call",
             leaf = %address,
             id = %leaf.record.id,
             request_id,
@@ -274,10 +274,11 @@
             self.record_rate_limit(state, outcome, reply, now_us);
         }
         match outcome {
-            Err(CallError::ConnectRefused | CallError::LeafCrashed | CallError::WrongLeaf) => {
-                state.leaves.record_end(self.leaf);
-                let is_unreachable = outcome != Err(CallError::WrongLeaf);
-                if is_unreachable && state.leaves.record_unreachable(self.leaf, now_us) {
+            Err(CallError::WrongLeaf) => state.leaves.record_end(self.leaf),
+            Err(CallError::ConnectRefused | CallError::LeafCrashed) => {
+                state.leaves.record_refusal(self.leaf, None, now_us);
+                self.engine.refusal_recorded.notify_one();
+                if state.leaves.record_unreachable(self.leaf, now_us) {
                     tokio::spawn(reconnect::run(Arc::downgrade(&self.engine), self.leaf));
                 }
             }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -117,6 +117,7 @@
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
     pub(super) forwards: watch::Sender<bool>,
+    pub(super) refusal_recorded: Notify,
     state: Mutex<State>,
 }
 
@@ -155,6 +156,7 @@
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
             forwards: watch::Sender::new(false),
+            refusal_recorded: Notify::new(),
             state: Mutex::new(state),
         }
     }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -19,6 +19,7 @@
 use super::evidence_sync;
 use super::follower::{CatalogSource, Follower};
 use super::forwarder::Forwarder;
+use super::leaf_end_check;
 use super::leaf_reports;
 use super::link_check;
 use super::membership::Membership;
@@ -197,6 +198,11 @@
             Arc::clone(&membership),
             settings.leaf_reports_address.port(),
         ));
+        tokio::spawn(leaf_end_check::run(
+            Arc::clone(&engine),
+            Arc::clone(&membership),
+            Arc::clone(&vm_client),
+        ));
         let forwarder = Arc::new(Forwarder::new(Arc::clone(&engine), vm_client));
         tokio::spawn(link_check::run(
             Arc::clone(&engine),
--- a/src/gateway/evidence_sync.rs
+++ b/src/gateway/evidence_sync.rs
@@ -84,7 +84,8 @@
         self.queue_evidence(state, Fact::ContentSuccess(success));
     }
 
-    /// Records an attempt under which leaf processes crashed, for all VMs.
+    /// Records an attempt under which leaves closed the connection and refuse others. It is evidence for
+    /// all VMs once the ends of their processes are confirmed.
     pub(super) fn record_crashed_attempt(
         &self,
         content: Content,
@@ -92,14 +93,18 @@
         crashed_runs: &[FailedRun],
     ) {
         let state = &mut *self.state();
-        let mut runs = Vec::new();
+        if state.link_monitor.is_lost() {
+            return;
+        }
         for crashed in crashed_runs {
             if let Some(leaf) = state.leaves.get(crashed.leaf) {
                 let run = crashed.unanswered(leaf, content, request_hash);
-                runs.push((leaf.record.process_hash(), run));
+                let leaves = &mut state.leaves;
+                leaves.record_refusal(crashed.leaf, Some(run), crashed.ended_us);
             }
         }
-        self.add_crashed_runs(state, &runs);
+        self.refusal_recorded.notify_one();
+        self.record_ended_runs(state);
     }
 
     /// Records a run without an answer. It becomes evidence if the process of the leaf turns out to
@@ -111,6 +116,9 @@
         failed: &FailedRun,
     ) {
         let state = &mut *self.state();
+        if state.link_monitor.is_lost() {
+            return;
+        }
         let Some(leaf) = state.leaves.get(failed.leaf) else {
             return;
         };
@@ -149,6 +157,7 @@
             (a.1.content, a.1.request_hash) == (b.1.content, b.1.request_hash)
         };
         for runs in ended_runs.chunk_by(is_same) {
+            log_crashes(state, runs);
             self.add_crashed_runs(state, runs);
         }
     }
@@ -310,6 +319,24 @@
     }
 }
 
+/// Logs the leaves that crashed under an attempt.
+fn log_crashes(state: &State, runs: &[(u64, UnansweredRun)]) {
+    for (process, run) in runs {
+        let Some(leaf) = state.leaves.of_process(*process) else {
+            continue;
+        };
+        warn!(
+            event = "leaf_crashed",
+            leaf = %leaf.address(),
+            id = %leaf.record.id,
+            request_hash = run.request_hash,
+            fingerprint = run.content.fingerprint,
+            caller = %run.content.caller,
+            open_calls = leaf.leaf_stats.open_calls()
+        );
+    }
+}
+
 /// Converts a time on the boot clock to wall-clock time.
 fn wall_clock_ms(boot_time_us: u64) -> u64 {
     let age_us = boot_us().saturating_sub(boot_time_us);
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -23,6 +23,7 @@
 use super::reply_memory::ReplyReceiver;
 use super::service::strip_hop_by_hop;
 use super::vm_client::{ChosenVm, VmCallError, VmClient};
+use super::vm_server::{HANDLED_HEADER, NOT_RUN_HEADER};
 use crate::clock::boot_ms;
 use crate::http_server::HttpResponse;
 use crate::wire::encode;
@@ -30,12 +31,6 @@
 /// Path of forwarded requests.
 pub(super) const FORWARD_PATH: &str = "/forward";
 
-/// Header of the response to a request that the VM has not run, with the reason.
-pub(super) const NOT_RUN_HEADER: &str = "cloverrack-not-run";
-
-/// Header of the response to a request that the VM has handled.
-pub(super) const HANDLED_HEADER: &str = "cloverrack-handled";
-
 /// Number of VMs to which a request is offered.
 const MAX_OFFERS: usize = 3;
 
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -8,12 +8,15 @@
 mod process_ends;
 mod rates;
 mod reachability;
+mod refusals;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use tracing::info;
 
+pub use refusals::Refusal;
+
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
 use super::connection_limits::ConnectionLimits;
@@ -113,6 +116,10 @@
     departures_ms: HashMap<u64, u64>,
     /// Leaves whose addresses refuse connections.
     unreachable: HashSet<LeafKey>,
+    /// Refused connections that may be due to the links of this VM.
+    refusals: HashMap<LeafKey, Refusal>,
+    /// Whether refusals wait for a confirmation.
+    confirms_refusals: bool,
     /// Latest end of the times for which leaves want no calls from this VM.
     retry_after_until_us: u64,
 }
@@ -163,6 +170,12 @@
         listed.map(|(key, leaf)| (*key, leaf))
     }
 
+    /// Returns the leaf of a process, retired ones included.
+    pub fn of_process(&self, process: u64) -> Option<&Leaf> {
+        let mut leaves = self.arena.values();
+        leaves.find(|leaf| leaf.record.process_hash() == process)
+    }
+
     /// Returns the number of listed leaves.
     pub fn count(&self) -> usize {
         self.by_id.len()
--- a/src/gateway/leaves/process_ends.rs
+++ b/src/gateway/leaves/process_ends.rs
@@ -14,11 +14,15 @@
             leaf.alive_us = leaf.alive_us.max(now_us);
             leaf.failed_us = None;
             leaf.unanswered_runs.discard_before(call_started_us);
+            let refusal = self.refusals.get(&key);
+            if refusal.is_some_and(|refusal| refusal.since_us <= call_started_us) {
+                self.refusals.remove(&key);
+            }
         }
     }
 
-    /// Records that the process of a leaf has ended: its address refuses connections, or another
-    /// process replied there. A leaf that has announced its end did not crash.
+    /// Records that the process of a leaf has ended: another process replied at its address, or the
+    /// address refuses connections. A leaf that has announced its end did not crash.
     pub fn record_end(&mut self, key: LeafKey) {
         let Some(leaf) = self.arena.get_mut(&key) else {
             return;
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -110,9 +110,19 @@
 
     /// Checks the links to the leaves if calls fail in a way that may be due to them.
     pub async fn check_links_if_due(&self) {
-        let Some(checked) = self.state().link_check() else {
-            return;
-        };
+        if self.state().is_link_check_due() {
+            self.check_links().await;
+        }
+    }
+
+    /// Returns whether a leaf answers a status check of this VM now.
+    pub(super) async fn reaches_leaves(&self) -> bool {
+        self.check_links().await;
+        !self.state().link_monitor.is_lost()
+    }
+
+    async fn check_links(&self) {
+        let checked = self.state().link_checks();
         let answers = checked.iter().map(|(address, request)| {
             let limit = Duration::from_millis(CHECK_TIMEOUT_MS);
             timeout(limit, answers(*address, request.clone()))
@@ -130,6 +140,7 @@
             }) => {
                 let checked = checked.len();
                 warn!(event = "leaf_links_lost", checked, failed_leaves, silent_us);
+                state.leaves.discard_evidence();
             }
             Some(LinkChange::Answering { lost_us }) => {
                 info!(event = "leaf_links_answering", lost_us);
@@ -144,8 +155,7 @@
 }
 
 impl State {
-    /// Returns the leaves to check with the requests for their status, if a check is due.
-    fn link_check(&self) -> Option<Vec<(SocketAddr, Request<Full<Bytes>>)>> {
+    fn is_link_check_due(&self) -> bool {
         let now_us = boot_us();
         let leaves = &self.leaves;
         let silent = || {
@@ -154,14 +164,19 @@
                 .filter(|(_, leaf)| leaf.leaf_stats.is_silent_for(SILENCE_US, now_us))
                 .count()
         };
-        let links = &self.link_monitor;
-        if !links.is_check_due(leaves.count(), silent, now_us) {
-            return None;
-        }
-        let route_table = self.route_table.as_ref()?;
-        let listed = leaves.iter().filter(|(_, leaf)| !leaf.is_departing());
-        let chosen = listed.sample(&mut rand::rng(), links.checked_leaves());
+        self.link_monitor
+            .is_check_due(leaves.count(), silent, now_us)
+    }
+
+    /// Returns some leaves with the requests for their status.
+    fn link_checks(&self) -> Vec<(SocketAddr, Request<Full<Bytes>>)> {
         let mut checked = Vec::new();
+        let Some(route_table) = &self.route_table else {
+            return checked;
+        };
+        let listed = self.leaves.iter().filter(|(_, leaf)| !leaf.is_departing());
+        let count = self.link_monitor.checked_leaves();
+        let chosen = listed.sample(&mut rand::rng(), count);
         for (_, leaf) in chosen {
             let path = route_table.health_path(leaf.service);
             let request = Request::get(path.unwrap_or("/"))
@@ -171,7 +186,7 @@
                 checked.push((leaf.address(), request));
             }
         }
-        Some(checked)
+        checked
     }
 }
 
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use http::header::{HeaderName, HeaderValue};
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tracing::{info, warn};
 
@@ -19,11 +20,13 @@
 use super::engine::Engine;
 use super::forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
 use super::forwarder::Forwarder;
+use super::leaf_end_check::LeafQuestion;
 use super::refusal::{Refusal, refusal_response};
 use super::request_run;
 use super::routes::{Route, RouteTable};
 use crate::clock::boot_us;
 use crate::http_server::{BodyError, CallerAddress, Handler, HttpResponse, read_body};
+use crate::wire::encode;
 
 /// Time reserved for sending the response before the caller's deadline.
 const END_MARGIN_MS: u64 = 10;
@@ -125,6 +128,19 @@
         forwarder.is_some_and(|forwarder| forwarder.may_reach(route))
     }
 
+    /// Tells another VM which leaves this one reaches.
+    pub(super) async fn answer_leaf_questions(
+        &self,
+        questions: &[LeafQuestion],
+    ) -> Result<HttpResponse, NotRunReason> {
+        if self.engine.state().link_monitor.is_lost() {
+            return Err(NotRunReason::LinksLost);
+        }
+        let answers = self.engine.leaf_answers(questions).await;
+        let answers = encode(&answers).map_err(|_| NotRunReason::Rejected)?;
+        Ok(Response::new(Full::new(answers.into())))
+    }
+
     /// Runs a request that another VM has read.
     ///
     /// # Errors
--- a/src/gateway/vm_server.rs
+++ b/src/gateway/vm_server.rs
@@ -14,7 +14,8 @@
 use tracing::info;
 
 use super::forwarded_request::{ForwardedRequest, NotRunReason};
-use super::forwarder::{FORWARD_PATH, HANDLED_HEADER, NOT_RUN_HEADER};
+use super::forwarder::FORWARD_PATH;
+use super::leaf_end_check::{LEAF_STATES_PATH, LeafQuestion};
 use super::membership::Membership;
 use super::refusal::empty_response;
 use super::service::CallerService;
@@ -22,6 +23,12 @@
 use crate::http_server::{CallerAddress, Handler, HttpResponse, read_body};
 use crate::wire::{MAX_FRAME_BYTES, decode};
 
+/// Header of the response to a request that the VM has not run, with the reason.
+pub(super) const NOT_RUN_HEADER: &str = "cloverrack-not-run";
+
+/// Header of the response to a request that the VM has handled.
+pub(super) const HANDLED_HEADER: &str = "cloverrack-handled";
+
 /// Maximum number of forwarded requests that are handled at a time, which bounds the memory of their
 /// bodies.
 const MAX_FORWARDED_REQUESTS: usize = 256;
@@ -49,18 +56,29 @@
         let version = version.and_then(|version| version.to_str().ok()?.parse().ok());
         let sender = request.extensions().get::<CallerAddress>();
         let is_known = sender.is_some_and(|sender| self.is_vm(sender.0));
-        if request.uri().path() != FORWARD_PATH || version != Some(MESSAGE_VERSION) || !is_known {
+        if version != Some(MESSAGE_VERSION) || !is_known {
             return Err(NotRunReason::Rejected);
         }
+        let path: Box<str> = request.uri().path().into();
         let permit = self.permits.try_acquire();
         let _permit = permit.map_err(|_| NotRunReason::Busy)?;
         let body = read_body(request.into_body(), MAX_FRAME_BYTES).await;
         let body = body.map_err(|_| NotRunReason::Rejected)?;
-        let forwarded: ForwardedRequest = decode(&body).map_err(|error| {
+        let malformed = |error| {
             info!(event = "forwarded_request_malformed", %error);
             NotRunReason::Rejected
-        })?;
-        self.service.serve_forwarded(forwarded).await
+        };
+        match &*path {
+            FORWARD_PATH => {
+                let forwarded: ForwardedRequest = decode(&body).map_err(malformed)?;
+                self.service.serve_forwarded(forwarded).await
+            }
+            LEAF_STATES_PATH => {
+                let questions: Vec<LeafQuestion> = decode(&body).map_err(malformed)?;
+                self.service.answer_leaf_questions(&questions).await
+            }
+            _ => Err(NotRunReason::Rejected),
+        }
     }
 
     fn is_vm(&self, ip: IpAddr) -> bool {
--- a/tests/gateway_lost_links.rs
+++ b/tests/gateway_lost_links.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::{CUTS, Cut, TestFleet};
-use gateway::{order, request};
+use fleet::{CUTS, Cut, ONCE_SERVICE, SAFE_SERVICE, SHARDS, TestFleet};
+use gateway::{LeafBehaviour, order, request};
 use http::Request;
 use http_body_util::Full;
 use tokio::time::sleep;
@@ -84,8 +84,31 @@
     }
 }
 
-/// Guards against contents that are quarantined, or leaves that count as failing, because a VM lost
-/// its links to the leaves.
+/// Guards against contents that are quarantined because a VM lost its links to some leaves only,
+/// while it reaches others.
+#[tokio::test(flavor = "multi_thread")]
+async fn links_lost_to_some_leaves_are_no_evidence_against_contents() {
+    let fleet = TestFleet::start(4).await;
+    failures(&fleet, 0).await;
+    for (_, leaf) in &fleet.leaves {
+        leaf.set(LeafBehaviour::Slow(100));
+    }
+    for _ in 0..2 {
+        let requests = (0..30).map(|number| fleet.vms[0].serves(any_request(number)));
+        let cut = async {
+            sleep(Duration::from_millis(50)).await;
+            let services = [SAFE_SERVICE, ONCE_SERVICE, SHARDS[0]];
+            fleet.cut_services(0, Cut::Refuse, &services).await;
+        };
+        tokio::join!(futures_util::future::join_all(requests), cut);
+        sleep(KNOWN).await;
+        fleet.heal(0).await;
+        sleep(KNOWN).await;
+    }
+    fleet.assert_no_evidence();
+}
+
+/// Guards against contents that are quarantined because a VM lost its links to the leaves.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_links_are_no_evidence_against_contents() {
     for (first, second) in [
@@ -102,13 +125,6 @@
             fleet.heal(0).await;
             sleep(2 * KNOWN).await;
         }
-        for vm in &fleet.vms {
-            let state = vm.engine.state();
-            assert!(
-                state.content_quarantine.is_empty(),
-                "{first:?}, {second:?}: {:?}",
-                state.content_quarantine
-            );
-        }
+        fleet.assert_no_evidence();
     }
 }
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -190,6 +190,18 @@
         }
     }
 
+    /// Fails if a VM has evidence against a content.
+    pub fn assert_no_evidence(&self) {
+        for (index, vm) in self.vms.iter().enumerate() {
+            let state = vm.engine.state();
+            let content_quarantine = &state.content_quarantine;
+            assert!(
+                content_quarantine.is_empty(),
+                "VM {index}: {content_quarantine:?}"
+            );
+        }
+    }
+
     /// Returns the number of runs of all requests at the leaves.
     pub fn executed(&self) -> usize {
         self.leaves.iter().map(|(_, leaf)| leaf.executed()).sum()
