End the wait for a link check when a leaf replies

A failed request, and the confirmation of a leaf's end, waited up to 450 ms for the check although a reply had shown that the links work.

--- a/src/gateway/leaf_end_check.rs
+++ b/src/gateway/leaf_end_check.rs
@@ -25,8 +25,8 @@
 /// Path of questions for the state of leaves.
 pub(super) const LEAF_STATES_PATH: &str = "/leaf-states";
 
-/// Time for which refusals are collected. By its end, a loss of all links shows in several leaves.
-const COLLECT_MS: u64 = 20;
+/// Time for which refusals are collected, since leaves of several shards may end together.
+const COLLECT_MS: u64 = 5;
 
 /// Longest time to wait for a check of the links.
 const LINK_CHECK_WAIT: Duration = Duration::from_millis(450);
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -33,6 +33,9 @@
 /// Time after the latest call for which a VM counts as one with calls.
 const IN_USE_US: u64 = 1_000_000;
 
+/// Interval at which a failed request looks for the decision whether the links are lost.
+const DECISION_POLL_MS: u64 = 5;
+
 /// Timeout of a status check: a new connection and an answer, which a regular pause of the leaf may
 /// delay.
 const CHECK_TIMEOUT_MS: u64 = 250;
@@ -92,20 +95,24 @@
             .send_if_modified(|current| std::mem::replace(current, forwards) != forwards);
     }
 
-    /// Returns whether no leaf can be reached, after a check within `limit` if calls fail.
+    /// Returns whether no leaf can be reached. If calls fail in a way that may be due to the links,
+    /// waits for a check or a reply, up to `limit`.
     pub(super) async fn links_are_lost(&self, limit: Duration) -> bool {
-        {
-            let state = &*self.state();
-            if state.link_monitor.is_lost() {
-                return true;
-            }
-            if !state.link_monitor.may_be_lost(state.leaves.count()) {
-                return false;
+        let decided = async {
+            loop {
+                {
+                    let state = &*self.state();
+                    if state.link_monitor.is_lost() {
+                        return true;
+                    }
+                    if !state.link_monitor.may_be_lost(state.leaves.count()) {
+                        return false;
+                    }
+                }
+                sleep(Duration::from_millis(DECISION_POLL_MS)).await;
             }
-        }
-        let mut forwards = self.forwards.subscribe();
-        let lost = forwards.wait_for(|forwards| *forwards);
-        matches!(timeout(limit, lost).await, Ok(Ok(_)))
+        };
+        timeout(limit, decided).await.unwrap_or(false)
     }
 
     /// Checks the links to the leaves if calls fail in a way that may be due to them.
