Keep lost links out of the statistics and reports on leaves

A VM refused requests as overload for a second after the cut had healed. Cause: failures, stalls and latencies of calls on lost links counted against the leaves, and were reported to other VMs. Change: reports wait while several leaves have failed and none has replied since, and are dropped if the links are lost. Calls that were in flight during a loss tell nothing of the leaf: no failure, no stall, no latency for the concurrency limit. When the links are lost and when they are back, failures and the pressure on the concurrency limits are forgotten.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -290,6 +290,7 @@
             }
             _ => {}
         }
+        let is_distorted = state.link_monitor.distorts_call(self.started_us);
         let paused_us = state.leaves.paused_us(self.leaf, self.started_us, now_us);
         let Some(leaf) = state.leaves.get_mut(self.leaf) else {
             return;
@@ -299,6 +300,7 @@
             leaf.retry_after.record_answer(now_us);
         }
         match outcome {
+            _ if is_distorted => leaf.leaf_stats.record_abandoned(self.call_number),
             Ok(status) if status.is_success() => {
                 stall = leaf
                     .leaf_stats
@@ -312,7 +314,7 @@
             }
             Err(_) => leaf.leaf_stats.record_failure(self.call_number, now_us),
         }
-        if reply.is_none() && outcome != Err(CallError::Withheld) {
+        if reply.is_none() && outcome != Err(CallError::Withheld) && !is_distorted {
             leaf.record_failed_call(now_us);
         }
         let no_headers = HeaderMap::new();
@@ -346,9 +348,11 @@
         }
         let now_us = boot_us();
         let state = &mut *self.engine.state();
+        let is_distorted = state.link_monitor.distorts_call(self.started_us);
         if let Some(leaf) = state.leaves.get_mut(self.leaf) {
             leaf.connections = leaf.connections.saturating_sub(1);
-            if now_us.saturating_sub(self.started_us) >= UNANSWERED_FAILURE_AGE_US {
+            let age_us = now_us.saturating_sub(self.started_us);
+            if age_us >= UNANSWERED_FAILURE_AGE_US && !is_distorted {
                 leaf.leaf_stats.record_failure(self.call_number, now_us);
                 leaf.record_failed_call(now_us);
             } else {
--- a/src/gateway/concurrency_limiter.rs
+++ b/src/gateway/concurrency_limiter.rs
@@ -167,6 +167,14 @@
         }
     }
 
+    /// Removes the limits and forgets the pressure, which did not tell of queues.
+    pub fn forget_pressure(&mut self) {
+        for group in self.groups.values_mut() {
+            group.limit = f64::INFINITY;
+            group.pressure = 0.0;
+        }
+    }
+
     /// Returns the limit on concurrent requests, and the pressure: the smoothed ratio of the median
     /// call latency to the acceptable one.
     pub fn limit_and_pressure(&self, group: ServiceKey) -> (f64, f64) {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -351,6 +351,14 @@
     pub fn take_reports(&self) -> Vec<LeafReport> {
         let now_us = boot_us();
         let state = &mut *self.state();
+        if state.link_monitor.is_lost() {
+            state.report_queue = ReportQueue::default();
+        }
+        // The reports wait until it is known whether the links of this VM are at fault.
+        let links = &state.link_monitor;
+        if links.is_lost() || links.may_be_lost(state.leaves.count()) {
+            return Vec::new();
+        }
         for (leaf, silent_us) in state.leaves.unreported_stalls(now_us) {
             let silent_us = u32::try_from(silent_us).unwrap_or(u32::MAX);
             state
--- a/src/gateway/leaf_end_check.rs
+++ b/src/gateway/leaf_end_check.rs
@@ -85,7 +85,7 @@
     /// Confirms or discards the oldest refusals.
     async fn check_refusals(&self, membership: &Membership, vm_client: &VmClient) {
         if self.links_are_lost(LINK_CHECK_WAIT).await {
-            self.state().leaves.discard_evidence();
+            self.state().leaves.forget_failures();
             return;
         }
         let mut asked: Vec<(LeafKey, LeafQuestion)> = Vec::new();
--- a/src/gateway/leaf_stats.rs
+++ b/src/gateway/leaf_stats.rs
@@ -184,6 +184,13 @@
         self.record_outcome(PPM, now_us / 1_000);
     }
 
+    /// Forgets the failures of this VM's calls and those that other VMs have reported.
+    pub fn forget_failures(&mut self) {
+        self.consecutive_failures = 0;
+        self.failed_until_ms = 0;
+        self.failure_rate_ppm = 0;
+    }
+
     /// Records another VM's report that the leaf has not replied since a time, unless the leaf has
     /// replied to this VM since then.
     pub fn record_remote_stall(&mut self, since_us: u64, seen_us: u64) {
--- a/src/gateway/leaves/refusals.rs
+++ b/src/gateway/leaves/refusals.rs
@@ -74,11 +74,14 @@
         self.refusals.remove(&key);
     }
 
-    /// Drops all refusals and unanswered runs, since this VM has lost its links to the leaves.
-    pub fn discard_evidence(&mut self) {
+    /// Forgets what was observed of the leaves while this VM lost its links to them: refusals,
+    /// unanswered runs and failures.
+    pub fn forget_failures(&mut self) {
         self.refusals.clear();
         for leaf in self.arena.values_mut() {
             leaf.unanswered_runs.take();
+            leaf.leaf_stats.forget_failures();
+            leaf.failed_us = None;
         }
     }
 }
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -147,10 +147,12 @@
             }) => {
                 let checked = checked.len();
                 warn!(event = "leaf_links_lost", checked, failed_leaves, silent_us);
-                state.leaves.discard_evidence();
+                state.leaves.forget_failures();
+                state.concurrency_limiter.forget_pressure();
             }
             Some(LinkChange::Answering { lost_us }) => {
                 info!(event = "leaf_links_answering", lost_us);
+                state.leaves.forget_failures();
             }
             None => debug!(
                 event = "leaf_links_checked",
--- a/src/gateway/link_monitor.rs
+++ b/src/gateway/link_monitor.rs
@@ -82,6 +82,8 @@
     unconnected: BTreeMap<LeafKey, u64>,
     checked_us: u64,
     passed_checks: u32,
+    /// End of the latest loss.
+    lost_until_us: u64,
 }
 
 impl LinkMonitor {
@@ -105,6 +107,12 @@
         self.is_lost() || now_us < self.called_us + within_us
     }
 
+    /// Returns whether the outcome of a call that started at `started_us` tells of the links instead of
+    /// the leaf.
+    pub fn distorts_call(&self, started_us: u64) -> bool {
+        self.is_lost() || started_us < self.lost_until_us
+    }
+
     /// Records a reply of a leaf.
     pub fn record_reply(&mut self, now_us: u64) {
         self.replied_us = now_us;
@@ -207,6 +215,7 @@
                 return None;
             }
             self.state = LinkState::Recovering { since_us: now_us };
+            self.lost_until_us = now_us;
             self.forget_failures(now_us);
             let lost_us = now_us.saturating_sub(since_us);
             return Some(LinkChange::Answering { lost_us });
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -79,6 +79,7 @@
     let fanout_result = fanout.run().await;
     if let (Some(concurrency_permit), Some(median_call_us)) =
         (concurrency_permit, fanout_result.median_call_us)
+        && !engine.state().link_monitor.distorts_call(started_us)
     {
         concurrency_permit.finish(&plan, median_call_us);
     }
--- a/tests/gateway_lost_links.rs
+++ b/tests/gateway_lost_links.rs
@@ -15,9 +15,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cloverrack::gateway::{LeafReport, Observation};
 use fleet::{CUTS, Cut, ONCE_SERVICE, SAFE_SERVICE, SHARDS, TestFleet};
-use gateway::{LeafBehaviour, order, request};
-use http::Request;
+use gateway::{Leaf, LeafBehaviour, TestGateway, gather_route, order, request, single_route};
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use tokio::time::sleep;
 
@@ -108,6 +109,61 @@
     fleet.assert_no_evidence();
 }
 
+/// Guards against reports that leaves fail from a VM whose links may be lost.
+#[tokio::test]
+async fn failures_are_reported_once_a_leaf_replies() {
+    let gateway = TestGateway::spawn().await;
+    let mut leaves = Vec::new();
+    for index in 0..4 {
+        leaves.push(Leaf::spawn(&format!("leaf-{index}"), 1, LeafBehaviour::Break).await);
+    }
+    let services = ["s0", "s1", "s2", "s3"];
+    let listed: Vec<(&str, &Leaf)> = services.into_iter().zip(&leaves).collect();
+    let routes = vec![
+        gather_route("/g/", &services[..3], 1_000_000),
+        single_route("/a/", "s3", true, 1),
+    ];
+    gateway.publish(1, routes, &listed);
+    gateway.get("/g/x").await;
+    assert_eq!(gateway.engine.take_reports(), []);
+    leaves[3].set(LeafBehaviour::Answer);
+    assert_eq!(gateway.get("/a/x").await.status, StatusCode::OK);
+    let reports = gateway.engine.take_reports();
+    let is_failure = |report: &&LeafReport| report.observation == Observation::Failed;
+    assert!(
+        reports.iter().filter(is_failure).count() >= 3,
+        "{reports:?}"
+    );
+}
+
+/// Guards against a VM avoiding healthy leaves once it has links again.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_links_are_no_failures_of_leaves() {
+    for cut in [Cut::Reset, Cut::Hang] {
+        let fleet = TestFleet::start(3).await;
+        failures(&fleet, 0).await;
+        for (_, leaf) in &fleet.leaves {
+            leaf.set(LeafBehaviour::Slow(50));
+        }
+        let requests = (0..30).map(|number| fleet.vms[0].serves(any_request(number)));
+        let cut_off = async {
+            sleep(Duration::from_millis(25)).await;
+            fleet.cut(0, cut).await;
+        };
+        tokio::join!(futures_util::future::join_all(requests), cut_off);
+        fleet.heal(0).await;
+        sleep(2 * KNOWN).await;
+        for (index, vm) in fleet.vms.iter().enumerate() {
+            let now_us = cloverrack::clock::boot_us();
+            let state = vm.engine.state();
+            let leaves = state.leaves.iter().map(|(_, leaf)| leaf);
+            let avoided = leaves.filter(|leaf| leaf.leaf_stats.is_outlier(now_us));
+            // Two failures may be reported before a third shows that the links may be at fault.
+            assert!(avoided.count() <= 2, "{cut:?}: VM {index}");
+        }
+    }
+}
+
 /// Guards against contents that are quarantined because a VM lost its links to the leaves.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_links_are_no_evidence_against_contents() {
