--- a/tests/gateway_lost_links.rs
+++ b/tests/gateway_lost_links.rs
@@ -4,6 +4,9 @@
 
 #![expect(clippy::unwrap_used, reason = "a failure of the harness ends the test")]
 
+#[path = "../platform/tests/soak/cuts.rs"]
+#[allow(dead_code, reason = "links of the soak can be cut by VM")]
+mod cuts;
 #[path = "support/fleet.rs"]
 mod fleet;
 #[path = "support/gateway.rs"]
