Keep the active VMs while a third of them has links to the leaves

Callers saw: in large fleets the standby VMs which replaced VMs without links served worse than those did by forwarding. They have no connections to the leaves, have learned no pauses, and some of them are cut off as well. Change: VMs without links are replaced only if fewer than a third of the usual active VMs is left. The others take their callers and their forwarded requests.

--- a/src/gateway/vm_selection.rs
+++ b/src/gateway/vm_selection.rs
@@ -22,6 +22,9 @@
 /// callers without an address until they resolve again.
 const MIN_ACTIVE_VMS_PER_DOMAIN: usize = 2;
 
+/// Fraction of the active VMs that have to be left for them to take the load of all, as a divisor.
+const MIN_USABLE_DIVISOR: usize = 3;
+
 /// Processor capacity above which the score doesn't increase, in thousandths of a core.
 const MAX_SCORED_MILLICORES: u32 = 500;
 
@@ -81,14 +84,29 @@
 /// assert!(selected.iter().all(|vm| vm.profile.millicores > 120));
 /// ```
 pub fn active_vms(vms: &[LiveVm], desired: usize) -> Vec<LiveVm> {
-    let connected = |vm: &&LiveVm| vm.leaf_links == LeafLinks::Connected;
-    select(vms, desired, connected)
+    usual_or_replaced(vms, desired, |vm| vm.leaf_links == LeafLinks::Connected)
 }
 
 /// Returns the VMs that use the leaves: the active VMs, and those that would be active if their links
 /// were not recovering.
 pub fn leaf_using_vms(vms: &[LiveVm], desired: usize) -> Vec<LiveVm> {
-    select(vms, desired, |vm| vm.leaf_links != LeafLinks::Lost)
+    usual_or_replaced(vms, desired, |vm| vm.leaf_links != LeafLinks::Lost)
+}
+
+/// Selects the usable ones of the VMs that are active while all are usable. Others replace them only if
+/// too few are left: they have no connections yet, and have observed nothing of the leaves.
+fn usual_or_replaced(
+    vms: &[LiveVm],
+    desired: usize,
+    is_usable: impl Fn(&LiveVm) -> bool,
+) -> Vec<LiveVm> {
+    let mut selected = select(vms, desired, |_| true);
+    let usual = selected.len();
+    selected.retain(&is_usable);
+    if selected.len() * MIN_USABLE_DIVISOR >= usual {
+        return selected;
+    }
+    select(vms, desired, |vm| is_usable(vm))
 }
 
 /// Selects VMs among those that are usable, or among all if none is. The others of a failure domain,
