Take slow status checks for no loss of links while leaves reply

Cause: a loss followed from status checks alone, which time out when leaves or the machine are slow, or hit leaves of services that are down. Change: checks go to the leaves that were alive last. While replies arrive, links are lost only if all checked leaves refuse connections, twice in a row. Checks for the end of a loss may take 500 ms.

Evidence: most_leaves_that_are_down_are_no_loss_of_links failed before, and replies_disprove_a_loss_unless_all_connections_are_refused tests the rule.

--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -3,6 +3,7 @@
 //! Handles VMs that are cut off from the leaves, which have to find this out before their callers'
 //! requests fail, and find the end of the partition without requests.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,15 +12,16 @@
 use futures_util::future::join_all;
 use http::Request;
 use http_body_util::Full;
-use rand::seq::IteratorRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tracing::{debug, info, warn};
 
-use super::connection::Connection;
+use super::connection::{CallError, Connection, Reply};
 use super::engine::{Engine, State};
 use super::forwarder::Forwarder;
-use super::link_monitor::{LinkChange, LinkState, SILENCE_US};
+use super::leaves::Leaf;
+use super::link_monitor::{CheckResult, LinkChange, LinkState, SILENCE_US};
 use super::membership::Membership;
 use crate::clock::boot_us;
 use crate::fact::LeafLinks;
@@ -40,6 +42,9 @@
 /// longer, but not all.
 const CHECK_TIMEOUT_MS: u64 = 150;
 
+/// Timeout while the links are lost: their end is not urgent, and leaves may be slow then.
+const LOST_CHECK_TIMEOUT_MS: u64 = 500;
+
 /// Checks the links whenever that is due and publishes their state, until the task is dropped.
 pub(super) async fn run(
     engine: Arc<Engine>,
@@ -130,15 +135,27 @@
 
     async fn check_links(&self) {
         let checked = self.state().link_checks();
-        let answers = checked.iter().map(|(address, request)| {
-            let limit = Duration::from_millis(CHECK_TIMEOUT_MS);
-            timeout(limit, answers(*address, request.clone()))
+        let was_lost = self.state().link_monitor.is_lost();
+        let limit = Duration::from_millis(if was_lost {
+            LOST_CHECK_TIMEOUT_MS
+        } else {
+            CHECK_TIMEOUT_MS
         });
-        let answers = join_all(answers).await;
-        let answered = answers.iter().filter(|answer| **answer == Ok(true)).count();
+        let answers = checked
+            .iter()
+            .map(|(address, request)| timeout(limit, answers(*address, request.clone())));
+        let mut result = CheckResult::default();
+        for answer in join_all(answers).await {
+            match answer {
+                Ok(Ok(_)) => result.answered += 1,
+                Ok(Err(CallError::Connect)) | Err(_) => result.silent += 1,
+                Ok(Err(_)) => result.refused += 1,
+            }
+        }
+        let answered = result.answered;
         let state = &mut *self.state();
         let links = &mut state.link_monitor;
-        let change = links.record_check(answered, checked.len(), boot_us());
+        let change = links.record_check(result, boot_us());
         self.metrics.count_link_check(answered > 0, links.is_lost());
         match change {
             Some(LinkChange::Lost {
@@ -180,16 +197,22 @@
             .is_check_due(leaves.count(), silent, now_us)
     }
 
-    /// Returns some leaves with the requests for their status.
+    /// Returns some of the leaves that were alive last, with the requests for their status. Leaves of
+    /// services that are down tell nothing of the links.
     fn link_checks(&self) -> Vec<(SocketAddr, Request<Full<Bytes>>)> {
         let mut checked = Vec::new();
         let Some(route_table) = &self.route_table else {
             return checked;
         };
-        let listed = self.leaves.iter().filter(|(_, leaf)| !leaf.is_departing());
+        let leaves = self.leaves.iter().map(|(_, leaf)| leaf);
+        let mut candidates: Vec<&Leaf> = leaves.filter(|leaf| !leaf.is_departing()).collect();
+        candidates.shuffle(&mut rand::rng());
+        candidates.sort_by_key(|leaf| Reverse(leaf.alive_us));
         let count = self.link_monitor.checked_leaves();
-        let chosen = listed.sample(&mut rand::rng(), count);
-        for (_, leaf) in chosen {
+        // While the links are lost, some of these leaves may have ended.
+        let is_lost = self.link_monitor.is_lost();
+        candidates.truncate(if is_lost { 2 * count } else { count });
+        for leaf in candidates.sample(&mut rand::rng(), count) {
             let path = route_table.health_path(leaf.service);
             let request = Request::get(path.unwrap_or("/"))
                 .header(http::header::HOST, leaf.address().to_string())
@@ -202,10 +225,8 @@
     }
 }
 
-/// Returns whether a leaf sends any answer to a request on a new connection.
-async fn answers(address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
-    match Connection::open(address).await {
-        Ok(mut connection) => connection.exchange(request).await.is_ok(),
-        Err(_) => false,
-    }
+/// Sends a request to a leaf on a new connection; any answer shows that the link works.
+async fn answers(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+    let mut connection = Connection::open(address).await?;
+    connection.exchange(request).await
 }
--- a/src/gateway/link_monitor.rs
+++ b/src/gateway/link_monitor.rs
@@ -27,6 +27,10 @@
 /// Interval between checks that pass although calls fail.
 const PASSED_CHECK_INTERVAL_US: u64 = 300_000;
 
+/// Checks in a row in which all leaves refuse connections before the links are lost while open
+/// connections still carry replies. The first check may hit leaves that have just ended together.
+const REFUSED_CHECKS: u32 = 2;
+
 /// Checks in a row that have to pass before the leaves are used again, so that links which come and
 /// go are not.
 const CHECKS_TO_RECOVER: u32 = 3;
@@ -53,6 +57,23 @@
     },
 }
 
+/// Answers to the status checks of some leaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CheckResult {
+    /// Leaves that answered.
+    pub answered: usize,
+    /// Leaves whose connections were refused or ended.
+    pub refused: usize,
+    /// Leaves that sent nothing in time.
+    pub silent: usize,
+}
+
+impl CheckResult {
+    fn checked(self) -> usize {
+        self.answered + self.refused + self.silent
+    }
+}
+
 /// Change of the state after a check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkChange {
@@ -82,6 +103,7 @@
     unconnected: BTreeMap<LeafKey, u64>,
     checked_us: u64,
     passed_checks: u32,
+    refused_checks: u32,
     /// End of the latest loss.
     lost_until_us: u64,
 }
@@ -180,29 +202,28 @@
         }
     }
 
-    /// Records the result of a check: how many of the checked leaves answered.
+    /// Records the result of a check.
     ///
-    /// One answer disproves a loss, since leaves may have ended. A recovery needs half of them, in
-    /// several checks.
+    /// One answer disproves a loss, since leaves may have ended. So do replies on open connections if
+    /// the checked leaves are only slow. A recovery needs answers of half of the leaves, in several
+    /// checks.
     ///
     /// # Examples
     ///
     /// ```
-    /// use cloverrack::gateway::{LinkMonitor, LinkState};
+    /// use cloverrack::gateway::{CheckResult, LinkMonitor, LinkState};
     /// let mut link_monitor = LinkMonitor::default();
-    /// link_monitor.record_check(0, 6, 1_000);
+    /// let silent = CheckResult { silent: 6, ..CheckResult::default() };
+    /// link_monitor.record_check(silent, 500_000);
     /// assert!(link_monitor.is_lost());
-    /// for now_us in [2_000, 3_000, 4_000] {
-    ///     link_monitor.record_check(6, 6, now_us);
+    /// let answered = CheckResult { answered: 3, ..CheckResult::default() };
+    /// for now_us in [600_000, 800_000, 1_000_000] {
+    ///     link_monitor.record_check(answered, now_us);
     /// }
-    /// assert_eq!(link_monitor.state(), LinkState::Recovering { since_us: 4_000 });
+    /// assert_eq!(link_monitor.state(), LinkState::Recovering { since_us: 1_000_000 });
     /// ```
-    pub fn record_check(
-        &mut self,
-        answered: usize,
-        checked: usize,
-        now_us: u64,
-    ) -> Option<LinkChange> {
+    pub fn record_check(&mut self, result: CheckResult, now_us: u64) -> Option<LinkChange> {
+        let (answered, checked) = (result.answered, result.checked());
         self.checked_us = now_us;
         if let LinkState::Lost { since_us } = self.state {
             let has_passed = answered * 2 >= checked && answered > 0;
@@ -221,9 +242,21 @@
             return Some(LinkChange::Answering { lost_us });
         }
         if answered > 0 || checked == 0 {
+            self.refused_checks = 0;
             self.forget_failures(now_us);
             return None;
         }
+        let all_refuse = result.refused == checked;
+        self.refused_checks = if all_refuse {
+            self.refused_checks + 1
+        } else {
+            0
+        };
+        let has_replies = now_us < self.replied_us + SILENCE_US;
+        if has_replies && self.refused_checks < REFUSED_CHECKS {
+            return None;
+        }
+        self.refused_checks = 0;
         let failed_leaves = self.failed.len().max(self.unconnected.len());
         self.state = LinkState::Lost { since_us: now_us };
         self.passed_checks = 0;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -76,7 +76,7 @@
 pub use leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 pub use leaf_stats::LeafStats;
 pub use leaves::{Leaves, NoLeafError};
-pub use link_monitor::{LinkChange, LinkMonitor, LinkState};
+pub use link_monitor::{CheckResult, LinkChange, LinkMonitor, LinkState};
 pub use membership::{LiveVm, Membership};
 pub use merge::merge_records;
 pub use metrics::Metrics;
--- a/tests/gateway_forwarding.rs
+++ b/tests/gateway_forwarding.rs
@@ -21,7 +21,9 @@
 
 use bytes::Bytes;
 use cloverrack::fact::LeafLinks;
-use cloverrack::gateway::{ForwardedRequest, LinkState, NotRunReason, PriorCalls, VmClient};
+use cloverrack::gateway::{
+    CheckResult, ForwardedRequest, LinkState, NotRunReason, PriorCalls, VmClient,
+};
 use cloverrack::wire::encode;
 use fleet::{Cut, ONCE_SERVICE, SAFE_SERVICE, TestFleet};
 use futures_util::future::join_all;
@@ -45,6 +47,14 @@
     order
 }
 
+/// Returns the result of a check that no leaf answers.
+fn silent_check() -> CheckResult {
+    CheckResult {
+        silent: 6,
+        ..CheckResult::default()
+    }
+}
+
 /// Lets the VMs find out that they are cut off.
 async fn find_cut(fleet: &TestFleet) {
     join_all(fleet.vms.iter().map(|vm| vm.serves(request("/g/x")))).await;
@@ -223,7 +233,10 @@
     sleep(HEALED).await;
     assert!(is_selected(), "callers are not sent to a VM with links");
     for vm in &fleet.vms[1..] {
-        vm.engine.state().link_monitor.record_check(0, 1, 0);
+        vm.engine
+            .state()
+            .link_monitor
+            .record_check(silent_check(), cloverrack::clock::boot_us());
     }
     // The others refuse forwarded requests now, so this one serves them itself.
     assert!(fleet.vms[0].serves(request("/g/x")).await);
@@ -257,7 +270,10 @@
     assert_eq!(older, Some(NotRunReason::OlderConfiguration));
     let malformed = reason(&own_client, Bytes::from_static(b"x")).await;
     assert_eq!(malformed, Some(NotRunReason::Rejected));
-    to.engine.state().link_monitor.record_check(0, 1, 0);
+    to.engine
+        .state()
+        .link_monitor
+        .record_check(silent_check(), cloverrack::clock::boot_us());
     let lost = reason(&own_client, forwarded(1)).await;
     assert_eq!(lost, Some(NotRunReason::LinksLost));
     assert_eq!(fleet.executed(), executed);
--- a/tests/gateway_link_monitor.rs
+++ b/tests/gateway_link_monitor.rs
@@ -1,15 +1,35 @@
 //! Decision whether a VM has lost its links to the leaves, on a virtual clock.
 
 use cloverrack::LeafKey;
-use cloverrack::gateway::{LinkChange, LinkMonitor, LinkState};
+use cloverrack::gateway::{CheckResult, LinkChange, LinkMonitor, LinkState};
 
 const MS: u64 = 1_000;
 const LEAVES: usize = 45;
 
+/// Time at which the links of a VM are lost, without a reply before.
+const START_US: u64 = 1_000 * MS;
+
 fn leaf(index: usize) -> LeafKey {
     LeafKey::new(index)
 }
 
+/// Returns the result of a check of `checked` leaves, of which some answered and the others sent
+/// nothing.
+fn check(answered: usize, checked: usize) -> CheckResult {
+    CheckResult {
+        answered,
+        silent: checked - answered,
+        ..CheckResult::default()
+    }
+}
+
+fn refused() -> CheckResult {
+    CheckResult {
+        refused: 6,
+        ..CheckResult::default()
+    }
+}
+
 fn none_silent() -> usize {
     0
 }
@@ -17,7 +37,7 @@
 /// Returns a monitor of a VM that has lost its links at `lost_us`.
 fn lost(lost_us: u64) -> LinkMonitor {
     let mut link_monitor = LinkMonitor::default();
-    let change = link_monitor.record_check(0, 6, lost_us);
+    let change = link_monitor.record_check(check(0, 6), lost_us);
     assert!(matches!(change, Some(LinkChange::Lost { .. })));
     link_monitor
 }
@@ -84,17 +104,17 @@
 #[test]
 fn one_answer_disproves_a_loss() {
     let mut link_monitor = LinkMonitor::default();
-    assert_eq!(link_monitor.record_check(1, 6, 1_000 * MS), None);
+    assert_eq!(link_monitor.record_check(check(1, 6), 1_000 * MS), None);
     assert_eq!(link_monitor.state(), LinkState::Connected);
 }
 
 /// Guards against using links that come and go for parts of a second.
 #[test]
 fn flapping_links_stay_lost() {
-    let mut link_monitor = lost(0);
+    let mut link_monitor = lost(START_US);
     for round in 1..100 {
         let answered = usize::from(round % 3 != 0) * 3;
-        link_monitor.record_check(answered, 3, round * 200 * MS);
+        link_monitor.record_check(check(answered, 3), START_US + round * 200 * MS);
         assert!(link_monitor.is_lost(), "round {round}");
     }
 }
@@ -103,12 +123,12 @@
 /// ends.
 #[test]
 fn requests_return_gradually() {
-    let mut link_monitor = lost(0);
-    assert!(!link_monitor.uses_leaves(0.0, 100 * MS));
+    let mut link_monitor = lost(START_US);
+    assert!(!link_monitor.uses_leaves(0.0, START_US + 100 * MS));
     for round in 1..=3 {
-        link_monitor.record_check(3, 3, round * 200 * MS);
+        link_monitor.record_check(check(3, 3), START_US + round * 200 * MS);
     }
-    let healed_us = 600 * MS;
+    let healed_us = START_US + 600 * MS;
     let share_after = |link_monitor: &LinkMonitor, after_ms: u64| {
         let now_us = healed_us + after_ms * MS;
         let drawn = (0..100).map(|percent| f64::from(percent) / 100.0);
@@ -129,12 +149,32 @@
 /// Guards against a loss during the recovery that goes unnoticed.
 #[test]
 fn links_can_be_lost_again_while_they_recover() {
-    let mut link_monitor = lost(0);
+    let mut link_monitor = lost(START_US);
     for round in 1..=3 {
-        link_monitor.record_check(3, 3, round * 200 * MS);
+        link_monitor.record_check(check(3, 3), START_US + round * 200 * MS);
+    }
+    link_monitor.record_call(START_US + 700 * MS);
+    assert!(link_monitor.is_check_due(LEAVES, || 10, START_US + 1_000 * MS));
+    let change = link_monitor.record_check(check(0, 6), START_US + 1_000 * MS);
+    assert!(matches!(change, Some(LinkChange::Lost { .. })));
+}
+
+/// Guards against slow status checks of a loaded machine, or leaves that have just ended together,
+/// being taken for lost links while open connections carry replies.
+#[test]
+fn replies_disprove_a_loss_unless_all_connections_are_refused() {
+    let mut link_monitor = LinkMonitor::default();
+    for round in 0..10 {
+        let now_us = START_US + round * 300 * MS;
+        link_monitor.record_reply(now_us);
+        assert_eq!(link_monitor.record_check(check(0, 6), now_us), None);
     }
-    link_monitor.record_call(700 * MS);
-    assert!(link_monitor.is_check_due(LEAVES, || 10, 1_000 * MS));
-    let change = link_monitor.record_check(0, 6, 1_000 * MS);
+    link_monitor.record_reply(START_US + 4_000 * MS);
+    assert_eq!(
+        link_monitor.record_check(refused(), START_US + 4_010 * MS),
+        None
+    );
+    link_monitor.record_reply(START_US + 4_300 * MS);
+    let change = link_monitor.record_check(refused(), START_US + 4_310 * MS);
     assert!(matches!(change, Some(LinkChange::Lost { .. })));
 }
--- a/tests/gateway_lost_links.rs
+++ b/tests/gateway_lost_links.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cloverrack::LeafKey;
 use cloverrack::gateway::{LeafReport, Observation};
 use fleet::{CUTS, Cut, ONCE_SERVICE, SAFE_SERVICE, SHARDS, TestFleet};
 use gateway::{Leaf, LeafBehaviour, TestGateway, gather_route, order, request, single_route};
@@ -139,6 +140,35 @@
     );
 }
 
+/// Guards against a VM taking services that are down for lost links because most of the leaves belong
+/// to them.
+#[tokio::test]
+async fn most_leaves_that_are_down_are_no_loss_of_links() {
+    let gateway = TestGateway::spawn().await;
+    let alive = Leaf::spawn("alive", 1, LeafBehaviour::Answer).await;
+    let mut down = Vec::new();
+    for index in 0..20 {
+        down.push(Leaf::spawn(&format!("down-{index}"), 1, LeafBehaviour::Answer).await);
+    }
+    let mut listed = vec![("alive", &alive)];
+    listed.extend(down.iter().map(|leaf| ("down", leaf)));
+    gateway.publish(1, vec![single_route("/a/", "alive", true, 1)], &listed);
+    for leaf in &down {
+        leaf.end();
+    }
+    for _ in 0..6 {
+        assert_eq!(gateway.get("/a/x").await.status, StatusCode::OK);
+        for index in 1..=3 {
+            let now_us = cloverrack::clock::boot_us();
+            let links = &mut gateway.engine.state().link_monitor;
+            links.record_no_connection(LeafKey::new(index), now_us);
+        }
+        sleep(Duration::from_millis(350)).await;
+        gateway.engine.check_links_if_due().await;
+        assert!(!gateway.engine.state().link_monitor.is_lost());
+    }
+}
+
 /// Guards against a VM avoiding healthy leaves once it has links again.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_links_are_no_failures_of_leaves() {
