--- a/tests/gateway_forwarding.rs
+++ b/tests/gateway_forwarding.rs
@@ -232,6 +232,7 @@
     fleet.heal(0).await;
     sleep(HEALED).await;
     assert!(is_selected(), "callers are not sent to a VM with links");
+    sleep(Duration::from_millis(150)).await;
     for vm in &fleet.vms[1..] {
         vm.engine
             .state()
@@ -270,6 +271,8 @@
     assert_eq!(older, Some(NotRunReason::OlderConfiguration));
     let malformed = reason(&own_client, Bytes::from_static(b"x")).await;
     assert_eq!(malformed, Some(NotRunReason::Rejected));
+    // A reply of a moment ago would disprove the loss.
+    sleep(Duration::from_millis(150)).await;
     to.engine
         .state()
         .link_monitor
