Never refuse a forwarded request that leaves may have run before

Callers saw: a request whose calls had left before the loss was known, and which was forwarded then, could be answered with the other VM's 503, which says that it has not run and will not. Change: such a refusal becomes 502.

--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use http::header::{HeaderName, HeaderValue};
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tracing::{info, warn};
@@ -21,7 +21,7 @@
 use super::forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
 use super::forwarder::Forwarder;
 use super::leaf_end_check::LeafQuestion;
-use super::refusal::{Refusal, refusal_response};
+use super::refusal::{Refusal, empty_response, refusal_response};
 use super::request_run;
 use super::routes::{Route, RouteTable};
 use crate::clock::boot_us;
@@ -35,6 +35,14 @@
 /// before the check, and its timeout.
 const LINK_CHECK_WAIT: Duration = Duration::from_millis(450);
 
+/// Statuses by which callers know that a request has not run and will not.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Hop-by-hop headers and `Content-Length`, which are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     http::header::CONNECTION,
@@ -101,7 +109,7 @@
         let may_help = self.links_are_lost(&spec).await
             || (end.is_unreachable && self.may_reach_elsewhere(&route.spec.name));
         if may_help && let Some(response) = forward(prior_calls).await {
-            return Ok(response);
+            return Ok(without_refusal(response, prior_calls));
         }
         end.response
     }
@@ -242,6 +250,15 @@
     }
 }
 
+/// Replaces the refusal of a request that leaves may have run before it was forwarded: it would say that
+/// the request has not run.
+fn without_refusal(response: HttpResponse, prior_calls: PriorCalls) -> HttpResponse {
+    if prior_calls.sent > 0 && NOT_RUN_STATUSES.contains(&response.status()) {
+        return empty_response(StatusCode::BAD_GATEWAY);
+    }
+    response
+}
+
 /// Logs a refusal and returns its response.
 fn refuse(request_id: Option<&HeaderValue>, refusal: Refusal) -> HttpResponse {
     let request_id = request_id.and_then(|id| id.to_str().ok());
--- a/tests/gateway_forwarding.rs
+++ b/tests/gateway_forwarding.rs
@@ -25,7 +25,7 @@
     CheckResult, ForwardedRequest, LinkState, NotRunReason, PriorCalls, VmClient,
 };
 use cloverrack::wire::encode;
-use fleet::{Cut, ONCE_SERVICE, SAFE_SERVICE, TestFleet};
+use fleet::{Cut, ONCE_SERVICE, SAFE_SERVICE, SHARDS, TestFleet};
 use futures_util::future::join_all;
 use gateway::{LeafBehaviour, call_spec, order, request};
 use http::{Request, StatusCode};
@@ -110,6 +110,33 @@
     }
 }
 
+/// Guards against telling callers that a request has not run although leaves have run it before it
+/// was forwarded.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_of_a_forwarded_request_is_true() {
+    let fleet = TestFleet::start(3).await;
+    fleet.cut(0, Cut::Answers).await;
+    let requests = (0..40).map(|number| {
+        let mut request = request("/g/x");
+        let id = format!("sweep-{number}");
+        request
+            .headers_mut()
+            .insert("x-request", id.parse().unwrap());
+        let vm = &fleet.vms[0];
+        async move { (id, vm.send(request).await.map(|reply| reply.status)) }
+    });
+    let ends = join_all(requests).await;
+    let executed: Vec<String> = SHARDS
+        .iter()
+        .flat_map(|shard| fleet.executed_ids(shard))
+        .collect();
+    for (id, status) in ends {
+        if status == Some(StatusCode::SERVICE_UNAVAILABLE) {
+            assert!(!executed.contains(&id), "{id} has run");
+        }
+    }
+}
+
 /// Guards against requests that wait for leaves, or pass from VM to VM, while no VM reaches a leaf,
 /// and against VMs that do not serve again afterwards.
 #[tokio::test(flavor = "multi_thread")]
