Take slow leaves for no loss of links, and end a loss of all VMs at the first answer

Cause: a status check failed after 150 ms, also on an open connection, so slow answers counted as a loss on all VMs at once; and the end of a loss needed three checks in a row, although no other VM served meanwhile. If no other VM has links, one answer ends the loss.

--- a/src/gateway/leaf_end_check.rs
+++ b/src/gateway/leaf_end_check.rs
@@ -15,6 +15,7 @@
 
 use super::connection::{CallError, Connection};
 use super::engine::{Engine, State};
+use super::link_check::LINK_CHECK_WAIT;
 use super::membership::Membership;
 use super::vm_client::VmClient;
 use super::vm_server::HANDLED_HEADER;
@@ -28,9 +29,6 @@
 /// Time for which refusals are collected, since leaves of several shards may end together.
 const COLLECT_MS: u64 = 5;
 
-/// Longest time to wait for a check of the links.
-const LINK_CHECK_WAIT: Duration = Duration::from_millis(450);
-
 /// Maximum number of leaves in one question, each of which costs the other VM a connection.
 const MAX_ASKED: usize = 8;
 
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -38,12 +38,16 @@
 /// Interval at which a failed request looks for the decision whether the links are lost.
 const DECISION_POLL_MS: u64 = 5;
 
-/// Timeout of a status check: a new connection and an answer. Some of the checked leaves may pause for
-/// longer, but not all.
-const CHECK_TIMEOUT_MS: u64 = 150;
+/// Timeout for the answer to a status check once the connection is open. It exceeds the pauses of
+/// leaves and the delays of a loaded machine: slow leaves are no loss of links.
+const ANSWER_TIMEOUT_MS: u64 = 500;
 
-/// Timeout while the links are lost: their end is not urgent, and leaves may be slow then.
-const LOST_CHECK_TIMEOUT_MS: u64 = 500;
+/// Timeout while the links are lost, since their end is not urgent.
+const LOST_ANSWER_TIMEOUT_MS: u64 = 1_000;
+
+/// Longest time for which the decision whether the links are lost is waited for: the silence before a
+/// check, and its timeout.
+pub(super) const LINK_CHECK_WAIT: Duration = Duration::from_millis(700);
 
 /// Checks the links whenever that is due and publishes their state, until the task is dropped.
 pub(super) async fn run(
@@ -63,6 +67,7 @@
         engine.check_links_if_due().await;
         let links = leaf_links(engine.state().link_monitor.update(boot_us()));
         let forwards = links == LeafLinks::Lost && forwarder.has_candidate();
+        engine.state().link_monitor.set_replaceable(forwards);
         engine.set_forwards(forwards);
         if links == published {
             continue;
@@ -137,19 +142,19 @@
         let checked = self.state().link_checks();
         let was_lost = self.state().link_monitor.is_lost();
         let limit = Duration::from_millis(if was_lost {
-            LOST_CHECK_TIMEOUT_MS
+            LOST_ANSWER_TIMEOUT_MS
         } else {
-            CHECK_TIMEOUT_MS
+            ANSWER_TIMEOUT_MS
         });
         let answers = checked
             .iter()
-            .map(|(address, request)| timeout(limit, answers(*address, request.clone())));
+            .map(|(address, request)| answers(*address, request.clone(), limit));
         let mut result = CheckResult::default();
         for answer in join_all(answers).await {
             match answer {
-                Ok(Ok(_)) => result.answered += 1,
-                Ok(Err(CallError::Connect)) | Err(_) => result.silent += 1,
-                Ok(Err(_)) => result.refused += 1,
+                Ok(Some(_)) => result.answered += 1,
+                Ok(None) | Err(CallError::Connect) => result.silent += 1,
+                Err(_) => result.refused += 1,
             }
         }
         let answered = result.answered;
@@ -225,8 +230,16 @@
     }
 }
 
-/// Sends a request to a leaf on a new connection; any answer shows that the link works.
-async fn answers(address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
+/// Sends a request to a leaf on a new connection; any answer shows that the link works. Returns `None`
+/// without an answer within `limit`.
+async fn answers(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Option<Reply>, CallError> {
     let mut connection = Connection::open(address).await?;
-    connection.exchange(request).await
+    match timeout(limit, connection.exchange(request)).await {
+        Ok(exchanged) => exchanged.map(Some),
+        Err(_) => Ok(None),
+    }
 }
--- a/src/gateway/link_monitor.rs
+++ b/src/gateway/link_monitor.rs
@@ -104,6 +104,8 @@
     checked_us: u64,
     passed_checks: u32,
     refused_checks: u32,
+    /// Whether another VM has links and serves the requests of this one meanwhile.
+    is_replaceable: bool,
     /// End of the latest loss.
     lost_until_us: u64,
 }
@@ -119,6 +121,11 @@
         matches!(self.state, LinkState::Lost { .. })
     }
 
+    /// Records whether another VM has links while those of this VM are lost.
+    pub fn set_replaceable(&mut self, is_replaceable: bool) {
+        self.is_replaceable = is_replaceable;
+    }
+
     /// Records that a call to a leaf starts.
     pub fn record_call(&mut self, now_us: u64) {
         self.called_us = now_us;
@@ -206,13 +213,14 @@
     ///
     /// One answer disproves a loss, since leaves may have ended. So do replies on open connections if
     /// the checked leaves are only slow. A recovery needs answers of half of the leaves, in several
-    /// checks.
+    /// checks, or one answer if no other VM has links.
     ///
     /// # Examples
     ///
     /// ```
     /// use cloverrack::gateway::{CheckResult, LinkMonitor, LinkState};
     /// let mut link_monitor = LinkMonitor::default();
+    /// link_monitor.set_replaceable(true);
     /// let silent = CheckResult { silent: 6, ..CheckResult::default() };
     /// link_monitor.record_check(silent, 500_000);
     /// assert!(link_monitor.is_lost());
@@ -232,7 +240,8 @@
             } else {
                 0
             };
-            if self.passed_checks < CHECKS_TO_RECOVER {
+            let is_needed = answered > 0 && !self.is_replaceable;
+            if self.passed_checks < CHECKS_TO_RECOVER && !is_needed {
                 return None;
             }
             self.state = LinkState::Recovering { since_us: now_us };
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -21,6 +21,7 @@
 use super::forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
 use super::forwarder::Forwarder;
 use super::leaf_end_check::LeafQuestion;
+use super::link_check::LINK_CHECK_WAIT;
 use super::refusal::{Refusal, empty_response, refusal_response};
 use super::request_run;
 use super::routes::{Route, RouteTable};
@@ -31,10 +32,6 @@
 /// Time reserved for sending the response before the caller's deadline.
 const END_MARGIN_MS: u64 = 10;
 
-/// Longest time for which a failed request waits for a check of the links to the leaves: the silence
-/// before the check, and its timeout.
-const LINK_CHECK_WAIT: Duration = Duration::from_millis(450);
-
 /// Statuses by which callers know that a request has not run and will not.
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
--- a/tests/gateway_link_monitor.rs
+++ b/tests/gateway_link_monitor.rs
@@ -37,6 +37,7 @@
 /// Returns a monitor of a VM that has lost its links at `lost_us`.
 fn lost(lost_us: u64) -> LinkMonitor {
     let mut link_monitor = LinkMonitor::default();
+    link_monitor.set_replaceable(true);
     let change = link_monitor.record_check(check(0, 6), lost_us);
     assert!(matches!(change, Some(LinkChange::Lost { .. })));
     link_monitor
@@ -178,3 +179,13 @@
     let change = link_monitor.record_check(refused(), START_US + 4_310 * MS);
     assert!(matches!(change, Some(LinkChange::Lost { .. })));
 }
+
+/// Guards against VMs that all keep refusing requests although leaves answer: without another VM that
+/// serves, there is nothing to wait for.
+#[test]
+fn one_answer_ends_a_loss_if_no_other_vm_has_links() {
+    let mut link_monitor = lost(START_US);
+    link_monitor.set_replaceable(false);
+    let change = link_monitor.record_check(check(1, 3), START_US + 200 * MS);
+    assert!(matches!(change, Some(LinkChange::Answering { .. })));
+}
--- a/tests/gateway_lost_links.rs
+++ b/tests/gateway_lost_links.rs
@@ -169,6 +169,28 @@
     }
 }
 
+/// Guards against VMs that take slow leaves for lost links and refuse requests: all of them do at the
+/// same time then, so that none is left to serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_leaves_are_no_loss_of_links() {
+    let fleet = TestFleet::start(3).await;
+    for vm in 0..3 {
+        assert_eq!(failures(&fleet, vm).await, 0);
+    }
+    fleet.delay_all(120);
+    let mut served = 0;
+    for _ in 0..6 {
+        let requests = fleet.vms.iter().map(|vm| vm.serves(request("/g/x")));
+        let ends = futures_util::future::join_all(requests).await;
+        served += ends.into_iter().filter(|is_served| *is_served).count();
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(served, 18);
+    for vm in &fleet.vms {
+        assert!(!vm.engine.state().link_monitor.is_lost());
+    }
+}
+
 /// Guards against a VM avoiding healthy leaves once it has links again.
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_links_are_no_failures_of_leaves() {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -183,6 +183,15 @@
         }
     }
 
+    /// Delays the bytes between all VMs and all leaves, in each direction.
+    pub fn delay_all(&self, delay_ms: u64) {
+        for vm in &self.vms {
+            for link in &vm.links {
+                link.set(LinkCondition::DelayMs(delay_ms));
+            }
+        }
+    }
+
     /// Ends the leaves of a service: their addresses refuse the connections of all VMs.
     pub async fn end_service(&self, service: &str) {
         for (name, leaf) in &self.leaves {
