Forward requests to VMs that are stopping if no other reaches the leaves

Callers of VMs without links to the leaves got 503 ("no leaf can be reached from this VM") while the last VM with links was stopping, although it still served its own callers: a VM that leaves disappears from the live VMs at once.

Change: VMs that announced their stop within the last stop grace less the stop margin are the last choice of a forwarding VM. Their internal server keeps its connections until they stop serving; before, it asked its clients to disconnect at the announcement.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -197,6 +197,7 @@
             Arc::clone(&engine),
             Arc::clone(&membership),
             settings.leaf_reports_address.port(),
+            settings.stop_grace_ms.saturating_sub(STOP_MARGIN_MS),
         ));
         tokio::spawn(leaf_end_check::run(
             Arc::clone(&engine),
@@ -217,7 +218,7 @@
         let vm_server = serve(
             forward_listener,
             Arc::new(vm_server),
-            shutdown_signals.clone(),
+            shutdown_signals.without_draining(),
         );
         let server = serve(listener, service, shutdown_signals.clone());
         let serve_task = tokio::spawn(async {
@@ -244,10 +245,7 @@
         handler: Arc<H>,
     ) -> Result<(), Report<GatewayError>> {
         let listener = bind(address, name).await?;
-        let shutdown_signals = ShutdownSignals {
-            draining: self.shutdown_signals.stop.clone(),
-            stop: self.shutdown_signals.stop.clone(),
-        };
+        let shutdown_signals = self.shutdown_signals.without_draining();
         tokio::spawn(serve(listener, handler, shutdown_signals));
         Ok(())
     }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -151,11 +151,20 @@
         {
             return Arc::clone(live_vms);
         }
-        let live_vms = list_live_vms(&state.gossip);
+        let live_vms = list_vms(&state.gossip, state.gossip.live_vms());
         state.live_vms = Some((changes, Arc::clone(&live_vms)));
         live_vms
     }
 
+    /// Returns the VMs that have announced within the last `period_ms` that they are stopping.
+    pub fn leaving_vms(&self, period_ms: u64) -> Arc<[LiveVm]> {
+        let state = self.state();
+        let now_ms = boot_ms();
+        let leaving = state.gossip.leaving_vms();
+        let recent = leaving.filter(|(_, since_ms)| now_ms < since_ms + period_ms);
+        list_vms(&state.gossip, recent.map(|(address, _)| address))
+    }
+
     /// Returns the internal address of this VM.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -323,9 +332,9 @@
     }
 }
 
-fn list_live_vms(gossip: &Gossip) -> Arc<[LiveVm]> {
-    let mut live_vms = Vec::new();
-    for address in gossip.live_vms() {
+fn list_vms(gossip: &Gossip, addresses: impl IntoIterator<Item = SocketAddr>) -> Arc<[LiveVm]> {
+    let mut vms = Vec::new();
+    for address in addresses {
         let Some(entry) = gossip.fact(&FactKey::Profile(address)) else {
             continue;
         };
@@ -337,13 +346,13 @@
         else {
             continue;
         };
-        live_vms.push(LiveVm {
+        vms.push(LiveVm {
             address,
             profile: profile.clone(),
             leaf_links: leaf_links_of(gossip, address, *incarnation),
         });
     }
-    live_vms.into()
+    vms.into()
 }
 
 /// Returns the links that the current process of a VM has published. A new process has published
--- a/src/gateway/vm_client.rs
+++ b/src/gateway/vm_client.rs
@@ -22,7 +22,7 @@
 use tracing::debug;
 
 use super::engine::Engine;
-use super::membership::Membership;
+use super::membership::{LiveVm, Membership};
 use crate::clock::boot_ms;
 use crate::fact::LeafLinks;
 
@@ -68,6 +68,8 @@
     membership: Arc<Membership>,
     /// Port of the internal server, which is the same on all VMs.
     port: u16,
+    /// Time for which VMs serve after they have announced that they are stopping.
+    drain_ms: u64,
     peers: Mutex<HashMap<SocketAddr, Arc<Peer>>>,
 }
 
@@ -102,43 +104,47 @@
 
 impl VmClient {
     /// Creates a client of the live VMs.
-    pub fn new(engine: Arc<Engine>, membership: Arc<Membership>, port: u16) -> Self {
+    pub fn new(engine: Arc<Engine>, membership: Arc<Membership>, port: u16, drain_ms: u64) -> Self {
         Self {
             engine,
             membership,
             port,
+            drain_ms,
             peers: Mutex::default(),
         }
     }
 
-    /// Chooses a VM that reaches the leaves: the one with fewer requests in flight of two random ones.
+    /// Chooses a VM that reaches the leaves: an active one if possible, and one that is stopping only if
+    /// there is no other.
     pub fn choose(&self, excluded: &[SocketAddr]) -> Option<ChosenVm> {
+        let live_vms = self.membership.live_vms();
+        let active_vms = self.engine.active_vms(&live_vms);
+        self.choose_of(&active_vms, excluded)
+            .or_else(|| self.choose_of(&live_vms, excluded))
+            .or_else(|| self.choose_of(&self.membership.leaving_vms(self.drain_ms), excluded))
+    }
+
+    /// Chooses the VM with fewer requests in flight of two random ones that reach the leaves.
+    fn choose_of(&self, vms: &[LiveVm], excluded: &[SocketAddr]) -> Option<ChosenVm> {
         let now_ms = boot_ms();
         let own = self.membership.address();
         let mut peers = self.peers();
-        let live_vms = self.membership.live_vms();
-        let active_vms = self.engine.active_vms(&live_vms);
-        for vms in [active_vms, live_vms] {
-            let mut candidates = Vec::new();
-            for vm in vms.iter() {
-                if vm.address == own
-                    || vm.leaf_links != LeafLinks::Connected
-                    || excluded.contains(&vm.address)
-                {
-                    continue;
-                }
-                let peer = peers.entry(vm.address).or_default();
-                if now_ms >= peer.avoided_until_ms.load(Ordering::Relaxed) {
-                    candidates.push((vm.address, Arc::clone(peer)));
-                }
+        let mut candidates = Vec::new();
+        for vm in vms {
+            if vm.address == own
+                || vm.leaf_links != LeafLinks::Connected
+                || excluded.contains(&vm.address)
+            {
+                continue;
             }
-            let two = candidates.sample(&mut rand::rng(), 2);
-            let chosen = two.min_by_key(|(_, peer)| peer.in_flight.load(Ordering::Relaxed));
-            if let Some((address, peer)) = chosen {
-                return Some(ChosenVm::new(*address, Arc::clone(peer)));
+            let peer = peers.entry(vm.address).or_default();
+            if now_ms >= peer.avoided_until_ms.load(Ordering::Relaxed) {
+                candidates.push((vm.address, Arc::clone(peer)));
             }
         }
-        None
+        let two = candidates.sample(&mut rand::rng(), 2);
+        let (address, peer) = two.min_by_key(|(_, peer)| peer.in_flight.load(Ordering::Relaxed))?;
+        Some(ChosenVm::new(*address, Arc::clone(peer)))
     }
 
     /// Sends a request to a VM and waits for the head of the response. Dropping the future cancels the
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -152,6 +152,13 @@
         live.map(|(address, ..)| address).collect()
     }
 
+    /// Returns the VMs that are stopping, and when this VM was informed of it.
+    pub fn leaving_vms(&self) -> impl Iterator<Item = (SocketAddr, u64)> {
+        let vms = self.fact_table.vms();
+        vms.filter(|(_, state, _)| *state == VmState::Leaving)
+            .map(|(address, _, entry)| (address, entry.received_ms))
+    }
+
     /// Returns the number of changes to facts about VMs and their profiles so far.
     pub fn vm_changes(&self) -> u64 {
         self.fact_table.vm_changes()
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -78,6 +78,16 @@
     pub stop: CancellationToken,
 }
 
+impl ShutdownSignals {
+    /// Returns the signals for a listener whose clients keep their connections until it stops.
+    pub fn without_draining(&self) -> Self {
+        Self {
+            draining: self.stop.clone(),
+            stop: self.stop.clone(),
+        }
+    }
+}
+
 /// Serves a listener until `stop`, then finishes the requests in flight.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
--- a/tests/gateway_forwarding.rs
+++ b/tests/gateway_forwarding.rs
@@ -137,6 +137,30 @@
     }
 }
 
+/// Guards against refusals while the only VM that reaches the leaves is stopping but still serves, and
+/// against requests that are lost when it ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_forwarded_to_a_vm_that_is_stopping_if_there_is_no_other() {
+    let fleet = TestFleet::start(2).await;
+    fleet.cut(0, Cut::Hang).await;
+    find_cut(&fleet).await;
+    assert!(fleet.vms[0].serves(request("/g/x")).await);
+    let stopped = fleet.vms[1].stop();
+    let began = Instant::now();
+    while began.elapsed() < KNOWN {
+        let reply = fleet.vms[0].send(order("x")).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK, "{:?}", began.elapsed());
+        sleep(Duration::from_millis(20)).await;
+    }
+    while !stopped.is_finished() {
+        let reply = fleet.vms[0].send(order("x")).await.unwrap();
+        let is_served = reply.status == StatusCode::OK;
+        let is_refused = reply.status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(is_served || is_refused, "{:?}: {reply:?}", began.elapsed());
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// Guards against requests that wait for leaves, or pass from VM to VM, while no VM reaches a leaf,
 /// and against VMs that do not serve again afterwards.
 #[tokio::test(flavor = "multi_thread")]
@@ -277,7 +301,14 @@
     let fleet = TestFleet::start(2).await;
     let (from, to) = (&fleet.vms[0], &fleet.vms[1]);
     let port = 7_741;
-    let client = |membership| VmClient::new(Arc::clone(&from.engine), membership, port);
+    let client = |membership| {
+        VmClient::new(
+            Arc::clone(&from.engine),
+            membership,
+            port,
+            fleet::STOP_GRACE_MS,
+        )
+    };
     let own_client = client(Arc::clone(&from.membership));
     let forwarded = |route_version| {
         let spec = call_spec();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -8,8 +8,8 @@
 )]
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cloverrack::component_registry::{CONTROL, ROOT};
@@ -22,6 +22,7 @@
 };
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::{HEALTH_PATH, Leaf, LeafBehaviour, gather_route, headers, single_route};
@@ -40,6 +41,9 @@
 /// Leaves of each service.
 const REPLICAS: usize = 3;
 
+/// Time in which a VM stops.
+pub const STOP_GRACE_MS: u64 = 6_000;
+
 /// Time within which all VMs have discovered each other.
 const DISCOVERY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -98,7 +102,7 @@
     pub engine: Arc<Engine>,
     pub membership: Arc<Membership>,
     pub links: Vec<Link>,
-    _gateway: Gateway<Serving>,
+    gateway: Mutex<Option<Gateway<Serving>>>,
 }
 
 pub struct TestFleet {
@@ -292,7 +296,7 @@
                 slack_calls: 50,
                 window_ms: 10_000,
             },
-            stop_grace_ms: 6_000,
+            stop_grace_ms: STOP_GRACE_MS,
             headers: headers(),
         };
         let gateway = Gateway::spawn(settings, FixedSource(image)).await.unwrap();
@@ -302,10 +306,16 @@
             engine: registry.find::<Engine>(ROOT).unwrap(),
             membership: registry.find::<Membership>(CONTROL).unwrap(),
             links,
-            _gateway: gateway,
+            gateway: Mutex::new(Some(gateway)),
         }
     }
 
+    /// Begins a planned stop. The VM serves until its stop grace has passed.
+    pub fn stop(&self) -> JoinHandle<()> {
+        let gateway = self.gateway.lock().unwrap().take().unwrap();
+        tokio::spawn(gateway.drain().stop())
+    }
+
     /// Sends a request over a new connection; returns the reply, if there is one in time.
     pub async fn send(&self, request: Request<Full<bytes::Bytes>>) -> Option<Reply> {
         let exchange = async {
