Read the heads of replies to calls that were given up

A leaf that announced its end, or named a time without requests, in a reply to a call that was given up got further requests of this VM: the connection was closed without reading.

Cause: a call that is dropped drops its connection, and nobody reads what is on its way.

Change: the VM closes its side of the connection, which cancels the request as before, and reads the head of the reply for up to 50 ms. The new test fails before the change with 504, since the second request reaches the leaf, and passes with it.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -144,6 +144,15 @@
         if !self.engine.state().leaves.may_send(self.leaf, boot_us()) {
             return Err(CallError::Withheld);
         }
+        connection.observe_late_heads(|| {
+            let (engine, leaf) = (Arc::downgrade(&self.engine), self.leaf);
+            Box::new(move |status, headers| {
+                if let Some(engine) = engine.upgrade() {
+                    let notices = LeafNotices::read(status, headers, &engine.headers.leaving);
+                    engine.record_notices(leaf, notices);
+                }
+            })
+        });
         let request = build_request(&self.engine.headers, spec, id);
         let observe_head = |status: StatusCode, headers: &HeaderMap| {
             let notices = LeafNotices::read(status, headers, &self.engine.headers.leaving);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::late_reply::{HeadObserver, LateReply};
 use super::metered_stream::{MeteredStream, ReadAllowance};
 use super::reply_memory::{ReplyMemory, ReplyReceiver};
 
@@ -50,6 +51,7 @@
 pub struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
+    late_reply: Arc<LateReply>,
     last_signature_hash: Option<u64>,
     usable_until_ms: u64,
 }
@@ -59,6 +61,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
+    late_reply: Arc<LateReply>,
     /// Hash of the signature of the latest reply.
     last_signature_hash: Option<u64>,
 }
@@ -174,18 +177,28 @@
         let stream = MeteredStream::new(stream, allowance.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| CallError::Connect)?;
+        let late_reply = Arc::new(LateReply::default());
+        let ended = Arc::clone(&late_reply);
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                tracing::trace!(event = "leaf_connection_ended", %error);
+            match connection.without_shutdown().await {
+                Ok(parts) => ended.read(parts.io.into_inner(), &parts.read_buf).await,
+                Err(error) => tracing::trace!(event = "leaf_connection_ended", %error),
             }
         });
         Ok(Self {
             sender,
             allowance,
+            late_reply,
             last_signature_hash: None,
         })
     }
 
+    /// Sets who gets the head of a reply that arrives after its call was given up, unless the
+    /// connection has an observer.
+    pub(super) fn observe_late_heads(&self, observer: impl FnOnce() -> HeadObserver) {
+        self.late_reply.observe(observer);
+    }
+
     /// Sends a request and reads the complete reply, in memory of its own.
     ///
     /// Dropping the future closes the connection, upon which most leaves cancel the request.
@@ -216,6 +229,7 @@
             return Err(CallError::Unsent);
         }
         self.allowance.set(MAX_HEAD_READ_BYTES);
+        self.late_reply.set_awaited(true);
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -227,6 +241,7 @@
                 });
             }
         };
+        self.late_reply.set_awaited(false);
         self.allowance.set(MAX_BODY_READ_BYTES);
         let (head, mut body) = response.into_parts();
         observe_head(head.status, &head.headers);
@@ -274,6 +289,7 @@
         IdleConnection {
             sender: self.sender,
             allowance: self.allowance,
+            late_reply: self.late_reply,
             last_signature_hash: self.last_signature_hash,
             usable_until_ms: now_ms + DEFAULT_IDLE_TIMEOUT_MS,
         }
@@ -292,6 +308,7 @@
         Some(IdleConnection {
             sender: self.sender,
             allowance: self.allowance,
+            late_reply: self.late_reply,
             last_signature_hash: self.last_signature_hash,
             usable_until_ms: now_ms + idle_timeout_ms,
         })
@@ -309,6 +326,7 @@
         Connection {
             sender: self.sender,
             allowance: self.allowance,
+            late_reply: self.late_reply,
             last_signature_hash: self.last_signature_hash,
         }
     }
--- /dev/null
+++ b/src/gateway/late_reply.rs
@@ -0,0 +1,119 @@
+//! Reads the head of a reply to a call that was given up.
+//!
+//! Handles leaves that announce their end, or refuse requests for a while, in a reply that arrives when
+//! nobody awaits it any more. The VM has closed its side of the connection, which cancels the request
+//! at the leaf, but later requests have to respect what the leaf says of itself.
+
+use std::fmt;
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, StatusCode};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
+
+/// Time for which a late reply is read: a round trip between failure domains, with a margin for a
+/// loaded leaf.
+const READ_LIMIT_MS: u64 = 50;
+
+/// Maximum size of a head, and number of its headers.
+const MAX_HEAD_BYTES: usize = 4 * 1_024;
+const MAX_HEADERS: usize = 64;
+
+/// Receives the status and the headers of a late reply.
+pub(super) type HeadObserver = Box<dyn Fn(StatusCode, &HeaderMap) + Send + Sync>;
+
+/// Whether a reply is awaited on a connection, and who gets its head if it arrives late.
+#[derive(Default)]
+pub(super) struct LateReply {
+    is_awaited: AtomicBool,
+    observer: OnceLock<HeadObserver>,
+}
+
+impl fmt::Debug for LateReply {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("LateReply")
+            .field("is_awaited", &self.is_awaited)
+            .finish_non_exhaustive()
+    }
+}
+
+impl LateReply {
+    /// Sets the observer, unless the connection has one.
+    pub(super) fn observe(&self, observer: impl FnOnce() -> HeadObserver) {
+        self.observer.get_or_init(observer);
+    }
+
+    /// Sets whether a request has been sent whose reply has no head yet.
+    pub(super) fn set_awaited(&self, is_awaited: bool) {
+        self.is_awaited.store(is_awaited, Ordering::Relaxed);
+    }
+
+    /// Closes the sending side of a connection that carries no more requests and, if the last call was
+    /// given up, reads the head of its reply. `received` are the bytes that were read before.
+    pub(super) async fn read<S>(&self, mut stream: S, received: &[u8])
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        let Some(observer) = self.observer.get() else {
+            return;
+        };
+        if !self.is_awaited.load(Ordering::Relaxed) || stream.shutdown().await.is_err() {
+            return;
+        }
+        let limit = Duration::from_millis(READ_LIMIT_MS);
+        let head = timeout(limit, read_head(stream, received.to_vec())).await;
+        if let Ok(Some((status, headers))) = head {
+            observer(status, &headers);
+        }
+    }
+}
+
+/// Reads until a final head is complete.
+async fn read_head<S>(mut stream: S, mut received: Vec<u8>) -> Option<(StatusCode, HeaderMap)>
+where
+    S: AsyncRead + Unpin,
+{
+    loop {
+        if let Some(head) = parse_final_head(&received).ok()? {
+            return Some(head);
+        }
+        let remaining = MAX_HEAD_BYTES.checked_sub(received.len() + 1)?;
+        let mut chunk = vec![0; remaining + 1];
+        let length = stream.read(&mut chunk).await.ok()?;
+        if length == 0 {
+            return None;
+        }
+        received.extend_from_slice(&chunk[..length]);
+    }
+}
+
+/// Parses the first head that is not an interim one; returns `None` if it is not complete.
+fn parse_final_head(mut bytes: &[u8]) -> Result<Option<(StatusCode, HeaderMap)>, httparse::Error> {
+    loop {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut response = httparse::Response::new(&mut fields);
+        let httparse::Status::Complete(length) = response.parse(bytes)? else {
+            return Ok(None);
+        };
+        let status = response
+            .code
+            .and_then(|code| StatusCode::from_u16(code).ok());
+        let status = status.ok_or(httparse::Error::Status)?;
+        if status.is_informational() {
+            bytes = &bytes[length..];
+            continue;
+        }
+        let mut headers = HeaderMap::new();
+        for field in response.headers.iter() {
+            let name = HeaderName::from_bytes(field.name.as_bytes());
+            let name = name.map_err(|_| httparse::Error::HeaderName)?;
+            let value = HeaderValue::from_bytes(field.value);
+            headers.append(name, value.map_err(|_| httparse::Error::HeaderValue)?);
+        }
+        return Ok(Some((status, headers)));
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 pub mod follower;
 pub mod forwarded_request;
 pub mod forwarder;
+mod late_reply;
 mod leaf_end_check;
 pub mod leaf_notices;
 pub mod leaf_reports;
--- a/tests/gateway_leaf_notices.rs
+++ b/tests/gateway_leaf_notices.rs
@@ -119,6 +119,51 @@
     assert_eq!(serving.await.unwrap(), 1);
 }
 
+/// Starts a leaf that answers each request with `reply` once the VM has closed its side of the
+/// connection.
+async fn spawn_late(reply: &'static str) -> (SocketAddr, tokio::task::JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = tokio::spawn(async move {
+        let mut received = 0;
+        let idle = Duration::from_secs(1);
+        while let Ok(Ok((mut stream, _))) = tokio::time::timeout(idle, listener.accept()).await {
+            let mut request = Vec::new();
+            stream.read_to_end(&mut request).await.unwrap();
+            received += 1;
+            stream.write_all(reply.as_bytes()).await.unwrap();
+        }
+        received
+    });
+    (address, serving)
+}
+
+/// Guards against ignoring what a leaf says of itself in a reply to a call whose caller has left.
+#[tokio::test]
+async fn a_reply_to_a_call_that_was_given_up_is_respected() {
+    for reply in [
+        "HTTP/1.1 200 OK\r\nx-leaving: 1\r\nx-signature: s\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 503 Service Unavailable\r\nretry-after: 9\r\n\r\n",
+    ] {
+        let (address, serving) = spawn_late(reply).await;
+        let test_gateway = TestGateway::spawn().await;
+        let named = Leaf::spawn("leaf", 2, LeafBehaviour::Answer).await;
+        publish_service(&test_gateway, "/a/", true, 2, &[]);
+        let record = LeafRecord {
+            address,
+            ..named.record("s")
+        };
+        apply_change(&test_gateway, Change::Leaf(record), 2);
+        let call = test_gateway.get("/a/x");
+        let leaves_after = Duration::from_millis(100);
+        assert!(tokio::time::timeout(leaves_after, call).await.is_err());
+        tokio::time::sleep(leaves_after).await;
+        let reply = test_gateway.get("/a/x").await;
+        assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(serving.await.unwrap(), 1);
+    }
+}
+
 /// Guards against taking the announcement of another process at the address for the leaf's own.
 #[tokio::test]
 async fn another_process_at_the_address_does_not_announce_an_end() {
