Run requests that a stopping VM without links forwards

Callers of a VM without links to the leaves got 503 as soon as it was asked to stop, although it serves for most of its stop grace: the other VMs took it for a stranger, since a VM that is stopping is not among the live VMs, and rejected what it forwarded.

Change: a VM that has announced its stop may forward requests. The new test fails before the change with 503 after 55 ms.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -3,7 +3,7 @@
 //!
 //! Handles VMs that crash, leave or restart, and network partitions.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -165,6 +165,13 @@
         list_vms(&state.gossip, recent.map(|(address, _)| address))
     }
 
+    /// Returns whether a VM at an IP address has announced that it is stopping.
+    pub fn is_leaving(&self, ip: IpAddr) -> bool {
+        let state = self.state();
+        let mut leaving = state.gossip.leaving_vms();
+        leaving.any(|(address, _)| address.ip() == ip)
+    }
+
     /// Returns the internal address of this VM.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/src/gateway/vm_server.rs
+++ b/src/gateway/vm_server.rs
@@ -81,9 +81,10 @@
         }
     }
 
+    /// Returns whether a VM has this address. One that is stopping still serves its callers.
     fn is_vm(&self, ip: IpAddr) -> bool {
         let live_vms = self.membership.live_vms();
-        live_vms.iter().any(|vm| vm.address.ip() == ip)
+        live_vms.iter().any(|vm| vm.address.ip() == ip) || self.membership.is_leaving(ip)
     }
 }
 
--- a/tests/gateway_forwarding.rs
+++ b/tests/gateway_forwarding.rs
@@ -161,6 +161,22 @@
     }
 }
 
+/// Guards against refusals at a VM without links that is stopping, whose callers still use it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_without_links_that_is_stopping_forwards_its_requests() {
+    let fleet = TestFleet::start(3).await;
+    fleet.cut(0, Cut::Hang).await;
+    find_cut(&fleet).await;
+    assert!(fleet.vms[0].serves(request("/g/x")).await);
+    let _stopped = fleet.vms[0].stop();
+    let began = Instant::now();
+    while began.elapsed() < KNOWN {
+        let reply = fleet.vms[0].send(order("x")).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK, "{:?}", began.elapsed());
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against requests that wait for leaves, or pass from VM to VM, while no VM reaches a leaf,
 /// and against VMs that do not serve again afterwards.
 #[tokio::test(flavor = "multi_thread")]
