--- a/src/gateway/late_reply.rs
+++ b/src/gateway/late_reply.rs
@@ -18,10 +18,13 @@
 /// loaded leaf.
 const READ_LIMIT_MS: u64 = 50;
 
-/// Maximum size of a head, and number of its headers.
-const MAX_HEAD_BYTES: usize = 4 * 1_024;
+/// Maximum number of bytes that are read for a head, and of its headers.
+const MAX_HEAD_BYTES: u64 = 4 * 1_024;
 const MAX_HEADERS: usize = 64;
 
+/// Free space before each read.
+const READ_BYTES: usize = 1_024;
+
 /// Receives the status and the headers of a late reply.
 pub(super) type HeadObserver = Box<dyn Fn(StatusCode, &HeaderMap) + Send + Sync>;
 
@@ -73,21 +76,19 @@
 }
 
 /// Reads until a final head is complete.
-async fn read_head<S>(mut stream: S, mut received: Vec<u8>) -> Option<(StatusCode, HeaderMap)>
+async fn read_head<S>(stream: S, mut received: Vec<u8>) -> Option<(StatusCode, HeaderMap)>
 where
     S: AsyncRead + Unpin,
 {
+    let mut stream = stream.take(MAX_HEAD_BYTES);
     loop {
         if let Some(head) = parse_final_head(&received).ok()? {
             return Some(head);
         }
-        let remaining = MAX_HEAD_BYTES.checked_sub(received.len() + 1)?;
-        let mut chunk = vec![0; remaining + 1];
-        let length = stream.read(&mut chunk).await.ok()?;
-        if length == 0 {
+        received.reserve(READ_BYTES);
+        if stream.read_buf(&mut received).await.ok()? == 0 {
             return None;
         }
-        received.extend_from_slice(&chunk[..length]);
     }
 }
 
