Log requests that end without a response

A guard in the caller service now logs and counts it with its cause, and the last line of the process names the requests that are open.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -27,6 +27,7 @@
 use super::link_monitor::LinkMonitor;
 use super::membership::LiveVm;
 use super::metrics::Metrics;
+use super::open_requests::OpenRequests;
 use super::pause_predictor::Stall;
 use super::reply_memory::ReplyMemory;
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
@@ -110,6 +111,8 @@
     pub metrics: Metrics,
     /// Memory that the replies of leaves share.
     pub reply_memory: Arc<ReplyMemory>,
+    /// Requests in progress on this VM.
+    pub open_requests: OpenRequests,
     active_addresses: Mutex<Arc<[SocketAddr]>>,
     active_vms: Mutex<Option<ActiveVms>>,
     started_ms: u64,
@@ -149,6 +152,7 @@
             headers,
             metrics,
             reply_memory: Arc::new(ReplyMemory::new(DEFAULT_REPLY_MEMORY_BYTES)),
+            open_requests: OpenRequests::default(),
             active_addresses: Mutex::new(Arc::from([])),
             active_vms: Mutex::default(),
             started_ms: boot_ms(),
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -256,6 +256,9 @@
         if let Ok(membership) = self.component_registry.find::<Membership>(CONTROL) {
             membership.leave();
         }
+        if let Ok(engine) = self.component_registry.find::<Engine>(ROOT) {
+            engine.open_requests.record_stop();
+        }
         self.shutdown_signals.draining.cancel();
         Gateway {
             component_registry: self.component_registry,
@@ -293,7 +296,13 @@
         let remaining_ms = grace_ms.saturating_sub(elapsed_ms + EXIT_MARGIN_MS);
         let ended =
             tokio::time::timeout(Duration::from_millis(remaining_ms), self.state.serve_task).await;
-        info!(event = "gateway_stopped", vm = %self.settings.vm, finished = ended.is_ok());
+        let finished = ended.is_ok();
+        if let Ok(engine) = self.component_registry.find::<Engine>(ROOT) {
+            let requests = &engine.open_requests;
+            requests.record_exit();
+            let (open, unanswered) = (requests.count(), requests.unanswered());
+            info!(event = "gateway_stopped", vm = %self.settings.vm, finished, open, unanswered);
+        }
         self.component_registry.clear();
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     forwarded: Counter<u64>,
     link_checks: Counter<u64>,
     links_lost: Gauge<u64>,
+    unanswered: Counter<u64>,
 }
 
 impl Metrics {
@@ -46,6 +47,9 @@
                 .build(),
             link_checks: meter.u64_counter("cloverrack_gateway_link_checks").build(),
             links_lost: meter.u64_gauge("cloverrack_gateway_links_lost").build(),
+            unanswered: meter
+                .u64_counter("cloverrack_gateway_unanswered_requests")
+                .build(),
             exporter,
         })
     }
@@ -92,6 +96,11 @@
         self.links_lost.record(u64::from(are_lost), &[]);
     }
 
+    /// Counts a request that ended without a response, by cause.
+    pub fn count_unanswered(&self, cause: &'static str) {
+        self.unanswered.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -22,6 +22,7 @@
 use super::forwarder::Forwarder;
 use super::leaf_end_check::LeafQuestion;
 use super::link_check::LINK_CHECK_WAIT;
+use super::open_requests::OpenRequest;
 use super::refusal::{Refusal, empty_response, refusal_response};
 use super::request_run;
 use super::routes::{Route, RouteTable};
@@ -176,8 +177,10 @@
             return Ok(refuse(request_id, refusal));
         }
         let engine = &self.engine;
+        let open_request = OpenRequest::new(engine, request_id, started_us);
         let run = request_run::run(engine, &route_table, route, &spec, prior_calls, started_us);
         let end = run.await;
+        open_request.finish();
         let has_not_run = end
             .movable
             .is_some_and(|calls| calls.sent == prior_calls.sent);
@@ -235,6 +238,7 @@
         let started_us = boot_us();
         let request_id = request.headers().get(&self.engine.headers.request_id);
         let request_id = request_id.cloned();
+        let open_request = OpenRequest::new(&self.engine, request_id.as_ref(), started_us);
         let response = match self.answer(request).await {
             Ok(response) => response,
             Err(refusal) => refuse(request_id.as_ref(), refusal),
@@ -243,6 +247,7 @@
         self.engine
             .metrics
             .count_answer(response.status().as_u16(), elapsed_us);
+        open_request.finish();
         response
     }
 }
