--- /dev/null
+++ b/tests/gateway_planned_stop.rs
@@ -0,0 +1,113 @@
+//! Planned stops of a VM: each request that it reads is answered before its process ends.
+//!
+//! The VMs run in this process, so a response that arrives after the end of a stop counts as lost.
+
+#![expect(clippy::unwrap_used, reason = "a failure of the harness ends the test")]
+
+#[path = "../platform/tests/soak/cuts.rs"]
+#[allow(dead_code, reason = "links of the soak can be cut by VM")]
+mod cuts;
+#[path = "support/fleet.rs"]
+#[allow(unused_imports, reason = "the tests use a part of the fleet")]
+mod fleet;
+#[path = "support/gateway.rs"]
+mod gateway;
+#[path = "../platform/tests/soak/link.rs"]
+#[allow(dead_code, reason = "the tests use a part of the links")]
+mod link;
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cloverrack::gateway::Connection;
+use fleet::{ONCE_SERVICE, SAFE_SERVICE, STOP_GRACE_MS, TestFleet};
+use futures_util::future::join_all;
+use gateway::{LeafBehaviour, order, request};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use tokio::time::sleep;
+
+/// Time for which leaves work on a request: longer than a stopping VM once reserved for the last
+/// responses.
+const WORK_MS: u64 = 1_500;
+
+/// Interval between the requests of a test.
+const SEND_INTERVAL_MS: u64 = 100;
+
+/// How a request ended.
+#[derive(Debug)]
+struct End {
+    id: String,
+    sent_ms: u64,
+    ended: Instant,
+    status: Option<StatusCode>,
+}
+
+fn with_id(mut request: Request<Full<Bytes>>, id: &str) -> Request<Full<Bytes>> {
+    request
+        .headers_mut()
+        .insert("x-request", id.parse().unwrap());
+    request
+}
+
+/// Sends a request over a connection that has carried another one before the stop.
+async fn send_later(mut connection: Connection, kind: &str, sent_ms: u64) -> End {
+    sleep(Duration::from_millis(sent_ms)).await;
+    let id = format!("{kind}-{sent_ms}");
+    let planned = match kind {
+        "order" => order("x"),
+        _ => request("/a/x"),
+    };
+    let reply = connection.exchange(with_id(planned, &id)).await;
+    End {
+        id,
+        sent_ms,
+        ended: Instant::now(),
+        status: reply.ok().map(|reply| reply.status),
+    }
+}
+
+/// Guards against requests that a stopping VM reads late in the grace period, passes to a leaf, and
+/// drops without a response when its process ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_read_late_in_the_grace_period_are_answered_before_the_exit() {
+    let fleet = TestFleet::start(2).await;
+    let vm = &fleet.vms[0];
+    let mut callers = Vec::new();
+    for sent_ms in (0..STOP_GRACE_MS).step_by(SEND_INTERVAL_MS as usize) {
+        for kind in ["safe", "order"] {
+            let mut connection = Connection::open(vm.address).await.unwrap();
+            connection.exchange(request("/a/x")).await.unwrap();
+            callers.push(send_later(connection, kind, sent_ms));
+        }
+    }
+    for (_, leaf) in &fleet.leaves {
+        leaf.set(LeafBehaviour::Slow(WORK_MS));
+    }
+    let stopped = vm.stop();
+    let stopped_at = async {
+        stopped.await.unwrap();
+        Instant::now()
+    };
+    let (ends, stopped_at) = tokio::join!(join_all(callers), stopped_at);
+    let mut executed = fleet.executed_ids(SAFE_SERVICE);
+    executed.extend(fleet.executed_ids(ONCE_SERVICE));
+    for end in &ends {
+        let runs = executed.iter().filter(|id| **id == end.id).count();
+        match end.status {
+            None => assert_eq!(runs, 0, "no response: {end:?}"),
+            Some(_) => assert!(end.ended <= stopped_at, "response after the exit: {end:?}"),
+        }
+        let is_refused = end.status == Some(StatusCode::SERVICE_UNAVAILABLE);
+        assert!(!is_refused || runs == 0, "refused and run: {end:?}");
+        assert!(
+            runs <= 1 || end.id.starts_with("safe"),
+            "run {runs} times: {end:?}"
+        );
+    }
+    let early = ends.iter().filter(|end| end.sent_ms < STOP_GRACE_MS / 2);
+    assert!(
+        early.clone().all(|end| end.status == Some(StatusCode::OK)),
+        "{ends:?}"
+    );
+}
