Answer all requests of a stopping VM before the process exits

Cause: the VM took requests until 1.2 s before the end of the grace period, whatever time they needed, and dropped what was left 0.2 s before its end together with the runtime. Nothing told a request when it had to be answered.

A stop now has a schedule that shrinks with the grace period and that each request follows. A call is sent to a leaf only if the leaf is expected to answer in time; what has no time is refused at once, which is true since nothing was sent. At the time for answers every request is ended: with the shards that have replied, refused if no leaf has it, or failed without a promise. The listeners stay open until all of this is done, forwarded requests follow the same times, and the directory, readiness and metrics listeners are waited for as well, which were not before.

Forwarding late requests to another VM was ruled out: its response passes through the VM that exits.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -32,6 +32,7 @@
 use super::reply_memory::ReplyMemory;
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
 use super::routes::{RouteTable, ServiceNames};
+use super::stop_schedule::StopSchedule;
 use super::unanswered_runs::RecentSuccesses;
 use super::vm_selection::{active_vms, desired_active_vms, leaf_using_vms};
 use crate::clock::{boot_ms, boot_us};
@@ -121,6 +122,7 @@
     pub(super) evidence_queued: Notify,
     pub(super) forwards: watch::Sender<bool>,
     pub(super) refusal_recorded: Notify,
+    pub(super) stop: watch::Sender<Option<StopSchedule>>,
     state: Mutex<State>,
 }
 
@@ -161,6 +163,7 @@
             evidence_queued: Notify::new(),
             forwards: watch::Sender::new(false),
             refusal_recorded: Notify::new(),
+            stop: watch::Sender::new(None),
             state: Mutex::new(state),
         }
     }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
+use tokio_util::task::TaskTracker;
 use tracing::info;
 
 use super::catalog_rpc;
@@ -26,9 +27,11 @@
 use super::metrics::Metrics;
 use super::retry_budgets::RetryBudgetLimits;
 use super::service::CallerService;
+use super::stop_schedule::StopSchedule;
+use super::stop_signal::sleep_until_us;
 use super::vm_client::VmClient;
 use super::vm_server::VmServer;
-use crate::clock::{boot_ms, unix_ms};
+use crate::clock::{boot_ms, boot_us, unix_ms};
 use crate::component_registry::{CONTROL, ComponentRegistry, ROOT, TELEMETRY};
 use crate::fact::Profile;
 use crate::http_server::{Handler, ShutdownSignals, serve};
@@ -37,13 +40,6 @@
 /// and evidence on contents.
 const MAINTENANCE_INTERVAL_MS: u64 = 250;
 
-/// Time reserved at the end of the stop grace period for sending the last responses.
-const STOP_MARGIN_MS: u64 = 1_200;
-
-/// Time before the end of the stop grace period at which the process exits by itself. At its end
-/// the process is killed.
-const EXIT_MARGIN_MS: u64 = 200;
-
 /// Settings of the gateway on one VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewaySettings {
@@ -92,16 +88,13 @@
 }
 
 /// State of a gateway that serves callers.
-#[derive(Debug)]
-pub struct Serving {
-    serve_task: tokio::task::JoinHandle<()>,
-}
+#[derive(Clone, Copy, Debug)]
+pub struct Serving;
 
 /// State of a gateway that is draining: its address is no longer returned to callers.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Draining {
-    serve_task: tokio::task::JoinHandle<()>,
-    since_ms: u64,
+    schedule: StopSchedule,
 }
 
 /// The gateway in lifecycle state `S`.
@@ -109,6 +102,8 @@
     component_registry: Arc<ComponentRegistry>,
     settings: Arc<GatewaySettings>,
     shutdown_signals: ShutdownSignals,
+    /// Servers of all listeners, which end when the last connection has ended.
+    servers: TaskTracker,
     state: S,
 }
 
@@ -197,7 +192,7 @@
             Arc::clone(&engine),
             Arc::clone(&membership),
             settings.leaf_reports_address.port(),
-            settings.stop_grace_ms.saturating_sub(STOP_MARGIN_MS),
+            StopSchedule::serving_ms(settings.stop_grace_ms),
         ));
         tokio::spawn(leaf_end_check::run(
             Arc::clone(&engine),
@@ -221,15 +216,16 @@
             shutdown_signals.without_draining(),
         );
         let server = serve(listener, service, shutdown_signals.clone());
-        let serve_task = tokio::spawn(async {
-            tokio::join!(server, vm_server);
-        });
+        let servers = TaskTracker::new();
+        servers.spawn(server);
+        servers.spawn(vm_server);
         info!(event = "gateway_serving", vm = %settings.vm, address = %settings.caller_address);
         Ok(Self {
             component_registry,
             settings,
             shutdown_signals,
-            state: Serving { serve_task },
+            servers,
+            state: Serving,
         })
     }
 
@@ -246,7 +242,8 @@
     ) -> Result<(), Report<GatewayError>> {
         let listener = bind(address, name).await?;
         let shutdown_signals = self.shutdown_signals.without_draining();
-        tokio::spawn(serve(listener, handler, shutdown_signals));
+        self.servers
+            .spawn(serve(listener, handler, shutdown_signals));
         Ok(())
     }
 
@@ -256,18 +253,17 @@
         if let Ok(membership) = self.component_registry.find::<Membership>(CONTROL) {
             membership.leave();
         }
+        let schedule = StopSchedule::new(boot_us(), self.settings.stop_grace_ms);
         if let Ok(engine) = self.component_registry.find::<Engine>(ROOT) {
-            engine.open_requests.record_stop();
+            engine.begin_stop(schedule);
         }
         self.shutdown_signals.draining.cancel();
         Gateway {
             component_registry: self.component_registry,
             settings: self.settings,
             shutdown_signals: self.shutdown_signals,
-            state: Draining {
-                serve_task: self.state.serve_task,
-                since_ms: boot_ms(),
-            },
+            servers: self.servers,
+            state: Draining { schedule },
         }
     }
 }
@@ -285,18 +281,17 @@
 }
 
 impl Gateway<Draining> {
-    /// Serves callers until the stop margin begins, then waits until the last response is sent or
-    /// the process has to exit.
+    /// Serves callers until the time to close connections, then waits until the last connection has
+    /// ended or the process has to exit.
     pub async fn stop(self) {
-        let grace_ms = self.settings.stop_grace_ms;
-        let serve_ms = grace_ms.saturating_sub(STOP_MARGIN_MS);
-        sleep(Duration::from_millis(serve_ms)).await;
+        let schedule = self.state.schedule;
+        sleep_until_us(schedule.close_at_us).await;
         self.shutdown_signals.stop.cancel();
-        let elapsed_ms = boot_ms().saturating_sub(self.state.since_ms);
-        let remaining_ms = grace_ms.saturating_sub(elapsed_ms + EXIT_MARGIN_MS);
-        let ended =
-            tokio::time::timeout(Duration::from_millis(remaining_ms), self.state.serve_task).await;
-        let finished = ended.is_ok();
+        self.servers.close();
+        let finished = tokio::select! {
+            () = self.servers.wait() => true,
+            () = sleep_until_us(schedule.exit_at_us) => false,
+        };
         if let Ok(engine) = self.component_registry.find::<Engine>(ROOT) {
             let requests = &engine.open_requests;
             requests.record_exit();
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -22,6 +22,7 @@
 use super::forwarded_request::PriorCalls;
 use super::leaves::NoLeafError;
 use super::shard::Shard;
+use super::stop_schedule::StopSchedule;
 use crate::clock::boot_us;
 use crate::ids::{LeafKey, ServiceKey};
 
@@ -55,6 +56,8 @@
     pub relays_errors: bool,
     /// Target latency of the route.
     pub target_us: u64,
+    /// Time within which a leaf usually answers.
+    pub expected_us: u64,
     /// Deadlines of the request.
     pub schedule: FanoutSchedule,
     /// What other VMs have done with the request.
@@ -80,6 +83,8 @@
     pub denied_retries: usize,
     /// Whether a call was not sent because the leaves had named a limit on their rate.
     pub is_rate_limited: bool,
+    /// Whether a call was not sent because this VM stops before a leaf would answer.
+    pub is_stopping: bool,
     /// Time at which the shards without a reply whose leaves want no calls may be called again.
     pub retry_at_us: Option<u64>,
     /// Error of the call that failed last.
@@ -109,8 +114,10 @@
     denied_retries: usize,
     is_rate_limited: bool,
     is_unreachable: bool,
+    is_stopping: bool,
     retry_at_us: Option<u64>,
     last_error: Option<CallError>,
+    stop: watch::Receiver<Option<StopSchedule>>,
     /// Whether requests are forwarded to other VMs, since this one reaches no leaf.
     forwards: watch::Receiver<bool>,
 }
@@ -127,6 +134,7 @@
         let services = plan.services.iter().copied();
         let shards = services.map(|service| Shard::new(service, sent)).collect();
         let forwards = engine.forwards();
+        let stop = engine.stop_schedule();
         let request_id = spec.request_id.as_bytes();
         let attempt = Attempt::new(Arc::clone(&engine), spec.content, request_id);
         Self {
@@ -142,8 +150,10 @@
             denied_retries: 0,
             is_rate_limited: false,
             is_unreachable: false,
+            is_stopping: false,
             retry_at_us: None,
             last_error: None,
+            stop,
             forwards,
         }
     }
@@ -163,17 +173,19 @@
             if *self.forwards.borrow_and_update() && self.is_movable() {
                 return self.finish(false);
             }
-            self.start_calls(elapsed_us);
+            let schedule = self.schedule();
+            if self.has_time_for_calls(elapsed_us) {
+                self.start_calls(elapsed_us);
+            } else {
+                self.drop_waiting_calls();
+            }
             self.stop_pending_shards();
-            match self
-                .shard_counts(elapsed_us)
-                .step(&self.plan.schedule, elapsed_us)
-            {
+            match self.shard_counts(elapsed_us).step(&schedule, elapsed_us) {
                 FanoutDecision::Answer => return self.finish(true),
                 FanoutDecision::GiveUp => return self.finish(false),
                 FanoutDecision::Wait => {}
             }
-            let next_us = self.next_wake_us(elapsed_us);
+            let next_us = self.next_wake_us(&schedule, elapsed_us);
             if next_us != timer_at_us {
                 timer_at_us = next_us;
                 reset_timer(timer.as_mut(), next_us.saturating_sub(elapsed_us));
@@ -184,6 +196,37 @@
                     self.handle_call_end(ended),
                 () = timer.as_mut() => timer_at_us = 0,
                 Ok(()) = self.forwards.changed() => {}
+                Ok(()) = self.stop.changed() => {}
+            }
+        }
+    }
+
+    /// Returns the deadlines of the request, which has to be answered before this VM stops.
+    fn schedule(&mut self) -> FanoutSchedule {
+        let schedule = self.plan.schedule;
+        match *self.stop.borrow_and_update() {
+            Some(stop) => schedule.ending_by(stop.answer_by_us.saturating_sub(self.started_us)),
+            None => schedule,
+        }
+    }
+
+    /// Returns whether leaves can answer further calls before this VM stops.
+    fn has_time_for_calls(&self, elapsed_us: u64) -> bool {
+        let Some(stop) = *self.stop.borrow() else {
+            return true;
+        };
+        let now_us = self.started_us + elapsed_us;
+        let deadline_us = self.started_us + self.plan.schedule.timeout_us;
+        let (expected_us, is_idempotent) = (self.plan.expected_us, self.plan.idempotent);
+        stop.allows_call(now_us, expected_us, deadline_us, is_idempotent)
+    }
+
+    /// Fails the shards that wait for a call.
+    fn drop_waiting_calls(&mut self) {
+        for index in 0..self.shards.len() {
+            if self.shards[index].is_pending() && self.shards[index].needs_call {
+                self.is_stopping = true;
+                self.handle_calls_unwanted(index);
             }
         }
     }
@@ -437,8 +480,7 @@
     }
 
     /// Returns when the next action is due even if no call ends, as time since the request arrived.
-    fn next_wake_us(&self, elapsed_us: u64) -> u64 {
-        let schedule = &self.plan.schedule;
+    fn next_wake_us(&self, schedule: &FanoutSchedule, elapsed_us: u64) -> u64 {
         let mut next_us = schedule.timeout_us;
         if elapsed_us < schedule.partial_response_us {
             next_us = next_us.min(schedule.partial_response_us);
@@ -503,6 +545,7 @@
             sent_calls: self.sent_calls,
             movable,
             is_unreachable: self.is_unreachable,
+            is_stopping: self.is_stopping,
             denied_retries: self.denied_retries,
             is_rate_limited: self.is_rate_limited,
             retry_at_us: self.retry_at_us,
--- a/src/gateway/fanout_schedule.rs
+++ b/src/gateway/fanout_schedule.rs
@@ -16,6 +16,9 @@
 /// Mean deviations above the mean latency that a hedged call is expected to take at most.
 const HEDGE_DEVIATIONS: u64 = 2;
 
+/// Mean deviations above the mean latency that nearly all calls take at most.
+const SLOW_DEVIATIONS: u64 = 4;
+
 /// Network round-trip time of a hedged call, in addition to the leaf's processing time.
 const HEDGE_ROUND_TRIP_US: u64 = 2_500;
 
@@ -56,6 +59,11 @@
         self.deviation_us = ewma(self.deviation_us, difference_us);
     }
 
+    /// Returns the time within which nearly all calls complete.
+    pub fn slow_us(self) -> u64 {
+        self.mean_us + SLOW_DEVIATIONS * self.deviation_us
+    }
+
     /// Returns the time within which a hedged call most probably completes.
     fn expected_hedge_us(self) -> u64 {
         self.mean_us + HEDGE_DEVIATIONS * self.deviation_us + HEDGE_ROUND_TRIP_US
@@ -109,6 +117,24 @@
             timeout_us,
         }
     }
+
+    /// Returns the schedule of a request that has to end by `end_us`, with the shards that have replied
+    /// by then.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::FanoutSchedule;
+    /// let schedule = FanoutSchedule::single(600_000, 6_000_000).ending_by(2_000_000);
+    /// assert_eq!(schedule.timeout_us, 2_000_000);
+    /// ```
+    pub fn ending_by(self, end_us: u64) -> Self {
+        Self {
+            partial_response_us: self.partial_response_us.min(end_us),
+            timeout_us: self.timeout_us.min(end_us),
+            ..self
+        }
+    }
 }
 
 /// Numbers of shards of a request by state.
@@ -153,12 +179,12 @@
         if self.open == 0 && self.parts >= self.min_parts {
             return FanoutDecision::Answer;
         }
-        if self.parts + self.open < self.min_parts || elapsed_us >= schedule.timeout_us {
-            return FanoutDecision::GiveUp;
-        }
         if self.parts >= self.min_parts && elapsed_us >= schedule.partial_response_us {
             return FanoutDecision::Answer;
         }
+        if self.parts + self.open < self.min_parts || elapsed_us >= schedule.timeout_us {
+            return FanoutDecision::GiveUp;
+        }
         FanoutDecision::Wait
     }
 
--- a/src/gateway/forwarded_request.rs
+++ b/src/gateway/forwarded_request.rs
@@ -66,6 +66,9 @@
     /// It handles too many forwarded requests.
     #[error("busy")]
     Busy,
+    /// It stops before the request would end.
+    #[error("stopping")]
+    Stopping,
     /// It does not accept the request, for example since it does not know the forwarding VM.
     #[error("rejected")]
     Rejected,
@@ -73,11 +76,12 @@
 
 impl NotRunReason {
     /// All reasons.
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::LinksLost,
         Self::Unreachable,
         Self::OlderConfiguration,
         Self::Busy,
+        Self::Stopping,
         Self::Rejected,
     ];
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`link_monitor`].
+//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`].
 
 mod attempt;
 pub mod call;
@@ -50,6 +50,8 @@
 pub mod routes;
 pub mod service;
 mod shard;
+pub mod stop_schedule;
+mod stop_signal;
 pub mod unanswered_runs;
 pub mod vm_client;
 pub mod vm_selection;
@@ -93,6 +95,7 @@
     min_parts, pick_weighted,
 };
 pub use service::CallerService;
+pub use stop_schedule::StopSchedule;
 pub use unanswered_runs::{RecentSuccesses, UnansweredRun, UnansweredRuns};
 pub use vm_client::{ChosenVm, VmCallError, VmClient};
 pub use vm_selection::{active_vms, caller_addresses, desired_active_vms, leaf_using_vms};
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -21,6 +21,10 @@
 /// than overload.
 const RETRY_WAIT_MS: Range<u64> = 200..500;
 
+/// Range of the retry time for requests that another VM can serve now. The spread keeps the callers of a
+/// VM that stops from reaching the others in the same moment.
+const OTHER_VM_RETRY_WAIT_MS: Range<u64> = 0..20;
+
 /// Maximum retry time after an overload, as a divisor of the time until the caller's deadline:
 /// callers wait no longer than that.
 const RETRY_WAIT_DIVISOR: u64 = 3;
@@ -52,6 +56,11 @@
     Unreachable { remaining_ms: u64 },
     #[error("leaves want no requests for another {wait_ms} ms")]
     RetryAfter { wait_ms: u64 },
+    #[error("this VM stops before the request would end")]
+    Stopping {
+        /// Whether callers find another VM, which can serve the request at once.
+        has_other_vm: bool,
+    },
     /// `pressure` is the smoothed ratio of the median call latency to the acceptable one.
     #[error("leaf queues are too long: limit {limit:.1}, pressure {pressure:.2}")]
     Overloaded {
@@ -70,6 +79,7 @@
             | Self::RetryAfter { .. }
             | Self::LinksLost { .. }
             | Self::Unreachable { .. }
+            | Self::Stopping { .. }
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoRequestId => StatusCode::BAD_REQUEST,
@@ -91,6 +101,7 @@
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
                 max_wait_ms / 2..max_wait_ms.max(MIN_RETRY_WAIT_MS)
             }
+            Self::Stopping { has_other_vm: true } => OTHER_VM_RETRY_WAIT_MS,
             Self::RetryAfter { wait_ms } => retry_wait_after_ms(wait_ms),
             Self::Quarantined { until_unix_ms } => {
                 let remaining_ms = until_unix_ms.saturating_sub(unix_ms());
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -91,8 +91,13 @@
     };
     request_log.log(&fanout_result, route_table.version);
     if !fanout_result.complete {
+        let is_refused = fanout_result.is_stopping && !fanout_result.may_have_run;
         return RunEnd {
-            response: Ok(failure_response(&fanout_result)),
+            response: if is_refused {
+                Err(Refusal::Stopping { has_other_vm: true })
+            } else {
+                Ok(failure_response(&fanout_result))
+            },
             movable: fanout_result.movable,
             is_unreachable: fanout_result.is_unreachable,
         };
@@ -105,6 +110,27 @@
     response.into()
 }
 
+/// Returns whether a leaf can answer a request before this VM stops.
+pub(super) fn has_time(engine: &Engine, route: &Route, spec: &CallSpec) -> bool {
+    let Some(stop) = *engine.stop_schedule().borrow() else {
+        return true;
+    };
+    let expected_us = expected_us(engine, route);
+    stop.allows_call(
+        boot_us(),
+        expected_us,
+        spec.deadline_us,
+        route.spec.idempotent,
+    )
+}
+
+/// Returns the time within which a leaf usually answers a request.
+fn expected_us(engine: &Engine, route: &Route) -> u64 {
+    let target_us = route.spec.target_latency_ms * 1_000;
+    let call_latency = engine.call_latency(&route.spec.name, target_us);
+    target_us.max(call_latency.slow_us())
+}
+
 /// Returns the end of a request that is refused on arrival. Another VM may have what this one lacks,
 /// unless the leaves refuse requests of all VMs.
 fn refused(refusal: Refusal, prior_calls: PriorCalls) -> RunEnd {
@@ -264,6 +290,7 @@
         idempotent: spec.idempotent,
         relays_errors: !merges,
         target_us,
+        expected_us: expected_us(engine, route),
         schedule,
         prior_calls,
     }
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -88,10 +88,18 @@
         let mut prior_calls = PriorCalls::default();
         let forward = async |prior_calls| {
             let forwarder = self.forwarder.as_ref()?;
+            if !request_run::has_time(&self.engine, route, &spec) {
+                return None;
+            }
             let name = &route.spec.name;
-            forwarder
-                .forward(name, &host, &spec, route_table.version, prior_calls)
-                .await
+            let forwarding =
+                forwarder.forward(name, &host, &spec, route_table.version, prior_calls);
+            tokio::select! {
+                biased;
+                response = forwarding => response,
+                // The other VM may run the request.
+                () = self.engine.answers_due() => Some(empty_response(StatusCode::BAD_GATEWAY)),
+            }
         };
         let uses_leaves = self.engine.uses_leaves();
         if !uses_leaves && let Some(response) = forward(prior_calls).await {
@@ -100,6 +108,9 @@
         let engine = &self.engine;
         let run = request_run::run(engine, &route_table, route, &spec, prior_calls, started_us);
         let end = run.await;
+        if matches!(end.response, Err(Refusal::Stopping { .. })) {
+            return Err(self.stopping_refusal());
+        }
         let Some(calls) = end.movable.filter(|_| uses_leaves) else {
             return end.response;
         };
@@ -112,6 +123,13 @@
         end.response
     }
 
+    /// Returns the refusal of a request that this VM can't run before it stops.
+    fn stopping_refusal(&self) -> Refusal {
+        let forwarder = self.forwarder.as_ref();
+        let has_other_vm = forwarder.is_some_and(|forwarder| forwarder.has_candidate());
+        Refusal::Stopping { has_other_vm }
+    }
+
     fn check_quarantine(&self, spec: &CallSpec) -> Result<(), Refusal> {
         match self.engine.content_verdict(&spec.content) {
             ContentVerdict::Quarantined { until_unix_ms } => {
@@ -134,6 +152,11 @@
         forwarder.is_some_and(|forwarder| forwarder.may_reach(route))
     }
 
+    /// Waits until this VM stops and has to answer all requests.
+    pub(super) async fn answers_due(&self) {
+        self.engine.answers_due().await;
+    }
+
     /// Tells another VM which leaves this one reaches.
     pub(super) async fn answer_leaf_questions(
         &self,
@@ -190,6 +213,9 @@
         if has_not_run && end.is_unreachable {
             return Err(NotRunReason::Unreachable);
         }
+        if has_not_run && engine.is_stopping() && end.response.is_err() {
+            return Err(NotRunReason::Stopping);
+        }
         Ok(end
             .response
             .unwrap_or_else(|refusal| refuse(request_id, refusal)))
@@ -215,7 +241,12 @@
         let remaining_ms = remaining_ms.min(route.spec.timeout_ms);
         let remaining_ms = remaining_ms.saturating_sub(END_MARGIN_MS.min(remaining_ms / 8));
         let limit_bytes = usize::try_from(route_table.limits.max_body_bytes).unwrap_or(usize::MAX);
-        let body = match read_body(body, limit_bytes).await {
+        let body = tokio::select! {
+            biased;
+            body = read_body(body, limit_bytes) => body,
+            () = self.engine.answers_due() => return Err(self.stopping_refusal()),
+        };
+        let body = match body {
             Ok(body) => body,
             Err(BodyError::TooLarge) => return Err(Refusal::BodyTooLarge),
             Err(BodyError::Incomplete) => return Err(Refusal::BodyIncomplete),
@@ -239,7 +270,13 @@
         let request_id = request.headers().get(&self.engine.headers.request_id);
         let request_id = request_id.cloned();
         let open_request = OpenRequest::new(&self.engine, request_id.as_ref(), started_us);
-        let response = match self.answer(request).await {
+        let answer = tokio::select! {
+            biased;
+            answer = self.answer(request) => answer,
+            // A leaf may have run the request.
+            () = self.engine.answers_overdue() => Ok(empty_response(StatusCode::BAD_GATEWAY)),
+        };
+        let response = match answer {
             Ok(response) => response,
             Err(refusal) => refuse(request_id.as_ref(), refusal),
         };
--- a/src/gateway/vm_server.rs
+++ b/src/gateway/vm_server.rs
@@ -62,7 +62,11 @@
         let path: Box<str> = request.uri().path().into();
         let permit = self.permits.try_acquire();
         let _permit = permit.map_err(|_| NotRunReason::Busy)?;
-        let body = read_body(request.into_body(), MAX_FRAME_BYTES).await;
+        let body = tokio::select! {
+            biased;
+            body = read_body(request.into_body(), MAX_FRAME_BYTES) => body,
+            () = self.service.answers_due() => return Err(NotRunReason::Stopping),
+        };
         let body = body.map_err(|_| NotRunReason::Rejected)?;
         let malformed = |error| {
             info!(event = "forwarded_request_malformed", %error);
