Stop by the latest grace period of the settings

The settings file may change while a VM serves, and the grace period was the only setting of a stop that was read once. A VM whose grace period had become shorter would have been killed with requests in flight.

The test fails without the change (the stop takes the 6 s of the start and a waiting request ends at its deadline with 504) and passes with it.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::header::HeaderName;
@@ -117,6 +117,7 @@
     active_addresses: Mutex<Arc<[SocketAddr]>>,
     active_vms: Mutex<Option<ActiveVms>>,
     started_ms: u64,
+    stop_grace_ms: AtomicU64,
     is_watcher: AtomicBool,
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
@@ -158,6 +159,7 @@
             active_addresses: Mutex::new(Arc::from([])),
             active_vms: Mutex::default(),
             started_ms: boot_ms(),
+            stop_grace_ms: AtomicU64::new(0),
             is_watcher: AtomicBool::new(true),
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
@@ -179,6 +181,16 @@
         self.state().retry_budgets.set_limits(limits);
     }
 
+    /// Changes the time from a stop signal to the end of the process, unless there was one.
+    pub fn set_stop_grace_ms(&self, stop_grace_ms: u64) {
+        self.stop_grace_ms.store(stop_grace_ms, Ordering::Relaxed);
+    }
+
+    /// Returns the time from a stop signal to the end of the process.
+    pub fn stop_grace_ms(&self) -> u64 {
+        self.stop_grace_ms.load(Ordering::Relaxed)
+    }
+
     /// Sets whether this VM watches the platform itself.
     pub fn set_platform_watcher(&self, is_watcher: bool) {
         self.is_watcher.store(is_watcher, Ordering::Relaxed);
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -100,6 +100,7 @@
 /// The gateway in lifecycle state `S`.
 pub struct Gateway<S> {
     component_registry: Arc<ComponentRegistry>,
+    engine: Arc<Engine>,
     settings: Arc<GatewaySettings>,
     shutdown_signals: ShutdownSignals,
     /// Servers of all listeners, which end when the last connection has ended.
@@ -150,6 +151,7 @@
             metrics,
         );
         let engine = Arc::new(engine.with_reply_memory(settings.reply_memory_bytes));
+        engine.set_stop_grace_ms(settings.stop_grace_ms);
         let component_registry = Arc::new(ComponentRegistry::default());
         component_registry.register(CONTROL, Arc::clone(&membership));
         component_registry.register(ROOT, Arc::clone(&engine));
@@ -206,7 +208,7 @@
             Arc::clone(&forwarder),
         ));
         let shutdown_signals = ShutdownSignals::default();
-        let service = CallerService::new(engine).with_forwarder(forwarder);
+        let service = CallerService::new(Arc::clone(&engine)).with_forwarder(forwarder);
         let service = Arc::new(service);
         component_registry.register(TELEMETRY, Arc::clone(&service));
         let vm_server = VmServer::new(Arc::clone(&service), membership);
@@ -222,6 +224,7 @@
         info!(event = "gateway_serving", vm = %settings.vm, address = %settings.caller_address);
         Ok(Self {
             component_registry,
+            engine,
             settings,
             shutdown_signals,
             servers,
@@ -253,13 +256,12 @@
         if let Ok(membership) = self.component_registry.find::<Membership>(CONTROL) {
             membership.leave();
         }
-        let schedule = StopSchedule::new(boot_us(), self.settings.stop_grace_ms);
-        if let Ok(engine) = self.component_registry.find::<Engine>(ROOT) {
-            engine.begin_stop(schedule);
-        }
+        let schedule = StopSchedule::new(boot_us(), self.engine.stop_grace_ms());
+        self.engine.begin_stop(schedule);
         self.shutdown_signals.draining.cancel();
         Gateway {
             component_registry: self.component_registry,
+            engine: self.engine,
             settings: self.settings,
             shutdown_signals: self.shutdown_signals,
             servers: self.servers,
@@ -292,12 +294,10 @@
             () = self.servers.wait() => true,
             () = sleep_until_us(schedule.exit_at_us) => false,
         };
-        if let Ok(engine) = self.component_registry.find::<Engine>(ROOT) {
-            let requests = &engine.open_requests;
-            requests.record_exit();
-            let (open, unanswered) = (requests.count(), requests.unanswered());
-            info!(event = "gateway_stopped", vm = %self.settings.vm, finished, open, unanswered);
-        }
+        let requests = &self.engine.open_requests;
+        requests.record_exit();
+        let (open, unanswered) = (requests.count(), requests.unanswered());
+        info!(event = "gateway_stopped", vm = %self.settings.vm, finished, open, unanswered);
         self.component_registry.clear();
     }
 }
--- a/tests/gateway_planned_stop.rs
+++ b/tests/gateway_planned_stop.rs
@@ -111,3 +111,26 @@
         "{ends:?}"
     );
 }
+
+/// Guards against a stop by the grace period of the start, after the settings have named a shorter one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_follows_the_latest_grace_period() {
+    const SHORT_GRACE: Duration = Duration::from_millis(1_000);
+    let fleet = TestFleet::start(2).await;
+    let vm = &fleet.vms[0];
+    for (_, leaf) in &fleet.leaves {
+        leaf.set(LeafBehaviour::Hang);
+    }
+    let grace_ms = u64::try_from(SHORT_GRACE.as_millis()).unwrap();
+    vm.engine.set_stop_grace_ms(grace_ms);
+    let waiting = vm.send(request("/a/x"));
+    let stop = async {
+        sleep(SHORT_GRACE / 10).await;
+        let signalled = Instant::now();
+        vm.stop().await.unwrap();
+        signalled.elapsed()
+    };
+    let (reply, stopped_after) = tokio::join!(waiting, stop);
+    assert_eq!(reply.unwrap().status, StatusCode::BAD_GATEWAY);
+    assert!(stopped_after < SHORT_GRACE, "{stopped_after:?}");
+}
