Limit the lifetime of resolved addresses by the grace period

Callers were told to cache addresses for 1.5 s whatever the grace period is, and some use them three times as long: with a grace period of 2 s they would connect to a VM for 2.5 s after its process has ended, and be refused by it late in the grace period.

The lifetime is now a third of the time for which a stopping VM runs requests, from 0.2 s up to the former 1.5 s; it stays 1.5 s with the grace period of 6 s of all sites in force.

--- a/src/gateway/stop_schedule.rs
+++ b/src/gateway/stop_schedule.rs
@@ -23,6 +23,9 @@
 /// repeat it if the process ends first.
 const ONCE_TIME_FACTOR: u64 = 2;
 
+/// Shortest time for which callers may cache an address, which bounds how often they resolve.
+const MIN_CACHE_MS: u64 = 200;
+
 const US_PER_MS: u64 = 1_000;
 
 /// Times at which a VM that stops changes what it does, on the boot clock.
@@ -72,6 +75,22 @@
         Self::new(0, grace_ms).answer_by_us / US_PER_MS
     }
 
+    /// Returns the time for which callers may cache an address, at most `max_ms`: some use it `uses` times
+    /// as long, and a VM that stops runs requests until then.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::StopSchedule;
+    /// assert_eq!(StopSchedule::cache_ms(6_000, 1_500, 3), 1_500);
+    /// assert_eq!(StopSchedule::cache_ms(2_000, 1_500, 3), 583);
+    /// ```
+    pub fn cache_ms(grace_ms: u64, max_ms: u64, uses: u64) -> u64 {
+        let serving_ms = Self::serving_ms(grace_ms);
+        let cache_ms = serving_ms / uses.max(1);
+        cache_ms.max(MIN_CACHE_MS).min(max_ms)
+    }
+
     /// Returns whether a request may be sent to a leaf at `now_us`, given the time within which a leaf
     /// usually answers and the deadline of the request: it has to end while the response can be sent.
     ///
--- a/tests/gateway_stop_schedule.rs
+++ b/tests/gateway_stop_schedule.rs
@@ -28,6 +28,18 @@
         }
     }
 
+    /// Guards against callers that use an address after the VM has stopped: some do so three times as
+    /// long as they are told, unless they would have to resolve too often.
+    #[test]
+    fn cached_addresses_expire_before_the_vm_stops(
+        grace_ms in 1_000..MAX_GRACE_MS,
+        max_ms in 1..10_000u64,
+    ) {
+        let cache_ms = StopSchedule::cache_ms(grace_ms, max_ms, 3);
+        prop_assert!(cache_ms <= max_ms && cache_ms > 0);
+        prop_assert!(cache_ms * 3 <= StopSchedule::serving_ms(grace_ms));
+    }
+
     /// Guards against calls that end after the time for answers, although a leaf takes no longer than
     /// expected.
     #[test]
