Expect the latency that leaves show when a VM stops

Requests of a route whose target latency is as long as the grace period were all refused from SIGTERM on, although leaves answered them in a few milliseconds: the target was the least time that a call was expected to take.

Idempotent requests are now expected to take what nearly all calls of the route take. Those that must not run twice keep the target as the least time, and twice the latency, since their callers can't repeat them if the VM stops first.

Found by the process tests of planned stops.

--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -56,7 +56,7 @@
     pub relays_errors: bool,
     /// Target latency of the route.
     pub target_us: u64,
-    /// Time within which a leaf usually answers.
+    /// Time within which a leaf is expected to answer.
     pub expected_us: u64,
     /// Deadlines of the request.
     pub schedule: FanoutSchedule,
@@ -217,8 +217,7 @@
         };
         let now_us = self.started_us + elapsed_us;
         let deadline_us = self.started_us + self.plan.schedule.timeout_us;
-        let (expected_us, is_idempotent) = (self.plan.expected_us, self.plan.idempotent);
-        stop.allows_call(now_us, expected_us, deadline_us, is_idempotent)
+        stop.allows_call(now_us, self.plan.expected_us, deadline_us)
     }
 
     /// Fails the shards that wait for a call.
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -30,6 +30,10 @@
 /// One in this many successful requests is logged; the others are only counted.
 const SUCCESS_LOG_SAMPLING: u32 = 32;
 
+/// Factor by which the time in which nearly all calls complete is extended for requests that must not run
+/// twice.
+const ONCE_TIME_FACTOR: u64 = 2;
+
 /// End of a request at the leaves of this VM.
 pub(super) struct RunEnd {
     pub(super) response: Result<HttpResponse, Refusal>,
@@ -116,19 +120,19 @@
         return true;
     };
     let expected_us = expected_us(engine, route);
-    stop.allows_call(
-        boot_us(),
-        expected_us,
-        spec.deadline_us,
-        route.spec.idempotent,
-    )
+    stop.allows_call(boot_us(), expected_us, spec.deadline_us)
 }
 
-/// Returns the time within which a leaf usually answers a request.
+/// Returns the time within which a leaf is expected to answer a request.
+///
+/// It is longer for a request that must not run twice: its caller can't repeat it if this VM stops first.
 fn expected_us(engine: &Engine, route: &Route) -> u64 {
     let target_us = route.spec.target_latency_ms * 1_000;
-    let call_latency = engine.call_latency(&route.spec.name, target_us);
-    target_us.max(call_latency.slow_us())
+    let slow_us = engine.call_latency(&route.spec.name, target_us).slow_us();
+    if route.spec.idempotent {
+        return slow_us;
+    }
+    target_us.max(slow_us * ONCE_TIME_FACTOR)
 }
 
 /// Returns the end of a request that is refused on arrival. Another VM may have what this one lacks,
--- a/src/gateway/stop_schedule.rs
+++ b/src/gateway/stop_schedule.rs
@@ -19,10 +19,6 @@
 const MAX_EXIT_MARGIN_MS: u64 = 200;
 const EXIT_MARGIN_DIVISOR: u64 = 30;
 
-/// Factor by which the expected time of a request that must not run twice is extended: its caller can't
-/// repeat it if the process ends first.
-const ONCE_TIME_FACTOR: u64 = 2;
-
 /// Shortest time for which callers may cache an address, which bounds how often they resolve.
 const MIN_CACHE_MS: u64 = 200;
 
@@ -91,27 +87,20 @@
         cache_ms.max(MIN_CACHE_MS).min(max_ms)
     }
 
-    /// Returns whether a request may be sent to a leaf at `now_us`, given the time within which a leaf
-    /// usually answers and the deadline of the request: it has to end while the response can be sent.
+    /// Returns whether a request may be sent to a leaf at `now_us`, given the time within which a leaf is
+    /// expected to answer and the deadline of the request: it has to end while the response can be sent.
     ///
     /// # Examples
     ///
     /// ```
     /// use cloverrack::gateway::StopSchedule;
     /// let schedule = StopSchedule::new(0, 6_000);
-    /// assert!(schedule.allows_call(4_500_000, 600_000, 10_500_000, true));
-    /// assert!(!schedule.allows_call(4_500_000, 600_000, 10_500_000, false));
-    /// assert!(!schedule.allows_call(4_800_000, 600_000, 10_800_000, true));
+    /// assert!(schedule.allows_call(4_500_000, 600_000, 10_500_000));
+    /// assert!(!schedule.allows_call(4_800_000, 600_000, 10_800_000));
+    /// assert!(schedule.allows_call(4_800_000, 600_000, 5_200_000));
     /// ```
-    pub fn allows_call(
-        &self,
-        now_us: u64,
-        expected_us: u64,
-        deadline_us: u64,
-        is_idempotent: bool,
-    ) -> bool {
-        let factor = if is_idempotent { 1 } else { ONCE_TIME_FACTOR };
-        let expected_end_us = now_us.saturating_add(expected_us.saturating_mul(factor));
+    pub fn allows_call(&self, now_us: u64, expected_us: u64, deadline_us: u64) -> bool {
+        let expected_end_us = now_us.saturating_add(expected_us);
         now_us < self.answer_by_us && expected_end_us.min(deadline_us) <= self.answer_by_us
     }
 }
--- a/tests/gateway_planned_stop.rs
+++ b/tests/gateway_planned_stop.rs
@@ -134,3 +134,24 @@
     assert_eq!(reply.unwrap().status, StatusCode::BAD_GATEWAY);
     assert!(stopped_after < SHORT_GRACE, "{stopped_after:?}");
 }
+
+/// Guards against refusing requests of a route with a long target latency as soon as the VM stops,
+/// although its leaves answer in a few milliseconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_of_a_slow_route_are_served_while_leaves_answer_in_time() {
+    let fleet = TestFleet::start_with_target(2, STOP_GRACE_MS).await;
+    let vm = &fleet.vms[0];
+    for _ in 0..200 {
+        assert!(vm.serves(request("/a/x")).await);
+    }
+    let _stopped = vm.stop();
+    let signalled = Instant::now();
+    while signalled.elapsed() < Duration::from_millis(STOP_GRACE_MS / 2) {
+        let mut patient = request("/a/x");
+        let time_left = STOP_GRACE_MS.to_string().parse().unwrap();
+        patient.headers_mut().insert("x-time-left", time_left);
+        let reply = vm.send(patient).await.unwrap();
+        assert_eq!(reply.status, StatusCode::OK, "{:?}", signalled.elapsed());
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/tests/gateway_stop_schedule.rs
+++ b/tests/gateway_stop_schedule.rs
@@ -48,11 +48,10 @@
         at_ms in 0..MAX_GRACE_MS,
         expected_us in 0..u64::MAX,
         deadline_us in 0..u64::MAX,
-        is_idempotent: bool,
     ) {
         let schedule = StopSchedule::new(0, grace_ms);
         let now_us = at_ms * 1_000;
-        if schedule.allows_call(now_us, expected_us, deadline_us, is_idempotent) {
+        if schedule.allows_call(now_us, expected_us, deadline_us) {
             let expected_end_us = now_us.saturating_add(expected_us);
             prop_assert!(expected_end_us.min(deadline_us) <= schedule.answer_by_us);
             prop_assert!(now_us < schedule.answer_by_us);
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -25,7 +25,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::gateway::{HEALTH_PATH, Leaf, LeafBehaviour, gather_route, headers, single_route};
+use crate::gateway::{
+    HEALTH_PATH, Leaf, LeafBehaviour, TARGET_LATENCY_MS, gather_route, headers, single_route,
+};
 use crate::link::{Link, LinkCondition, Upstream};
 
 /// Ports, which are the same on each VM because the addresses differ.
@@ -112,19 +114,24 @@
 }
 
 /// Returns the document of routes `/g/`, `/a/` and `/o/`.
-fn document(services: &[&'static str]) -> RouteDocument {
+fn document(services: &[&'static str], target_latency_ms: u64) -> RouteDocument {
     let services = services.iter().map(|name| ServiceSpec {
         name: (*name).into(),
         max_connections: 31,
         health_path: HEALTH_PATH.into(),
     });
+    let mut routes = vec![
+        gather_route("/g/", &SHARDS, 1_000_000),
+        single_route("/a/", SAFE_SERVICE, true, 2),
+        single_route("/o/", ONCE_SERVICE, false, 1),
+    ];
+    for route in &mut routes {
+        route.target_latency_ms = target_latency_ms;
+        route.timeout_ms = route.timeout_ms.max(target_latency_ms);
+    }
     RouteDocument {
         version: 1,
-        routes: vec![
-            gather_route("/g/", &SHARDS, 1_000_000),
-            single_route("/a/", SAFE_SERVICE, true, 2),
-            single_route("/o/", ONCE_SERVICE, false, 1),
-        ],
+        routes,
         services: services.collect(),
         limits: CallerLimits {
             max_body_bytes: 100_000,
@@ -136,6 +143,11 @@
 impl TestFleet {
     /// Starts VMs in two failure domains and waits until they know each other.
     pub async fn start(count: u8) -> Self {
+        Self::start_with_target(count, TARGET_LATENCY_MS).await
+    }
+
+    /// Starts VMs whose routes have this target latency.
+    pub async fn start_with_target(count: u8, target_latency_ms: u64) -> Self {
         let mut services = SHARDS.to_vec();
         services.extend([SAFE_SERVICE, ONCE_SERVICE]);
         let mut leaves = Vec::new();
@@ -151,9 +163,10 @@
         let ips: Vec<IpAddr> = (1..=count)
             .map(|vm| IpAddr::V4(Ipv4Addr::new(127, 110 + high % 50, low, vm)))
             .collect();
+        let document = document(&services, target_latency_ms);
         let mut vms = Vec::new();
         for (index, ip) in ips.iter().enumerate() {
-            vms.push(TestVm::start(index, *ip, &ips, &services, &leaves).await);
+            vms.push(TestVm::start(index, *ip, &ips, &document, &leaves).await);
         }
         let fleet = Self { vms, leaves };
         let discovered = async {
@@ -260,7 +273,7 @@
         index: usize,
         ip: IpAddr,
         ips: &[IpAddr],
-        services: &[&'static str],
+        document: &RouteDocument,
         leaves: &[(&'static str, Leaf)],
     ) -> Self {
         let mut links = Vec::new();
@@ -275,7 +288,7 @@
         let image = CatalogImage {
             epoch: 0,
             revision: 1,
-            document: Some(document(services)),
+            document: Some(document.clone()),
             leaves: records,
         };
         let address = |port| SocketAddr::new(ip, port);
