Close connections only after their callers have received the response

A stopping VM closes a connection behind the response to its next request. If the caller had sent another request behind it, the kernel reset the connection since bytes were unread, and the part of a large response that the caller had not received was lost.

Only large responses were affected: on Linux a caller still reads what its kernel has received before a reset.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -24,6 +24,8 @@
 use tokio_util::task::TaskTracker;
 use tracing::debug;
 
+use crate::lingering_stream::LingeringStream;
+
 /// Time limit for receiving the headers of a request, and for receiving its body.
 const READ_TIMEOUT_MS: u64 = 5_000;
 
@@ -189,18 +191,22 @@
         }
     });
     let builder = connection_builder();
-    let connection = builder.serve_connection(TokioIo::new(Box::pin(stream)), service);
-    tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = close_signal => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let (stream, closing_stream) = LingeringStream::new(Box::pin(stream));
+    {
+        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            () = close_signal => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = result {
+            debug!(event = "connection_ended", %error);
         }
-    };
-    if let Err(error) = result {
-        debug!(event = "connection_ended", %error);
     }
+    closing_stream.wait_for_client().await;
 }
 
 /// Waits until a connection should be closed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod ids;
 pub mod latency;
 pub mod leaf;
+mod lingering_stream;
 pub mod log_rate_limiter;
 mod measurements;
 pub mod node;
--- /dev/null
+++ b/tests/http_server_close.rs
@@ -0,0 +1,92 @@
+//! Ends of connections to callers: the response before the end arrives whole.
+
+#![expect(clippy::unwrap_used, reason = "a failure of the harness ends the test")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cloverrack::http_server::{Handler, HttpResponse, ShutdownSignals, serve};
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// Size of the response, which exceeds the buffers of the sockets.
+const RESPONSE_BYTES: usize = 8 * 1_048_576;
+
+/// What a caller sends behind its request.
+const MORE_BYTES: usize = 400_000;
+
+/// Time after which the connection counts as left open.
+const CLOSE_LIMIT: Duration = Duration::from_secs(8);
+
+/// Handler whose responses are large.
+struct LargeResponses;
+
+impl Handler for LargeResponses {
+    async fn handle(&self, _: Request<Incoming>) -> HttpResponse {
+        Response::new(Full::new(Bytes::from(vec![b'x'; RESPONSE_BYTES])))
+    }
+}
+
+/// Returns a connection to a server that is draining.
+async fn connect_to_draining() -> (TcpStream, ShutdownSignals) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let signals = ShutdownSignals::default();
+    signals.draining.cancel();
+    tokio::spawn(serve(listener, Arc::new(LargeResponses), signals.clone()));
+    (TcpStream::connect(address).await.unwrap(), signals)
+}
+
+/// Guards against a reset that destroys the part of a response which the caller has not received, since
+/// it has sent another request behind the one after which the server closes the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_is_whole_although_its_caller_has_sent_more() {
+    let (stream, _signals) = connect_to_draining().await;
+    let (mut reader, mut writer) = stream.into_split();
+    let head = b"GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n";
+    let more =
+        format!("POST / HTTP/1.1\r\nhost: desk.example\r\ncontent-length: {MORE_BYTES}\r\n\r\n");
+    writer.write_all(head).await.unwrap();
+    writer.write_all(more.as_bytes()).await.unwrap();
+    // The server may close its side before it has read all.
+    let sending = tokio::spawn(async move {
+        let _ = writer.write_all(&vec![b'y'; MORE_BYTES]).await;
+        writer
+    });
+    sleep(Duration::from_millis(300)).await;
+    let mut received = 0;
+    let mut buffer = vec![0; 65_536];
+    loop {
+        let length = reader.read(&mut buffer).await.unwrap();
+        if length == 0 {
+            break;
+        }
+        received += length;
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(received > RESPONSE_BYTES, "{received} bytes received");
+    drop(sending);
+}
+
+/// Guards against connections that stay open since their callers do not close them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_closes_although_its_caller_keeps_it_open() {
+    let (mut stream, signals) = connect_to_draining().await;
+    let head = b"GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n";
+    stream.write_all(head).await.unwrap();
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.unwrap();
+    assert!(response.len() > RESPONSE_BYTES);
+    signals.stop.cancel();
+    let refused = async {
+        while stream.write_all(b"z").await.is_ok() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(CLOSE_LIMIT, refused).await.unwrap();
+}
