End the wait for a check of the links when a stopping VM has to answer

A request that a stopping VM had refused, since its leaves refuse connections, waits up to 700 ms until the links are checked. When the time for answers came, it was ended with 502 although no leaf had it, and a caller whose request must not run twice could not repeat it.

The wait now ends at that time with the refusal.

--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -115,8 +115,15 @@
             return end.response;
         };
         prior_calls = calls;
-        let may_help = self.links_are_lost(&spec).await
-            || (end.is_unreachable && self.may_reach_elsewhere(&route.spec.name));
+        let checking = async {
+            self.links_are_lost(&spec).await
+                || (end.is_unreachable && self.may_reach_elsewhere(&route.spec.name))
+        };
+        let may_help = tokio::select! {
+            biased;
+            may_help = checking => may_help,
+            () = self.engine.answers_due() => false,
+        };
         if may_help && let Some(response) = forward(prior_calls).await {
             return Ok(without_refusal(response, prior_calls));
         }
