Refuse requests for lack of time before other reasons on a stopping VM

A stopping VM without links, or with long queues, refused requests that it had no time for with a retry time of up to a third of their deadline, or kept them waiting for a check of its links, although another VM could serve them at once.

The time is now checked first.

--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -34,6 +34,9 @@
 /// twice.
 const ONCE_TIME_FACTOR: u64 = 2;
 
+/// Refusal of a request that this VM has no time for.
+const STOPPING: Refusal = Refusal::Stopping { has_other_vm: true };
+
 /// End of a request at the leaves of this VM.
 pub(super) struct RunEnd {
     pub(super) response: Result<HttpResponse, Refusal>,
@@ -62,6 +65,10 @@
     prior_calls: PriorCalls,
     started_us: u64,
 ) -> RunEnd {
+    // Checked first: another VM can serve what this one has no time for, whatever else stands against it.
+    if !has_time(engine, route, spec) {
+        return refused(STOPPING, prior_calls);
+    }
     let timeout_us = spec.deadline_us.saturating_sub(started_us);
     let plan = build_plan(engine, route, timeout_us, prior_calls);
     let is_merged = !plan.relays_errors;
@@ -98,7 +105,7 @@
         let is_refused = fanout_result.is_stopping && !fanout_result.may_have_run;
         return RunEnd {
             response: if is_refused {
-                Err(Refusal::Stopping { has_other_vm: true })
+                Err(STOPPING)
             } else {
                 Ok(failure_response(&fanout_result))
             },
@@ -141,7 +148,7 @@
     let is_unreachable = matches!(refusal, Refusal::Unreachable { .. });
     let is_local = matches!(
         refusal,
-        Refusal::Overloaded { .. } | Refusal::LinksLost { .. }
+        Refusal::Overloaded { .. } | Refusal::LinksLost { .. } | Refusal::Stopping { .. }
     );
     let is_movable = is_unreachable || is_local;
     RunEnd {
--- a/tests/gateway_stop_edges.rs
+++ b/tests/gateway_stop_edges.rs
@@ -117,6 +117,36 @@
     assert_eq!(status, expected, "after {elapsed:?}");
 }
 
+/// Guards against a wait for the check of the links by a request that has no time anyway.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_time_is_refused_before_the_links_are_checked() {
+    const AT_ONCE: Duration = Duration::from_millis(50);
+    let (reply, elapsed) = send_during_link_check(true, 130).await;
+    let status = reply.map(|reply| reply.status);
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert!(elapsed < AT_ONCE, "{elapsed:?}");
+}
+
+/// Guards against a long retry time for a request that has no time on a stopping VM without links,
+/// although another VM can serve it at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_vm_without_links_sends_callers_to_another_vm_at_once() {
+    let fleet = TestFleet::start(2).await;
+    let vm = &fleet.vms[0];
+    fleet.cut(0, Cut::Refuse).await;
+    while !vm.engine.state().link_monitor.is_lost() {
+        vm.send(request("/a/x")).await;
+        vm.send(order("x")).await;
+    }
+    let since = Instant::now();
+    let stopped = vm.stop();
+    sleep_until_ms(since, ANSWER_BY_MS - 200).await;
+    let reply = vm.send(order("x")).await.unwrap();
+    stopped.await.unwrap();
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(retry_ms(&reply) <= OTHER_VM_RETRY_MS, "{reply:?}");
+}
+
 /// Guards against a reset of the connection instead of the refusal, while the body is on its way.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_body_is_on_its_way_is_refused() {
