Ask callers to wait if all VMs are stopping

A VM that stops told refused callers to come back within 20 ms as soon as any other VM was known, also if that one was stopping too. While all VMs stopped, callers returned again and again to VMs that refused them.

Only VMs that are not stopping count now.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -76,6 +76,11 @@
         self.vm_client.choose(&[]).is_some()
     }
 
+    /// Returns whether there is another VM that reaches the leaves and is not stopping.
+    pub(super) fn has_serving_vm(&self) -> bool {
+        self.vm_client.choose_serving(&[]).is_some()
+    }
+
     /// Returns whether requests of a route are worth forwarding although this VM has links to
     /// leaves: no other VM has failed to reach the leaves of the route a moment ago.
     pub(super) fn may_reach(&self, route: &str) -> bool {
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -133,7 +133,7 @@
     /// Returns the refusal of a request that this VM can't run before it stops.
     fn stopping_refusal(&self) -> Refusal {
         let forwarder = self.forwarder.as_ref();
-        let has_other_vm = forwarder.is_some_and(|forwarder| forwarder.has_candidate());
+        let has_other_vm = forwarder.is_some_and(|forwarder| forwarder.has_serving_vm());
         Refusal::Stopping { has_other_vm }
     }
 
--- a/src/gateway/vm_client.rs
+++ b/src/gateway/vm_client.rs
@@ -117,11 +117,16 @@
     /// Chooses a VM that reaches the leaves: an active one if possible, and one that is stopping only if
     /// there is no other.
     pub fn choose(&self, excluded: &[SocketAddr]) -> Option<ChosenVm> {
+        self.choose_serving(excluded)
+            .or_else(|| self.choose_of(&self.membership.leaving_vms(self.drain_ms), excluded))
+    }
+
+    /// Chooses a VM that reaches the leaves and is not stopping: an active one if possible.
+    pub fn choose_serving(&self, excluded: &[SocketAddr]) -> Option<ChosenVm> {
         let live_vms = self.membership.live_vms();
         let active_vms = self.engine.active_vms(&live_vms);
         self.choose_of(&active_vms, excluded)
             .or_else(|| self.choose_of(&live_vms, excluded))
-            .or_else(|| self.choose_of(&self.membership.leaving_vms(self.drain_ms), excluded))
     }
 
     /// Chooses the VM with fewer requests in flight of two random ones that reach the leaves.
--- a/tests/gateway_stop_edges.rs
+++ b/tests/gateway_stop_edges.rs
@@ -147,6 +147,21 @@
     assert!(retry_ms(&reply) <= OTHER_VM_RETRY_MS, "{reply:?}");
 }
 
+/// Guards against callers that return at once, again and again, while all VMs stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_stops_with_all_others_asks_callers_to_wait() {
+    let fleet = TestFleet::start(2).await;
+    let since = Instant::now();
+    let stopped = [fleet.vms[1].stop(), fleet.vms[0].stop()];
+    sleep_until_ms(since, ANSWER_BY_MS - 200).await;
+    let reply = fleet.vms[0].send(order("x")).await.unwrap();
+    for stopped in stopped {
+        stopped.await.unwrap();
+    }
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(retry_ms(&reply) > OTHER_VM_RETRY_MS, "{reply:?}");
+}
+
 /// Guards against a reset of the connection instead of the refusal, while the body is on its way.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_body_is_on_its_way_is_refused() {
@@ -237,8 +252,12 @@
         let id = format!("{is_new}-{sent_ms}");
         let mut request = with_id(request("/a/x"), &id);
         *request.uri_mut() = "http://desk.example/a/x".parse().unwrap();
-        let Ok(response) = sender.send_request(request).await else {
-            return (id, None);
+        let response = match sender.send_request(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                println!("{id}: {error:?} after {:?}", since.elapsed());
+                return (id, None);
+            }
         };
         let status = response.status();
         let is_complete = response.into_body().collect().await.is_ok();
