Delay the next long poll after changes without effect

After changes without effect the next long poll began at once: with an odd entry that another writer rewrote every 5 ms, the store got 561 watches during 600 writes (about 4 s), each of which is billed. The delay of 250 ms, which batches changes, now follows each long poll that ends early. A change that arrives in that time is seen up to 250 ms later, as after changes with effect.

an_odd_entry_that_is_written_often_is_read_in_batches failed before (561 watches where 17 batches fit) and passes now.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -8,7 +8,7 @@
 
 use rand::RngExt;
 use thiserror::Error;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tracing::{info, warn};
 
 use super::catalog::{CatalogImage, ChangeSet, ChangeSummary};
@@ -20,9 +20,13 @@
 /// this within the 7 s after which a VM has to receive new configurations again.
 const LONG_POLL_MS: u64 = 5_000;
 
-/// Delay after changes, which batches further ones to save platform calls.
+/// Delay after a long poll that ended early, which batches further changes to save platform calls. It
+/// applies to changes without effect as well, such as those of entries that other writers repeat.
 const BATCH_DELAY_MS: u64 = 250;
 
+/// Time after which a long poll counts as one that reached its timeout.
+const EARLY_END: Duration = Duration::from_millis(LONG_POLL_MS - BATCH_DELAY_MS);
+
 /// Interval at which a VM that does not watch the platform checks whether it has to; it makes no
 /// platform calls meanwhile.
 const STANDBY_POLL_MS: u64 = 100;
@@ -96,6 +100,7 @@
                 sleep(Duration::from_millis(STANDBY_POLL_MS)).await;
                 continue;
             }
+            let early_end = self.has_read.then(|| Instant::now() + EARLY_END);
             let result = if self.has_read {
                 self.poll_changes().await
             } else {
@@ -104,7 +109,10 @@
             self.engine.metrics.count_platform_call(result.is_ok());
             self.engine.set_platform_reachable(result.is_ok());
             let delay_ms = match result {
-                Ok(changed) => self.handle_success(changed),
+                Ok(changed) => {
+                    let is_early = early_end.is_some_and(|early_end| Instant::now() < early_end);
+                    self.handle_success(changed, is_early)
+                }
                 Err(error) => self.handle_failure(error),
             };
             sleep(Duration::from_millis(delay_ms)).await;
@@ -145,12 +153,16 @@
     }
 
     /// Refreshes the engine after changes, and returns the delay before the next call.
-    fn handle_success(&self, changed: ChangeSummary) -> u64 {
-        if !changed.document && !changed.leaves {
-            return 0;
+    fn handle_success(&self, changed: ChangeSummary, is_early: bool) -> u64 {
+        let has_changed = changed.document || changed.leaves;
+        if has_changed {
+            self.engine.refresh();
+        }
+        if has_changed || is_early {
+            BATCH_DELAY_MS
+        } else {
+            0
         }
-        self.engine.refresh();
-        BATCH_DELAY_MS
     }
 
     /// Handles a failed call and returns the backoff. The next call is a full read: an interrupted
