Limit the end of a leaf's warm-up

A leaf entry with a WarmupLeftMs near 2^64 overflowed when the leaf was added. In a release build the leaf counted as warm at once; with overflow checks the follower's task ends with a panic, so that the VM follows nothing any more.

a_long_warm_up_does_not_overflow and a_leaf_with_an_odd_record_is_called failed before ("attempt to add with overflow" in Leaves::upsert) and pass now. The latter also covers entries with 0 and 2^32 - 1 slots and a start in the far future, at a leaf that is called by both kinds of routes.

--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -252,7 +252,7 @@
             pause_predictor: PausePredictor::default(),
             connections: 0,
             idle: Vec::new(),
-            warmup_until_ms: now_ms + record.warmup_left_ms,
+            warmup_until_ms: now_ms.saturating_add(record.warmup_left_ms),
             retired: false,
             alive_us,
             rate_limit: None,
