Add up the slots of leaves without overflow

The slots of a service's leaves are added up as the least limit on concurrent scatter-gather requests. One entry with 2^32 - 1 slots made the sum wrap around in a release build, so that the service seemed to have next to none and the limit could fall to one request; with overflow checks the request panics.

the_slots_of_all_leaves_do_not_overflow failed before ("attempt to add with overflow") and passes now.

--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -414,7 +414,7 @@
         let slots = |service: &ServiceKey| {
             let leaves = self.of_service(*service).iter();
             let leaves = leaves.filter_map(|key| self.arena.get(key));
-            leaves.map(|leaf| leaf.record.slots).sum::<u32>()
+            leaves.fold(0_u32, |sum, leaf| sum.saturating_add(leaf.record.slots))
         };
         services.iter().map(slots).min().unwrap_or(0)
     }
--- a/tests/gateway_odd_records.rs
+++ b/tests/gateway_odd_records.rs
@@ -60,3 +60,19 @@
         }
     }
 }
+
+/// Guards against a sum of slots that overflows: one entry with 2^32 - 1 slots would leave its service
+/// with next to none, and the scatter-gather requests of all callers would be limited to one.
+#[test]
+fn the_slots_of_all_leaves_do_not_overflow() {
+    let mut names = ServiceNames::default();
+    let mut leaves = Leaves::new("a".into());
+    let records = [
+        record("i-1", u32::MAX, 0),
+        record("i-2", 3, 0),
+        record("i-3", u32::MAX, 0),
+    ];
+    leaves.update(records.iter(), &mut names, 1_000);
+    let service = names.intern("s");
+    assert_eq!(leaves.min_slots(&[service]), u32::MAX);
+}
