Limit the idle timeout that a leaf may state

A leaf's "Keep-Alive: timeout=" overflowed when the connection was kept for reuse. In a release build the connection could be kept without an end, or not at all; with overflow checks the request panicked and the caller's connection broke off. The time is now limited to an hour.

a_long_keep_alive_time_is_limited and odd_headers_of_leaves_are_answered failed before ("attempt to multiply with overflow", "Broken" at the caller) and pass now. Ruled out by the latter and by odd_headers_of_callers_are_answered: faults by odd values of the rate limit, of Retry-After, of the time left, and of Content-Length in requests and replies.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -43,6 +43,9 @@
 /// Idle timeout of a connection if the leaf states none.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 4_000;
 
+/// Longest idle timeout that a leaf may state. No connection is idle for that long in use.
+const MAX_IDLE_TIMEOUT_MS: u64 = 3_600_000;
+
 /// Share of the idle timeout stated by the leaf during which a connection is reused.
 const IDLE_TIMEOUT_REUSE_PERCENT: u64 = 60;
 
@@ -341,14 +344,16 @@
     })
 }
 
-/// Returns the idle timeout that a leaf states in `Keep-Alive: timeout=SECONDS`.
+/// Returns the idle timeout that a leaf states in `Keep-Alive: timeout=SECONDS`, limited to
+/// `MAX_IDLE_TIMEOUT_MS`.
 fn keep_alive_timeout_ms(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     for part in value.split(',') {
         let Some(seconds) = part.trim().strip_prefix("timeout=") else {
             continue;
         };
-        return seconds.trim().parse::<u64>().ok().map(|s| s * 1_000);
+        let seconds: u64 = seconds.trim().parse().ok()?;
+        return Some(seconds.saturating_mul(1_000).min(MAX_IDLE_TIMEOUT_MS));
     }
     None
 }
