--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -7,6 +7,10 @@
 
 use crate::ids::ServiceKey;
 
+/// Longest timeout and target latency of a route, one day: the times of a request are added up in
+/// microseconds, and must not overflow.
+pub const MAX_ROUTE_TIME_MS: u64 = 86_400_000;
+
 /// Destination of a route as configured by operators, with names of services.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
@@ -209,7 +213,9 @@
             .iter()
             .filter(|spec| spec.is_scatter_gather());
         let levels: BTreeSet<u32> = scatter_gather_routes.map(|spec| spec.priority).collect();
-        for spec in document.routes {
+        for mut spec in document.routes {
+            spec.timeout_ms = spec.timeout_ms.min(MAX_ROUTE_TIME_MS);
+            spec.target_latency_ms = spec.target_latency_ms.min(MAX_ROUTE_TIME_MS);
             let rank = levels.range(..spec.priority).count();
             let resolved_destination = resolve_destination(&spec.destination, names);
             let host = spec.host.to_ascii_lowercase().into_boxed_str();
