--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -252,7 +252,7 @@
             pause_predictor: PausePredictor::default(),
             connections: 0,
             idle: Vec::new(),
-            warmup_until_ms: now_ms + record.warmup_left_ms,
+            warmup_until_ms: now_ms.saturating_add(record.warmup_left_ms),
             retired: false,
             alive_us,
             rate_limit: None,
@@ -414,7 +414,7 @@
         let slots = |service: &ServiceKey| {
             let leaves = self.of_service(*service).iter();
             let leaves = leaves.filter_map(|key| self.arena.get(key));
-            leaves.map(|leaf| leaf.record.slots).sum::<u32>()
+            leaves.fold(0_u32, |sum, leaf| sum.saturating_add(leaf.record.slots))
         };
         services.iter().map(slots).min().unwrap_or(0)
     }
