Count the grace period from the begin of a suspension

Requests that a leaf had were lost if the VM was suspended when SIGTERM arrived: it handles the signal when it runs again and planned its stop from then on, but the platform counts the grace period from the signal and kills the process.

The maintenance loop now records that the process runs. A stop that begins within 100 ms after a gap of more than 500 ms counts from the begin of the gap, but not from so long ago that no time is left to answer the requests in flight.

Suspensions of less than 500 ms are not seen; the margins of the stop cover them with GraceS 6, not with short grace periods.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -33,6 +33,7 @@
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
 use super::routes::{RouteTable, ServiceNames};
 use super::stop_schedule::StopSchedule;
+use super::stop_signal::RunTimes;
 use super::unanswered_runs::RecentSuccesses;
 use super::vm_selection::{active_vms, desired_active_vms, leaf_using_vms};
 use crate::clock::{boot_ms, boot_us};
@@ -124,6 +125,7 @@
     pub(super) forwards: watch::Sender<bool>,
     pub(super) refusal_recorded: Notify,
     pub(super) stop: watch::Sender<Option<StopSchedule>>,
+    pub(super) run_times: RunTimes,
     state: Mutex<State>,
 }
 
@@ -166,6 +168,7 @@
             forwards: watch::Sender::new(false),
             refusal_recorded: Notify::new(),
             stop: watch::Sender::new(None),
+            run_times: RunTimes::new(),
             state: Mutex::new(state),
         }
     }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -31,7 +31,7 @@
 use super::stop_signal::sleep_until_us;
 use super::vm_client::VmClient;
 use super::vm_server::VmServer;
-use crate::clock::{boot_ms, boot_us, unix_ms};
+use crate::clock::{boot_ms, unix_ms};
 use crate::component_registry::{CONTROL, ComponentRegistry, ROOT, TELEMETRY};
 use crate::fact::Profile;
 use crate::http_server::{Handler, ShutdownSignals, serve};
@@ -256,8 +256,7 @@
         if let Ok(membership) = self.component_registry.find::<Membership>(CONTROL) {
             membership.leave();
         }
-        let schedule = StopSchedule::new(boot_us(), self.engine.stop_grace_ms());
-        self.engine.begin_stop(schedule);
+        let schedule = self.engine.begin_stop();
         self.shutdown_signals.draining.cancel();
         Gateway {
             component_registry: self.component_registry,
@@ -307,6 +306,7 @@
 async fn run_maintenance(engine: Arc<Engine>, membership: Arc<Membership>) {
     loop {
         sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
+        engine.run_times.record();
         engine.update_active_vms(&membership.live_vms());
         let changed = {
             let state = &mut *engine.state();
--- a/tests/gateway_stop_edges.rs
+++ b/tests/gateway_stop_edges.rs
@@ -337,3 +337,49 @@
     }
     println!("{counts:?}");
 }
+
+/// Guards against a VM that is killed with requests in flight, since it was suspended when SIGTERM
+/// arrived and counts the grace period from its end.
+#[tokio::test]
+async fn a_stop_counts_from_the_begin_of_a_suspension() {
+    const SUSPENDED: Duration = Duration::from_millis(1_500);
+    let fleet = TestFleet::start(2).await;
+    sleep(Duration::from_secs(1)).await;
+    let signalled = Instant::now();
+    // Blocks the runtime of the VM, as a suspension does.
+    std::thread::sleep(SUSPENDED);
+    fleet.vms[0].stop().await.unwrap();
+    let elapsed = signalled.elapsed();
+    assert!(
+        elapsed < Duration::from_millis(STOP_GRACE_MS),
+        "{elapsed:?}"
+    );
+}
+
+/// Guards against an exit without answers, since the VM was suspended for longer than the grace period.
+#[tokio::test]
+async fn requests_are_answered_after_a_suspension_longer_than_the_grace_period() {
+    const SUSPENDED: Duration = Duration::from_millis(STOP_GRACE_MS + 1_000);
+    let fleet = TestFleet::start(2).await;
+    let vm = &fleet.vms[0];
+    for (_, leaf) in &fleet.leaves {
+        leaf.set(LeafBehaviour::Hang);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let waiting = async {
+        let mut patient = order("x");
+        let time_left = (2 * STOP_GRACE_MS).to_string().parse().unwrap();
+        patient.headers_mut().insert("x-time-left", time_left);
+        let mut connection = Connection::open(vm.address).await.unwrap();
+        let reply = connection.exchange(patient).await;
+        (reply.map(|reply| reply.status), Instant::now())
+    };
+    let stopping = async {
+        sleep(Duration::from_millis(200)).await;
+        std::thread::sleep(SUSPENDED);
+        vm.stop().await.unwrap();
+        Instant::now()
+    };
+    let ((status, ended), stopped) = tokio::join!(waiting, stopping);
+    assert!(status.is_ok() && ended <= stopped, "{status:?}");
+}
