Stop polling for hedges when a stopping VM has no time for calls

Once a stopping VM has no time for further calls, each pending idempotent request past its hedge time woke every 4 ms until it ended, for a hedge that could no longer be sent. Shards with a call in flight now count as hedged from then on.

--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -220,12 +220,18 @@
         stop.allows_call(now_us, self.plan.expected_us, deadline_us)
     }
 
-    /// Fails the shards that wait for a call.
+    /// Fails the shards that wait for a call, and leaves out hedges of the others.
     fn drop_waiting_calls(&mut self) {
         for index in 0..self.shards.len() {
-            if self.shards[index].is_pending() && self.shards[index].needs_call {
+            let shard = &mut self.shards[index];
+            if !shard.is_pending() {
+                continue;
+            }
+            if shard.needs_call {
                 self.is_stopping = true;
                 self.handle_calls_unwanted(index);
+            } else {
+                shard.hedged = true;
             }
         }
     }
