Read a request that has arrived before its connection is closed as idle

The select between a connection and its close signal was unbiased: if the bytes of a request and the signal were ready in the same turn of the runtime, the idle connection was closed in half of the cases with the request unread. The connection is now polled first. Found by the review, by reading; the tests of planned stops and of graceful shutdown pass as before.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -167,6 +167,7 @@
         tokio::time::sleep(Duration::from_millis(FIRST_REQUEST_TIMEOUT_MS)).await;
     };
     let has_started = tokio::select! {
+        biased;
         has_started = wait_for_first_bytes(&stream) => has_started,
         () = stopping => false,
     };
@@ -199,7 +200,9 @@
     {
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
+        // Biased, so that a request which has arrived is read before its connection is closed as idle.
         let result = tokio::select! {
+            biased;
             result = connection.as_mut() => result,
             () = close_signal => {
                 connection.as_mut().graceful_shutdown();
