Relay no answer of a leaf that says the request has not run

A leaf's own 408, 429 or 503, without the header by which it says that it has not run the request, was relayed to the caller with its status. Callers take these statuses for a promise that the request has not run, and the leaf may have run it.

The caller gets 502 instead, as for an answer of another VM.

The test an_answer_does_not_refuse_a_request_that_may_have_run failed before (408 instead of 502) and passes now.

--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -22,7 +22,7 @@
 use super::merge::merge_records;
 use super::refusal::{Refusal, empty_response, failure_response};
 use super::routes::{ResolvedDestination, Route, RouteTable, pick_weighted};
-use super::service::strip_hop_by_hop;
+use super::service::{NOT_RUN_STATUSES, strip_hop_by_hop};
 use crate::clock::boot_us;
 use crate::http_server::HttpResponse;
 use crate::ids::ServiceKey;
@@ -277,7 +277,12 @@
     pick_weighted(cumulative, rand::rng().random_range(0..total))
 }
 
+/// Builds the response from the answer of a leaf. The leaf may have run the request although its status
+/// tells callers otherwise: one that has not run it says so by a header, and gives no answer.
 fn relay_reply(reply: Reply) -> HttpResponse {
+    if NOT_RUN_STATUSES.contains(&reply.status) {
+        return empty_response(StatusCode::BAD_GATEWAY);
+    }
     let mut response = Response::new(Full::new(reply.body));
     *response.status_mut() = reply.status;
     *response.headers_mut() = strip_hop_by_hop(reply.headers);
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -34,7 +34,7 @@
 const END_MARGIN_MS: u64 = 10;
 
 /// Statuses by which callers know that a request has not run and will not.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
+pub(super) const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
     StatusCode::MISDIRECTED_REQUEST,
     StatusCode::TOO_MANY_REQUESTS,
--- a/tests/gateway_reply_copies.rs
+++ b/tests/gateway_reply_copies.rs
@@ -80,3 +80,16 @@
         assert_eq!(test_gateway.get("/a/x").await.status, StatusCode::OK);
     }
 }
+
+/// Guards against relaying a status by which callers know that a request has not run, in the answer of a
+/// leaf that does not say so.
+#[tokio::test]
+async fn an_answer_does_not_refuse_a_request_that_may_have_run() {
+    for status in [408, 429, 503] {
+        let own = answer("run-1", 'a').replace("200 OK", &format!("{status} Busy"));
+        let test_gateway = gateway_with(vec![own]).await;
+        let reply = test_gateway.get("/a/1").await;
+        assert_eq!(reply.status, StatusCode::BAD_GATEWAY, "{status}");
+        assert!(reply.body.is_empty(), "{status}");
+    }
+}
