Attribute an answer to its request before believing any of it

A reply with status 421 was taken for a refusal before its ID was compared, so a late extra answer to an earlier request on the connection passed for the answer to the current one: the request was sent to a second leaf while it ran at the first (TWICE), or refused (REFUSED), and the leaf counted as ended. Retry-After in such an answer, also in one that arrives after the caller has left, kept the leaf without calls. An unsigned refusal without an ID was believed on any connection.

reply_origin.rs decides first whether a reply is the answer to the request: it echoes the ID (each one, if there are several), or bears none and no earlier request on the connection can be its origin. A signature that differs from the last one is accepted without an ID only if the leaf has echoed none on the connection. Any other reply fails as RequestIdMismatch: the request may have run, the connection is closed, and nothing is recorded of the leaf. Only an announced end is still believed, which is what the existing test a_leaf_that_says_that_it_leaves_gets_no_more_requests asks for: it stays true of the process at the other end of the connection.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,7 +17,7 @@
 use super::connection::{CallError, Connection, Reply};
 use super::content::Content;
 use super::engine::{Engine, Headers, State};
-use super::leaf_notices::LeafNotices;
+use super::leaf_notices::NoticeReader;
 use super::leaf_reports::Observation;
 use super::rate_limit::parse_rate;
 use super::reconnect;
@@ -144,20 +144,18 @@
         if !self.engine.state().leaves.may_send(self.leaf, boot_us()) {
             return Err(CallError::Withheld);
         }
-        connection.observe_late_heads(|| {
-            let (engine, leaf) = (Arc::downgrade(&self.engine), self.leaf);
-            Box::new(move |status, headers| {
-                if let Some(engine) = engine.upgrade() {
-                    let notices = LeafNotices::read(status, headers, &engine.headers.leaving);
-                    engine.record_notices(leaf, notices);
-                }
-            })
-        });
-        let request = build_request(&self.engine.headers, spec, id);
-        let observe_head = |status: StatusCode, headers: &HeaderMap| {
-            let notices = LeafNotices::read(status, headers, &self.engine.headers.leaving);
-            self.engine.record_notices(self.leaf, notices);
+        let reader = NoticeReader {
+            engine: Arc::downgrade(&self.engine),
+            leaf: self.leaf,
+            request_id: spec.request_id.clone(),
+            reply_history: connection.reply_history,
         };
+        let late_reader = reader.clone();
+        connection.observe_late_head(Box::new(move |status, headers| {
+            late_reader.read(status, headers);
+        }));
+        let request = build_request(&self.engine.headers, spec, id);
+        let observe_head = |status: StatusCode, headers: &HeaderMap| reader.read(status, headers);
         connection
             .exchange_within(request, &self.engine.reply_memory, observe_head)
             .await
@@ -237,23 +235,21 @@
         }
     }
 
-    /// Returns the error if a complete reply is not a valid reply of this leaf to this request.
+    /// Returns the error if a complete reply is not a valid reply of this leaf to this request. Nothing
+    /// of a reply is believed before it is known to be the answer to this request.
     fn validate_reply(&mut self, spec: &CallSpec, reply: &Reply) -> Option<CallError> {
         let headers = &self.engine.headers;
-        if reply.status == StatusCode::MISDIRECTED_REQUEST {
-            return Some(CallError::WrongLeaf);
-        }
-        let echoed = reply.headers.get(&headers.request_id);
-        if echoed.is_some_and(|echoed| echoed != spec.request_id) {
+        let names = headers.origin();
+        let Some(connection) = &mut self.connection else {
+            return Some(CallError::Broken);
+        };
+        let history = &mut connection.reply_history;
+        if !history.is_answer_to(&spec.request_id, &reply.headers, names) {
             return Some(CallError::RequestIdMismatch);
         }
-        // A reply without the ID may be a late copy of the previous one on the connection.
-        let signature = reply.headers.get(&headers.signature);
-        if let (Some(signature), Some(connection)) = (signature, &mut self.connection)
-            && connection.repeats_signature(signature.as_bytes())
-            && echoed.is_none()
-        {
-            return Some(CallError::RequestIdMismatch);
+        history.record(&reply.headers, names);
+        if reply.status == StatusCode::MISDIRECTED_REQUEST {
+            return Some(CallError::WrongLeaf);
         }
         if reply.headers.contains_key(&headers.not_run) {
             return Some(CallError::Refused);
@@ -284,6 +280,8 @@
         }
         match outcome {
             Err(CallError::WrongLeaf) => state.leaves.record_end(self.leaf),
+            // An extra answer may have been sent before the process ended.
+            Err(CallError::RequestIdMismatch) => {}
             Err(CallError::ConnectRefused | CallError::LeafCrashed) => {
                 state.leaves.record_refusal(self.leaf, None, now_us);
                 self.engine.refusal_recorded.notify_one();
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -16,11 +16,11 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::late_reply::{HeadObserver, LateReply};
 use super::metered_stream::{MeteredStream, ReadAllowance};
 use super::reply_memory::{ReplyMemory, ReplyReceiver};
+use super::reply_origin::ReplyHistory;
 
 /// Timeout for opening a connection: a network round trip and the setup at the leaf, with a margin
 /// for a loaded leaf. A lost SYN is retransmitted only after a second.
@@ -52,7 +52,7 @@
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
     late_reply: Arc<LateReply>,
-    last_signature_hash: Option<u64>,
+    reply_history: ReplyHistory,
     usable_until_ms: u64,
 }
 
@@ -62,8 +62,7 @@
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
     late_reply: Arc<LateReply>,
-    /// Hash of the signature of the latest reply.
-    last_signature_hash: Option<u64>,
+    pub(super) reply_history: ReplyHistory,
 }
 
 /// A complete reply of a leaf.
@@ -189,13 +188,13 @@
             sender,
             allowance,
             late_reply,
-            last_signature_hash: None,
+            reply_history: ReplyHistory::default(),
         })
     }
 
-    /// Sets who gets the head of a reply that arrives after its call was given up, unless the
-    /// connection has an observer.
-    pub(super) fn observe_late_heads(&self, observer: impl FnOnce() -> HeadObserver) {
+    /// Sets who gets the head of the reply to the next request if it arrives after its call was given
+    /// up.
+    pub(super) fn observe_late_head(&self, observer: HeadObserver) {
         self.late_reply.observe(observer);
     }
 
@@ -272,13 +271,6 @@
         }
     }
 
-    /// Records the signature of a reply; returns whether the previous reply on this connection had the
-    /// same one. A leaf signs each run differently, so the reply is then a copy of the previous one.
-    pub fn repeats_signature(&mut self, signature: &[u8]) -> bool {
-        let hash = Some(xxh3_64(signature));
-        std::mem::replace(&mut self.last_signature_hash, hash) == hash
-    }
-
     /// Returns whether another request can be sent.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -290,7 +282,7 @@
             sender: self.sender,
             allowance: self.allowance,
             late_reply: self.late_reply,
-            last_signature_hash: self.last_signature_hash,
+            reply_history: self.reply_history,
             usable_until_ms: now_ms + DEFAULT_IDLE_TIMEOUT_MS,
         }
     }
@@ -309,7 +301,7 @@
             sender: self.sender,
             allowance: self.allowance,
             late_reply: self.late_reply,
-            last_signature_hash: self.last_signature_hash,
+            reply_history: self.reply_history,
             usable_until_ms: now_ms + idle_timeout_ms,
         })
     }
@@ -327,7 +319,7 @@
             sender: self.sender,
             allowance: self.allowance,
             late_reply: self.late_reply,
-            last_signature_hash: self.last_signature_hash,
+            reply_history: self.reply_history,
         }
     }
 }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -30,6 +30,7 @@
 use super::open_requests::OpenRequests;
 use super::pause_predictor::Stall;
 use super::reply_memory::ReplyMemory;
+use super::reply_origin::OriginHeaders;
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
 use super::routes::{RouteTable, ServiceNames};
 use super::unanswered_runs::RecentSuccesses;
@@ -64,6 +65,16 @@
     pub missing_parts: HeaderName,
 }
 
+impl Headers {
+    /// Returns the headers by which leaves identify their replies.
+    pub fn origin(&self) -> OriginHeaders<'_> {
+        OriginHeaders {
+            request_id: &self.request_id,
+            signature: &self.signature,
+        }
+    }
+}
+
 /// Mutable state of the gateway: configuration, leaves and call statistics.
 #[derive(Debug)]
 pub struct State {
--- a/src/gateway/late_reply.rs
+++ b/src/gateway/late_reply.rs
@@ -5,8 +5,8 @@
 //! at the leaf, but later requests have to respect what the leaf says of itself.
 
 use std::fmt;
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use http::header::{HeaderName, HeaderValue};
@@ -26,13 +26,13 @@
 const READ_BYTES: usize = 1_024;
 
 /// Receives the status and the headers of a late reply.
-pub(super) type HeadObserver = Box<dyn Fn(StatusCode, &HeaderMap) + Send + Sync>;
+pub(super) type HeadObserver = Box<dyn FnOnce(StatusCode, &HeaderMap) + Send>;
 
 /// Whether a reply is awaited on a connection, and who gets its head if it arrives late.
 #[derive(Default)]
 pub(super) struct LateReply {
     is_awaited: AtomicBool,
-    observer: OnceLock<HeadObserver>,
+    observer: Mutex<Option<HeadObserver>>,
 }
 
 impl fmt::Debug for LateReply {
@@ -45,9 +45,10 @@
 }
 
 impl LateReply {
-    /// Sets the observer, unless the connection has one.
-    pub(super) fn observe(&self, observer: impl FnOnce() -> HeadObserver) {
-        self.observer.get_or_init(observer);
+    /// Sets the observer for the reply to the next request.
+    pub(super) fn observe(&self, observer: HeadObserver) {
+        let mut current = self.observer.lock().unwrap_or_else(PoisonError::into_inner);
+        *current = Some(observer);
     }
 
     /// Sets whether a request has been sent whose reply has no head yet.
@@ -61,7 +62,9 @@
     where
         S: AsyncRead + AsyncWrite + Unpin,
     {
-        let Some(observer) = self.observer.get() else {
+        let observer = self.observer.lock();
+        let observer = observer.unwrap_or_else(PoisonError::into_inner).take();
+        let Some(observer) = observer else {
             return;
         };
         if !self.is_awaited.load(Ordering::Relaxed) || stream.shutdown().await.is_err() {
--- a/src/gateway/leaf_notices.rs
+++ b/src/gateway/leaf_notices.rs
@@ -1,12 +1,17 @@
 //! Reads what a leaf says of itself in the head of a reply, by which later requests avoid it.
 //!
 //! Handles leaves that leave before their record says so, and leaves that refuse requests for a
-//! while: any reply may tell, also one that fails, breaks off or is not the one that was awaited.
+//! while. A reply that fails or breaks off may tell as well.
 
-use http::header::{HeaderName, RETRY_AFTER};
+use std::sync::Weak;
+
+use http::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 
+use super::engine::Engine;
+use super::reply_origin::ReplyHistory;
 use super::retry_after::parse_retry_after_ms;
+use crate::ids::LeafKey;
 
 /// Value by which a leaf says that it leaves.
 const LEAVING_VALUE: &str = "1";
@@ -52,4 +57,40 @@
             retry_after_ms: named_ms.max().filter(|wait_ms| is_refusal && *wait_ms > 0),
         }
     }
+    /// Returns what a reply to another request says that is still true: a process that leaves does not
+    /// return, but the time for which it wanted no calls may be over.
+    pub fn of_other_request(self) -> Self {
+        Self {
+            is_leaving: self.is_leaving,
+            retry_after_ms: None,
+        }
+    }
+}
+
+/// Reads what a leaf says of itself in the reply to a request.
+#[derive(Clone, Debug)]
+pub(super) struct NoticeReader {
+    pub(super) engine: Weak<Engine>,
+    pub(super) leaf: LeafKey,
+    pub(super) request_id: HeaderValue,
+    /// Replies that were received before the request was sent.
+    pub(super) reply_history: ReplyHistory,
+}
+
+impl NoticeReader {
+    /// Records the notices in the head of a reply.
+    pub(super) fn read(&self, status: StatusCode, headers: &HeaderMap) {
+        let Some(engine) = self.engine.upgrade() else {
+            return;
+        };
+        let names = engine.headers.origin();
+        let history = self.reply_history;
+        let notices = LeafNotices::read(status, headers, &engine.headers.leaving);
+        let notices = if history.is_answer_to(&self.request_id, headers, names) {
+            notices
+        } else {
+            notices.of_other_request()
+        };
+        engine.record_notices(self.leaf, notices);
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod reconnect;
 mod refusal;
 pub mod reply_memory;
+pub mod reply_origin;
 mod request_run;
 pub mod retry_after;
 pub mod retry_budgets;
@@ -86,6 +87,7 @@
 pub use pause_predictor::{PausePeriod, PausePredictor, Stall};
 pub use rate_limit::{RateLimit, RateUsage, SharingVms};
 pub use reply_memory::{ReplyBuffer, ReplyMemory, ReplyReceiver};
+pub use reply_origin::{OriginHeaders, ReplyHistory};
 pub use retry_after::RetryAfter;
 pub use retry_budgets::{RetryBudgetLimits, RetryBudgets};
 pub use routes::{
