Take no response of a VM for whole that its end has cut

hyper ends an HTTP/2 body without an error if the stream is reset with NO_ERROR or the connection announces its end with this code. A VM that ended so within the response to a forwarded request, even right after its head, had the part that was received relayed to the caller as a 200 with the length of that part.

The response is only used if the stream has ended (END_STREAM); otherwise the request may have run, and the caller gets 502.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tracing::{debug, info};
@@ -164,6 +164,11 @@
                 return Err(VmCallError::Broken);
             }
         }
+        // The body ends without an error if the VM resets the stream with `NO_ERROR`, or announces with
+        // this code that it closes the connection.
+        if !body.is_end_stream() {
+            return Err(VmCallError::Broken);
+        }
         let body = Bytes::from_owner(receiver.finish());
         let mut handled = Response::new(Full::new(body));
         *handled.status_mut() = head.status;
