Take a VM's response that says nothing of the request for a failure

A response to a forwarded request with neither the header of a handled request nor that of one that was not run counted as a refusal: the request was sent to another VM, and the caller was told that it had not run (503). Only the second header is a promise; without either, the request may have run and the caller gets 502.

The test a_response_that_says_nothing_of_the_request_is_no_refusal failed before (503 after two VMs) and passes now.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -150,8 +150,10 @@
     async fn read_response(&self, response: Response<Incoming>) -> Result<ForwardEnd, VmCallError> {
         let (head, mut body) = response.into_parts();
         if !head.headers.contains_key(HANDLED_HEADER) {
+            // Without either header, the VM may have run the request.
             let reason = head.headers.get(NOT_RUN_HEADER);
-            let reason = reason.and_then(|reason| NotRunReason::parse(reason.to_str().ok()?));
+            let reason = reason.ok_or(VmCallError::Broken)?.to_str();
+            let reason = reason.ok().and_then(NotRunReason::parse);
             return Ok(ForwardEnd::NotRun(reason.unwrap_or(NotRunReason::Rejected)));
         }
         let mut receiver = ReplyReceiver::new(Arc::clone(&self.engine.reply_memory));
--- a/tests/gateway_cut_forwards.rs
+++ b/tests/gateway_cut_forwards.rs
@@ -244,3 +244,25 @@
         }
     }
 }
+
+/// Guards against taking a response that does not say whether the VM has run the request for a refusal,
+/// and running the request on another VM as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_says_nothing_of_the_request_is_no_refusal() {
+    let forward_test = ForwardTest::start().await;
+    let send = async |headers| {
+        let behaviour = Behaviour {
+            headers: Some(headers),
+            sent_bytes: BODY.len(),
+            ending: Ending::Whole,
+        };
+        let (response, received) = forward_test.send(behaviour).await;
+        (response.status, received)
+    };
+    assert_eq!(send(&[]).await, (502, 1));
+    assert_eq!(send(&[("cloverrack-not-run", "busy")]).await, (503, 2));
+    assert_eq!(
+        send(&[("cloverrack-not-run", "new reason")]).await,
+        (503, 2)
+    );
+}
