Merge no part that the end of its connection has cut within a record

An answer without Content-Length and chunks ends with its connection, so HTTP can't tell one that is cut from a whole one. A part of a merged answer that was cut within a record was merged without that record, and reported as present (no missing parts). The body's length shows the cut, so the call fails as RecordCut and is retried as others. A body with a length is still merged without a partial record, since the leaf has sent it so.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -384,6 +384,7 @@
         | Err(
             CallError::Refused
             | CallError::Broken
+            | CallError::RecordCut
             | CallError::ReplyTooLarge
             | CallError::LeafCrashed
             | CallError::Unsigned,
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -76,6 +76,18 @@
     pub body: Bytes,
 }
 
+impl Reply {
+    /// Returns whether the body ends with the connection, so that HTTP can't tell whether the leaf has
+    /// sent all of it.
+    pub fn ends_with_connection(&self) -> bool {
+        let names = [
+            http::header::CONTENT_LENGTH,
+            http::header::TRANSFER_ENCODING,
+        ];
+        names.iter().all(|name| !self.headers.contains_key(name))
+    }
+}
+
 /// Reason why a call failed without a valid reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Error)]
@@ -95,6 +107,9 @@
     /// The connection was closed, or the reply was malformed, after the request was sent.
     #[error("answer broke off")]
     Broken,
+    /// A part of a merged answer has no length and ends within a record.
+    #[error("answer ends within a record")]
+    RecordCut,
     /// The reply has no end, or is larger than the memory for replies allows.
     #[error("reply is too large")]
     ReplyTooLarge,
@@ -134,6 +149,7 @@
             | Self::WrongLeaf
             | Self::Refused => true,
             Self::Broken
+            | Self::RecordCut
             | Self::ReplyTooLarge
             | Self::LeafCrashed
             | Self::RequestIdMismatch
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -21,6 +21,7 @@
 use super::fanout_schedule::{FanoutDecision, FanoutSchedule, ShardCounts};
 use super::forwarded_request::PriorCalls;
 use super::leaves::NoLeafError;
+use super::merge::RECORD_BYTES;
 use super::shard::Shard;
 use crate::clock::boot_us;
 use crate::ids::{LeafKey, ServiceKey};
@@ -367,6 +368,11 @@
     }
 
     fn handle_call_end(&mut self, (index, leaf, started_us, result): CallEnd) {
+        let merges = !self.plan.relays_errors;
+        let result = result.and_then(|reply| match reply {
+            reply if merges && is_record_cut(&reply) => Err(CallError::RecordCut),
+            reply => Ok(reply),
+        });
         let latency_us = boot_us().saturating_sub(started_us);
         let shard = &mut self.shards[index];
         shard.open_calls -= 1;
@@ -521,6 +527,12 @@
     }
 }
 
+/// Returns whether the end of the connection has cut a record of a part that is to be merged.
+fn is_record_cut(reply: &Reply) -> bool {
+    let ends_with_connection = reply.status.is_success() && reply.ends_with_connection();
+    ends_with_connection && !reply.body.len().is_multiple_of(RECORD_BYTES)
+}
+
 fn run_call(index: usize, call: OpenCall, spec: Arc<CallSpec>) -> CallFuture {
     Box::pin(async move {
         let (leaf, started_us) = (call.leaf, call.started_us);
--- a/src/gateway/merge.rs
+++ b/src/gateway/merge.rs
@@ -7,7 +7,8 @@
 
 /// Returns the greatest `count` records of all parts in descending order, keeping duplicates.
 ///
-/// A trailing partial record of a part is ignored.
+/// A trailing partial record of a part is ignored: the leaf has sent it with an end. A part that the end
+/// of its connection has cut within a record is not merged.
 ///
 /// # Examples
 ///
