Relay no switch of protocols

A leaf's 101, for which no request asks, was taken for its answer and relayed to the caller of a route to one leaf, whose connection then carried no HTTP. It is a broken answer now: the caller gets 502.

The test malformed_answers_are_served_whole_or_not_at_all fails without the check (12 of 324 cases, all 101) and passes with it. Ruled out by it: folded headers, two lengths that differ, lengths that are no number, unknown versions, statuses that are none, other interim answers, and bytes that are no HTTP.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -257,6 +257,10 @@
             }
         };
         self.late_reply.set_awaited(false);
+        if response.status().is_informational() {
+            // A switch of protocols, for which no request asks, is no answer.
+            return Err(CallError::Broken);
+        }
         self.allowance.set(MAX_BODY_READ_BYTES);
         let (head, mut body) = response.into_parts();
         observe_head(head.status, &head.headers);
--- a/tests/gateway_cut_replies.rs
+++ b/tests/gateway_cut_replies.rs
@@ -335,6 +335,55 @@
     paths.flat_map(|path| ENDINGS.into_iter().map(move |ending| (path, ending)))
 }
 
+/// Guards against bytes that are no answer, or a malformed one, and reach callers.
+#[test]
+fn malformed_answers_are_served_whole_or_not_at_all() {
+    let fields = "x-request: cut\r\nx-signature: signed\r\n";
+    let body = String::from_utf8(BODY.to_vec()).unwrap();
+    let starts = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 32\r\ncontent-length: 16\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 16, 32\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: +32\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 99999999999999999999999\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length:\r\n 32\r\n",
+        "HTTP/1.1 200 OK\r\nx-folded: a\r\n b\r\ncontent-length: 32\r\n",
+        "HTTP/1.1 200 OK\r\n content-length: 16\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length : 16\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\ncontent-length: 16\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\nconnection: upgrade\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n",
+        "HTTP/1.1 199 Early\r\n",
+        "HTTP/1.1 099 Low\r\n",
+        "HTTP/1.1 20 OK\r\n",
+        "HTTP/1.1 2000 OK\r\n",
+        "HTTP/2.0 200 OK\r\n",
+        "HTTP/0.9 200 OK\r\n",
+        "ICY 200 OK\r\n",
+        "200 OK\r\n",
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n",
+        "GET / HTTP/1.1\r\nhost: x\r\n",
+        "",
+        "HTTP/1.1 200 OK\r\ncontent-length: 32\n",
+        "HTTP/1.1 200 OK\r\n\0: 1\r\n",
+        "\0\u{1}\u{2}\r\n",
+    ];
+    let mut cases = Vec::new();
+    for start in starts {
+        cases.extend(paths_and_endings().map(|(path, ending)| (start, path, ending)));
+    }
+    run_cases(&cases, |(start, path, ending)| {
+        let bytes = format!("{start}{fields}\r\n{body}").into_bytes();
+        let actions = ending.actions(&bytes);
+        async move {
+            let response = serve_case(path, false, b"", Arc::new(move |_| actions.clone())).await;
+            let is_expected = is_failed(path, &response) || is_served(path, &response, BODY);
+            (!is_expected).then(|| format!("{path} {ending:?} {start:?}: {response:?}"))
+        }
+    });
+}
+
 /// Guards against an answer without a length that is reset while the request is being sent, and taken
 /// as whole because the write has consumed the error.
 #[tokio::test(flavor = "multi_thread")]
