--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tracing::{debug, info};
@@ -155,8 +155,10 @@
     async fn read_response(&self, response: Response<Incoming>) -> Result<ForwardEnd, VmCallError> {
         let (head, mut body) = response.into_parts();
         if !head.headers.contains_key(HANDLED_HEADER) {
+            // Without either header, the VM may have run the request.
             let reason = head.headers.get(NOT_RUN_HEADER);
-            let reason = reason.and_then(|reason| NotRunReason::parse(reason.to_str().ok()?));
+            let reason = reason.ok_or(VmCallError::Broken)?.to_str();
+            let reason = reason.ok().and_then(NotRunReason::parse);
             return Ok(ForwardEnd::NotRun(reason.unwrap_or(NotRunReason::Rejected)));
         }
         let mut receiver = ReplyReceiver::new(Arc::clone(&self.engine.reply_memory));
@@ -169,6 +171,11 @@
                 return Err(VmCallError::Broken);
             }
         }
+        // The body ends without an error if the VM resets the stream with `NO_ERROR`, or announces with
+        // this code that it closes the connection.
+        if !body.is_end_stream() {
+            return Err(VmCallError::Broken);
+        }
         let body = Bytes::from_owner(receiver.finish());
         let mut handled = Response::new(Full::new(body));
         *handled.status_mut() = head.status;
