Refute a suspicion with the greatest number without overflow

A gossip message that names this VM as suspect or dead with 2^32 - 1 as the number of refutations overflowed when the VM refuted it. In a release build the number wrapped around to 0, so that the refutation counted as older than the suspicion; with overflow checks the task that receives gossip ended with a panic, and the VM learned of no other VM any more.

odd_gossip_is_received failed before ("attempt to add with overflow" in handle_self_fact) and passes now. It covers all kinds of facts and most kinds of datagrams with numbers at the edges of their range.

--- a/src/gossip/self_state.rs
+++ b/src/gossip/self_state.rs
@@ -63,7 +63,7 @@
             return true;
         }
         if *refutation >= self.refutation {
-            self.refutation = refutation + 1;
+            self.refutation = refutation.saturating_add(1);
             self.announce_self(now_ms);
         }
         true
