Answer questions on leaves with any time since a refusal

A question of another VM with a time since the refusal near 2^64 us overflowed. In a release build the sum wrapped around, and a leaf that had replied since was connected to again; with overflow checks the connection between the VMs broke off.

odd_calls_of_other_vms_are_answered failed before ("attempt to add with overflow", "Broken" for /leaf-states) and passes now.

--- a/src/gateway/leaf_end_check.rs
+++ b/src/gateway/leaf_end_check.rs
@@ -140,7 +140,7 @@
             else {
                 return LeafAnswer::Unknown;
             };
-            if leaf.alive_us + question.refused_ago_us > boot_us() {
+            if leaf.alive_us.saturating_add(question.refused_ago_us) > boot_us() {
                 return LeafAnswer::Alive;
             }
             leaf.address()
--- a/tests/gateway_odd_messages.rs
+++ b/tests/gateway_odd_messages.rs
@@ -35,7 +35,9 @@
 use cloverrack::gossip::Datagram;
 use cloverrack::wire::{decode, encode};
 use fleet::TestFleet;
-use gateway::{Leaf, LeafBehaviour, TestGateway, call_spec, gather_route, headers, single_route};
+use gateway::{
+    Leaf, LeafBehaviour, TestGateway, call_spec, gather_route, headers, request, single_route,
+};
 use http::StatusCode;
 use odd_facts::{ODD_NUMBERS, odd_facts};
 use proptest::prelude::*;
@@ -169,24 +171,35 @@
 async fn odd_calls_of_other_vms_are_answered() {
     let fleet = TestFleet::start(2).await;
     let from = &fleet.vms[0];
+    // Only a leaf that has replied has a time since which it lives.
+    assert!(fleet.vms[1].serves(request("/a/x")).await);
     let client = VmClient::new(
         Arc::clone(&from.engine),
         Arc::clone(&from.membership),
         7_741,
         fleet::STOP_GRACE_MS,
     );
+    let processes: Vec<u64> = {
+        let state = fleet.vms[1].engine.state();
+        let leaves = state.leaves.iter();
+        leaves.map(|(_, leaf)| leaf.record.process_hash()).collect()
+    };
     for number in ODD_NUMBERS {
+        let questions: Vec<(u64, u64)> = processes.iter().map(|hash| (*hash, number)).collect();
         let prior_calls = PriorCalls {
             sent: u32::MAX,
             is_credited: true,
         };
         let mut forwarded = ForwardedRequest::new("desk.example", &call_spec(), 0, prior_calls);
         forwarded.remaining_ms = number;
-        let path = "/forward";
-        let body = encode(&forwarded).unwrap();
-        let to = client.choose(&[]).unwrap();
-        let answer = client.call(&to, path, Bytes::from(body)).await;
-        assert!(answer.is_ok(), "{path}, {number}: {answer:?}");
+        for (path, body) in [
+            ("/leaf-states", encode(&questions).unwrap()),
+            ("/forward", encode(&forwarded).unwrap()),
+        ] {
+            let to = client.choose(&[]).unwrap();
+            let answer = client.call(&to, path, Bytes::from(body)).await;
+            assert!(answer.is_ok(), "{path}, {number}: {answer:?}");
+        }
     }
 }
 
