Read requests that have arrived before idle connections are closed

A stopping VM closed idle connections without reading what had arrived on them: a request in the socket's buffer at that moment was reset.

An idle connection is now read for another 20 ms, and the connection is polled before the signal to close it. Requests that are on their way when the connection closes are still lost; no leaf has them.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -57,6 +57,9 @@
 /// Time during shutdown for accepting the connections in the kernel's backlog.
 const BACKLOG_ACCEPT_MS: u64 = 20;
 
+/// Time during shutdown for reading the requests that have arrived on idle connections.
+const ARRIVED_REQUEST_MS: u64 = 20;
+
 /// Response of a handler.
 pub type HttpResponse = Response<Full<Bytes>>;
 
@@ -196,6 +199,8 @@
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let result = tokio::select! {
+            // A request that has arrived is read before the connection is closed.
+            biased;
             result = connection.as_mut() => result,
             () = close_signal => {
                 connection.as_mut().graceful_shutdown();
@@ -223,12 +228,14 @@
         _ = seen_version.wait_for(|version| *version == Some(Version::HTTP_2)) => return,
         () = shutdown_signals.stop.cancelled() => {}
     }
-    let first_request = seen_version.wait_for(Option::is_some);
-    let _ = timeout(
-        Duration::from_millis(FIRST_REQUEST_TIMEOUT_MS),
-        first_request,
-    )
-    .await;
+    let first_request = async {
+        let limit = Duration::from_millis(FIRST_REQUEST_TIMEOUT_MS);
+        let first_request = seen_version.wait_for(Option::is_some);
+        timeout(limit, first_request).await.is_ok()
+    };
+    // Closing a connection resets it if a request has arrived and is not read.
+    let arrived_request = tokio::time::sleep(Duration::from_millis(ARRIVED_REQUEST_MS));
+    let _ = tokio::join!(first_request, arrived_request);
 }
 
 fn connection_builder() -> auto::Builder<TokioExecutor> {
--- a/tests/http_server_close.rs
+++ b/tests/http_server_close.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a failure of the harness ends the test")]
 
+use std::io::{Read, Write};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -90,3 +91,85 @@
     };
     timeout(CLOSE_LIMIT, refused).await.unwrap();
 }
+
+/// Number of connections of a test, each of which is closed too early only by chance.
+const CONNECTIONS: usize = 20;
+
+/// Time for which the runtime does not run, so that it finds a request and the end of its time limit
+/// together.
+const BUSY: Duration = Duration::from_millis(50);
+
+/// Handler whose responses are empty.
+struct EmptyResponses;
+
+impl Handler for EmptyResponses {
+    async fn handle(&self, _: Request<Incoming>) -> HttpResponse {
+        Response::new(Full::default())
+    }
+}
+
+/// Returns connections to a server, on which bytes have been sent.
+async fn connect_and_send(signals: &ShutdownSignals, sent: &str) -> Vec<std::net::TcpStream> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, Arc::new(EmptyResponses), signals.clone()));
+    let connect = |_| {
+        let mut stream = std::net::TcpStream::connect(address).unwrap();
+        stream.write_all(sent.as_bytes()).unwrap();
+        stream
+    };
+    let streams = (0..CONNECTIONS).map(connect).collect();
+    sleep(Duration::from_millis(100)).await;
+    streams
+}
+
+/// Returns the number of connections on which a response arrives.
+async fn count_responses(streams: Vec<std::net::TcpStream>) -> usize {
+    let count = move || {
+        let mut responses = 0;
+        for mut stream in streams {
+            let mut start = [0; 12];
+            let is_read = stream.read_exact(&mut start).is_ok();
+            responses += usize::from(is_read && &start == b"HTTP/1.1 200");
+        }
+        responses
+    };
+    tokio::task::spawn_blocking(count).await.unwrap()
+}
+
+/// Guards against closing a connection whose first request arrives in two pieces, the second one at the
+/// end of its time limit.
+#[tokio::test]
+async fn a_first_request_in_two_pieces_is_read_before_the_connection_closes() {
+    const LIMIT: Duration = Duration::from_millis(250);
+    let signals = ShutdownSignals::default();
+    signals.draining.cancel();
+    let mut streams = connect_and_send(&signals, "GET / HTTP/1.1\r\n").await;
+    signals.stop.cancel();
+    sleep(LIMIT - BUSY / 2).await;
+    for stream in &mut streams {
+        stream.write_all(b"host: desk.example\r\n\r\n").unwrap();
+    }
+    std::thread::sleep(BUSY);
+    assert_eq!(count_responses(streams).await, CONNECTIONS);
+}
+
+/// Guards against closing an idle connection on which a request has arrived that is not read yet.
+#[tokio::test]
+async fn a_request_in_the_socket_buffer_is_read_before_the_connection_closes() {
+    let head = "GET / HTTP/1.1\r\nhost: desk.example\r\n\r\n";
+    let signals = ShutdownSignals::default();
+    let mut streams = connect_and_send(&signals, head).await;
+    for stream in &mut streams {
+        let mut response = Vec::new();
+        while !response.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            response.extend(byte);
+        }
+        stream.write_all(head.as_bytes()).unwrap();
+    }
+    signals.draining.cancel();
+    signals.stop.cancel();
+    assert_eq!(count_responses(streams).await, CONNECTIONS);
+}
