--- a/tests/gateway_stop_edges.rs
+++ b/tests/gateway_stop_edges.rs
@@ -383,3 +383,16 @@
     let ((status, ended), stopped) = tokio::join!(waiting, stopping);
     assert!(status.is_ok() && ended <= stopped, "{status:?}");
 }
+
+/// Guards against closing a connection that is idle for less than the configuration allows: a request
+/// that is on its way then is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idle_connection_stays_open_as_long_as_the_configuration_says() {
+    let fleet = TestFleet::start(1).await;
+    let vm = &fleet.vms[0];
+    let mut connection = Connection::open(vm.address).await.unwrap();
+    connection.exchange(request("/a/x")).await.unwrap();
+    sleep(Duration::from_secs(6)).await;
+    let reply = connection.exchange(request("/a/x")).await;
+    assert_eq!(reply.map(|reply| reply.status), Ok(StatusCode::OK));
+}
