Keep idle connections of callers open as long as the configuration says

Callers may reuse connections that have been idle for up to four fifths of the idle timeout of the configuration, 15 s on the sites in force. The gateway closed them 5 s after their latest response, since hyper's limit on the time for the headers of a request runs from there: a request that was on its way then found a closed connection, and one whose headers had come in part was cut.

The limit of new connections now follows the configuration, within 5 to 60 s; the first bytes of a connection still have to come within 5 s. A caller may take as long for the headers of a later request, which the limit on connections bounds.

--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -33,6 +33,10 @@
 /// Time reserved for sending the response before the caller's deadline.
 const END_MARGIN_MS: u64 = 10;
 
+/// Range of the idle timeout of callers' connections. The configuration names a time within it.
+const MIN_IDLE_TIMEOUT_MS: u64 = 5_000;
+const MAX_IDLE_TIMEOUT_MS: u64 = 60_000;
+
 /// Statuses by which callers know that a request has not run and will not.
 pub(super) const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -272,6 +276,12 @@
 }
 
 impl Handler for CallerService {
+    fn idle_timeout(&self) -> Duration {
+        let route_table = self.engine.route_table();
+        let idle_ms = route_table.map_or(0, |table| table.limits.idle_timeout_ms);
+        Duration::from_millis(idle_ms.clamp(MIN_IDLE_TIMEOUT_MS, MAX_IDLE_TIMEOUT_MS))
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
         let started_us = boot_us();
         let request_id = request.headers().get(&self.engine.headers.request_id);
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -26,7 +26,8 @@
 
 use crate::lingering_stream::LingeringStream;
 
-/// Time limit for receiving the headers of a request, and for receiving its body.
+/// Time limit for receiving the first bytes of a connection, for receiving the body of a request and,
+/// unless the handler sets another one, for receiving the headers of a request.
 const READ_TIMEOUT_MS: u64 = 5_000;
 
 /// Time without write progress after which the connection of a client that does not read its
@@ -75,6 +76,12 @@
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = HttpResponse> + Send;
+
+    /// Returns the time for which a new connection may be idle between two requests, which also limits
+    /// the time for receiving the headers of a request.
+    fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(READ_TIMEOUT_MS)
+    }
 }
 
 /// Signals for the two phases of a listener's shutdown.
@@ -181,6 +188,7 @@
     stream.set_write_timeout(Some(Duration::from_millis(WRITE_TIMEOUT_MS)));
     let seen_version = watch::Sender::new(None);
     let close_signal = wait_for_close(seen_version.subscribe(), shutdown_signals.clone());
+    let idle_timeout = handler.idle_timeout();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(CallerAddress(caller));
         let version = request.version();
@@ -198,7 +206,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let builder = connection_builder();
+    let builder = connection_builder(idle_timeout);
     let (stream, closing_stream) = LingeringStream::new(Box::pin(stream));
     {
         let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -249,12 +257,12 @@
     let _ = tokio::join!(first_request, arrived_request);
 }
 
-fn connection_builder() -> auto::Builder<TokioExecutor> {
+fn connection_builder(idle_timeout: Duration) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(READ_TIMEOUT_MS));
+        .header_read_timeout(idle_timeout);
     builder
         .http2()
         .timer(TokioTimer::new())
