--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -37,7 +37,7 @@
 const AFTER_HEADER: &str = "cloverrack-after";
 
 /// Version of the format of a catalog; VMs exchange none with those of another version.
-const CATALOG_VERSION: u16 = 2;
+pub const CATALOG_VERSION: u16 = 2;
 
 /// Header with that version.
 const VERSION_HEADER: &str = "cloverrack-protocol";
--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -29,7 +29,7 @@
 const STANDBY_FLUSH_MS: u64 = 200;
 
 /// Version of the datagram format; datagrams of other versions are dropped.
-const LEAF_REPORTS_VERSION: u8 = 4;
+pub const LEAF_REPORTS_VERSION: u8 = 4;
 
 /// Maximum number of reports in one datagram, so that it fits an Ethernet frame: a report takes at
 /// most 20 bytes.
@@ -100,12 +100,16 @@
     pub usage: RateUsage,
 }
 
-#[derive(Debug)]
+/// Reports of a VM to another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Encode, Decode)]
-struct Datagram {
-    version: u8,
-    leaf_reports: Vec<LeafReport>,
-    rate_reports: Vec<RateReport>,
+pub struct Datagram {
+    /// Version of the format.
+    pub version: u8,
+    /// Observations of leaves.
+    pub leaf_reports: Vec<LeafReport>,
+    /// Calls to leaves that have named a limit.
+    pub rate_reports: Vec<RateReport>,
 }
 
 /// Reports that wait to be sent.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -74,6 +74,7 @@
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
 pub use forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
 pub use forwarder::Forwarder;
+pub use leaf_end_check::{LeafAnswer, LeafQuestion};
 pub use leaf_notices::LeafNotices;
 pub use leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 pub use leaf_stats::LeafStats;
--- a/src/gateway/vm_client.rs
+++ b/src/gateway/vm_client.rs
@@ -27,7 +27,7 @@
 use crate::fact::LeafLinks;
 
 /// Version of the messages between VMs, and the header that carries it.
-pub(super) const MESSAGE_VERSION: u16 = 1;
+pub const MESSAGE_VERSION: u16 = 1;
 pub(super) const VERSION_HEADER: &str = "cloverrack-message-version";
 
 /// Timeout for connecting to a VM: a network round trip, with a margin for a loaded VM.
