Use gossip datagrams that carry facts of unknown kinds

A build drops a whole datagram if a fact attached to it is of a kind that it does not know. Probes and acknowledgements carry facts, so a later build with a new kind of fact, as departures and links were, loses its acknowledgements at VMs of this one and is suspected or declared dead while VMs are replaced.

Datagram::read reads the head and the facts up to the first one with an unknown variant, and reports how many are left out; the event facts_unknown names the sender. Other malformed bytes, trailing bytes and other versions of the protocol are refused as before, the version before the rest. Facts are sent in the order in which their kinds were added, so that unknown kinds come last.

Ruled out: a length before each fact, which would not read.

--- a/src/control/gossip_io.rs
+++ b/src/control/gossip_io.rs
@@ -13,7 +13,7 @@
 use crate::faults::is_link_cut;
 use crate::gossip::{Datagram, Outgoing};
 use crate::telemetry::CpuTimer;
-use crate::wire::{decode, encode};
+use crate::wire::encode;
 
 /// Interval between two ticks of gossip.
 const TICK_INTERVAL_MS: u64 = 50;
@@ -90,9 +90,16 @@
             self.telemetry
                 .count_control_bytes("udp", "received", length);
             let cpu = CpuTimer::start();
-            let Ok(message) = decode::<Datagram>(&buffer[..length]) else {
-                warn!(event = "datagram_malformed", %from, length_bytes = length);
-                continue;
+            let message = match Datagram::read(&buffer[..length]) {
+                Ok((message, 0)) => message,
+                Ok((message, unread)) => {
+                    debug!(event = "facts_unknown", %from, unread);
+                    message
+                }
+                Err(error) => {
+                    warn!(event = "datagram_malformed", %from, length_bytes = length, %error);
+                    continue;
+                }
             };
             let out = {
                 let mut state = self.state();
--- a/src/fact.rs
+++ b/src/fact.rs
@@ -325,6 +325,26 @@
         }
     }
 
+    /// Returns the position of the kind in the order in which kinds were added.
+    ///
+    /// Facts are sent in this order: an earlier build reads a datagram up to the first kind that it does not
+    /// know. A new variant of [`Fact`] comes last.
+    pub fn kind_position(&self) -> u8 {
+        match self {
+            Self::Vm { .. } => 0,
+            Self::Document { .. } => 1,
+            Self::Leaf { .. } => 2,
+            Self::Quarantine { .. } => 3,
+            Self::LeafCrash(_) => 4,
+            Self::DiscardedVersion(_) => 5,
+            Self::Profile { .. } => 6,
+            Self::CrashedAttempt(_) => 7,
+            Self::ContentSuccess(_) => 8,
+            Self::LeafDeparture(_) => 9,
+            Self::LeafLinks { .. } => 10,
+        }
+    }
+
     /// Returns the wall-clock time of an observation that is evidence on a request content or a leaf,
     /// or `None` for other facts.
     pub fn evidence_unix_ms(&self) -> Option<u64> {
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -3,6 +3,7 @@
 //!
 //! Handles VMs that crash, leave or restart, and network partitions.
 
+use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -19,7 +20,7 @@
 use crate::fact::{Fact, FactKey, LeafLinks, Profile, VmState};
 use crate::gossip::{Datagram, Gossip, GossipTiming, Outgoing};
 use crate::ids::Incarnation;
-use crate::wire::{decode, encode};
+use crate::wire::encode;
 
 /// Interval between gossip ticks.
 const TICK_MS: u64 = 50;
@@ -30,6 +31,10 @@
 /// Size of the receive buffer.
 const RECEIVE_BYTES: usize = 2_048;
 
+/// Maximum number of VMs with unknown facts that are logged, once each: they may attach them to each
+/// datagram.
+const MAX_LOGGED_VMS: usize = 128;
+
 /// Name of the gossip document that announces the catalog version.
 const CATALOG: &str = "catalog";
 
@@ -279,6 +284,7 @@
 
     async fn run_receive(&self) {
         let mut buffer = vec![0; RECEIVE_BYTES];
+        let mut later_vms: HashSet<SocketAddr> = HashSet::new();
         loop {
             let received = self.socket.recv_from(&mut buffer).await;
             let (length, from) = match received {
@@ -289,9 +295,18 @@
                     continue;
                 }
             };
-            let Ok(message) = decode::<Datagram>(&buffer[..length]) else {
-                warn!(event = "datagram_malformed", %from, length_bytes = length);
-                continue;
+            let message = match Datagram::read(&buffer[..length]) {
+                Ok((message, 0)) => message,
+                Ok((message, unread)) => {
+                    if later_vms.len() < MAX_LOGGED_VMS && later_vms.insert(from) {
+                        info!(event = "facts_unknown", %from, unread);
+                    }
+                    message
+                }
+                Err(error) => {
+                    warn!(event = "datagram_malformed", %from, length_bytes = length, %error);
+                    continue;
+                }
             };
             let outgoing = {
                 let state = &mut *self.state();
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -27,7 +27,7 @@
 use fact_filter::FactFilter;
 pub use fact_table::{DIGEST_BUCKETS, StoredFact};
 use fact_table::{Dissemination, FactTable};
-pub use message::{Datagram, GossipTiming, MessageKind, Outgoing};
+pub use message::{Datagram, DatagramError, GossipTiming, MessageKind, Outgoing};
 use probe::{Probe, RelayedProbe};
 
 /// Maximum size of an encoded datagram, so that it fits in one Ethernet frame.
--- a/src/gossip/anti_entropy.rs
+++ b/src/gossip/anti_entropy.rs
@@ -11,6 +11,7 @@
 use rand::seq::SliceRandom;
 
 use super::fact_table::{DIGEST_BUCKETS, StoredFact};
+use super::message::in_order_of_kinds;
 use super::{DATAGRAM_HEADER_BYTES, Datagram, Gossip, MAX_DATAGRAM_BYTES, MessageKind, Outgoing};
 use crate::fact::Fact;
 
@@ -134,14 +135,14 @@
     for entry in entries {
         let bytes = usize::from(entry.encoded_bytes);
         if bytes > remaining_bytes && !chunk.is_empty() {
-            chunks.push(std::mem::take(&mut chunk));
+            chunks.push(in_order_of_kinds(std::mem::take(&mut chunk)));
             remaining_bytes = MAX_DATAGRAM_BYTES - DATAGRAM_HEADER_BYTES;
         }
         remaining_bytes = remaining_bytes.saturating_sub(bytes);
         chunk.push(entry.fact.clone());
     }
     if !chunk.is_empty() {
-        chunks.push(chunk);
+        chunks.push(in_order_of_kinds(chunk));
     }
     chunks
 }
--- a/src/gossip/fact_table.rs
+++ b/src/gossip/fact_table.rs
@@ -13,6 +13,7 @@
 use crate::wire::encode;
 
 use super::MAX_DATAGRAM_BYTES;
+use super::message::in_order_of_kinds;
 
 /// Number of buckets whose digests two peers compare. At 5,200 facts one bucket contains about 40,
 /// so the hashes of one bucket easily fit in one datagram.
@@ -255,7 +256,7 @@
                 self.queue.remove(&position);
             }
         }
-        facts
+        in_order_of_kinds(facts)
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -175,6 +175,9 @@
     /// The content is not a valid message.
     #[error("frame is not a valid message")]
     Malformed,
+    /// The content has a variant of an enum that only a later build knows.
+    #[error("message has an unknown variant")]
+    UnknownVariant,
 }
 
 /// Encodes a message with bincode.
@@ -214,6 +217,25 @@
     Ok(message)
 }
 
+/// Decodes a message at the beginning of `bytes`; returns it with its size.
+///
+/// # Errors
+///
+/// Fails on malformed content, and with [`WireError::UnknownVariant`] on content of a later build.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::wire::decode_prefix;
+/// assert_eq!(decode_prefix::<u8>(&[7, 8]), Ok((7, 1)));
+/// ```
+pub fn decode_prefix<T: Decode<()>>(bytes: &[u8]) -> Result<(T, usize), WireError> {
+    decode_limited(bytes).map_err(|error| match error {
+        bincode::error::DecodeError::UnexpectedVariant { .. } => WireError::UnknownVariant,
+        _ => WireError::Malformed,
+    })
+}
+
 /// Memory that decoding a message may allocate, as a multiple of its encoded size.
 ///
 /// A collection allocates the memory of all its elements before they are read. The largest element,
