Tell leaf reports of another version from malformed ones

The version of leaf reports was compared after the whole datagram had been decoded by the format of this version. Reports of a build with another format were logged as malformed, a warning every 20 ms for each such VM, and a mismatch that was found was logged at debug, which the gateway does not write.

Datagram::read checks the version, the first byte, before the rest. The first reports of each VM with another version are logged as leaf_reports_version_mismatch at info.

Measured: leaf_reports_of_another_version_are_not_malformed passes; the old code returned Malformed for its bytes, by the order of its checks (the test uses the new function and was not run on the old code).

--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -7,14 +7,16 @@
 //! some calls on each faulty leaf to detect it. Datagrams carry ages instead of timestamps, since
 //! the clocks of VMs differ.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
+use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 use super::engine::Engine;
 use super::rate_limit::RateUsage;
@@ -48,6 +50,9 @@
 /// Size of the receive buffer.
 const RECEIVE_BYTES: usize = 2_048;
 
+/// Maximum number of VMs of other versions that are logged, once each: they send reports every 20 ms.
+const MAX_LOGGED_MISMATCHES: usize = 128;
+
 /// Maximum age of a report that is applied.
 const MAX_AGE_US: u32 = 2_000_000;
 
@@ -112,6 +117,41 @@
     pub rate_reports: Vec<RateReport>,
 }
 
+/// Reason why reports are not applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub enum LeafReportsError {
+    /// The sender uses another version of the format.
+    #[error("leaf reports of version {0}")]
+    OtherVersion(u8),
+    /// The content is not a valid datagram.
+    #[error("leaf reports are malformed")]
+    Malformed,
+}
+
+impl Datagram {
+    /// Decodes a received datagram. The version, its first byte, is checked before the rest, whose format
+    /// depends on it.
+    ///
+    /// # Errors
+    ///
+    /// Fails on another version and on malformed content.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::leaf_reports::{Datagram, LeafReportsError};
+    /// assert_eq!(Datagram::read(&[3]), Err(LeafReportsError::OtherVersion(3)));
+    /// ```
+    pub fn read(bytes: &[u8]) -> Result<Self, LeafReportsError> {
+        match bytes.first() {
+            Some(&LEAF_REPORTS_VERSION) => decode(bytes).map_err(|_| LeafReportsError::Malformed),
+            Some(version) => Err(LeafReportsError::OtherVersion(*version)),
+            None => Err(LeafReportsError::Malformed),
+        }
+    }
+}
+
 /// Reports that wait to be sent.
 #[derive(Debug, Default)]
 pub struct ReportQueue {
@@ -220,6 +260,7 @@
 /// Receives and applies reports of other active VMs until the task is dropped.
 pub async fn receive(socket: Arc<UdpSocket>, engine: Arc<Engine>) {
     let mut buffer = vec![0; RECEIVE_BYTES];
+    let mut mismatches: HashSet<(SocketAddr, u8)> = HashSet::new();
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -229,13 +270,15 @@
                 continue;
             }
         };
-        match decode::<Datagram>(&buffer[..length]) {
-            Ok(datagram) if datagram.version == LEAF_REPORTS_VERSION => {
+        match Datagram::read(&buffer[..length]) {
+            Ok(datagram) => {
                 engine.apply_reports(&datagram.leaf_reports, boot_us());
                 engine.apply_rate_reports(from.ip(), &datagram.rate_reports, boot_us());
             }
-            Ok(datagram) => {
-                debug!(event = "leaf_reports_version_mismatch", %from, version = datagram.version);
+            Err(LeafReportsError::OtherVersion(version)) => {
+                if mismatches.len() < MAX_LOGGED_MISMATCHES && mismatches.insert((from, version)) {
+                    info!(event = "leaf_reports_version_mismatch", %from, version);
+                }
             }
             Err(error) => warn!(event = "leaf_reports_malformed", %from, %error),
         }
--- a/tests/later_builds.rs
+++ b/tests/later_builds.rs
@@ -10,6 +10,7 @@
 use cloverrack::clock::unix_ms;
 use cloverrack::fact::{Fact, LeafLinks, Profile, VmState};
 use cloverrack::gateway::Membership;
+use cloverrack::gateway::leaf_reports::{self, LEAF_REPORTS_VERSION, LeafReportsError};
 use cloverrack::gossip::{Datagram, DatagramError, MessageKind};
 use cloverrack::wire::{PROTOCOL_VERSION, decode, encode};
 use tokio::net::UdpSocket;
@@ -126,6 +127,19 @@
     assert_eq!(read, Err(DatagramError::OtherVersion(2)));
 }
 
+/// Guards against leaf reports of another version being taken for malformed ones, which hides from
+/// operators that two builds do not exchange them.
+#[test]
+fn leaf_reports_of_another_version_are_not_malformed() {
+    let later = LEAF_REPORTS_VERSION + 1;
+    let read = |bytes: &[u8]| leaf_reports::Datagram::read(bytes);
+    let other = Err(LeafReportsError::OtherVersion(later));
+    assert_eq!(read(&[later, 255, 255]), other);
+    let malformed = Err(LeafReportsError::Malformed);
+    assert_eq!(read(&[LEAF_REPORTS_VERSION, 255, 255]), malformed);
+    assert_eq!(read(&[]), malformed);
+}
+
 /// Guards against a datagram in which the kinds that earlier builds do not know come before others.
 #[test]
 fn facts_are_sent_in_the_order_of_their_kinds() {
