Test that messages with missing or trailing bytes are refused

That a message of another format is dropped rather than read with other values follows from the decoder, and no test showed it for the messages between VMs. The new test passes for all of them; it guards a property and mends no fault.

--- a/tests/message_format.rs
+++ b/tests/message_format.rs
@@ -424,6 +424,18 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against a message of another format that is read as one of this format, with other values.
+#[test]
+fn messages_with_missing_or_trailing_bytes_are_refused() {
+    for sample in samples() {
+        let (bytes, name) = (&sample.encoded, sample.name);
+        let cut = &bytes[..bytes.len() - 1];
+        assert!((sample.read)(cut).is_err(), "{name} without its last byte");
+        let longer = [bytes, &[0][..]].concat();
+        assert!((sample.read)(&longer).is_err(), "{name} with another byte");
+    }
+}
+
 /// Guards against a reason that an earlier build gives for a request that has not run, and that is read
 /// as another one.
 #[test]
