Name steps of a planned stop by what they do

Found when the diff was read as a newcomer would: a function that fails shards was named after calls that it drops, a parameter that is a factor after uses, and two waits did not say how they differ. No change of behaviour.

--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -178,7 +178,7 @@
             if self.has_time_for_calls(elapsed_us) {
                 self.start_calls(elapsed_us);
             } else {
-                self.drop_waiting_calls();
+                self.fail_waiting_shards();
             }
             self.stop_pending_shards();
             match self.shard_counts(elapsed_us).step(&schedule, elapsed_us) {
@@ -222,7 +222,7 @@
     }
 
     /// Fails the shards that wait for a call, and leaves out hedges of the others.
-    fn drop_waiting_calls(&mut self) {
+    fn fail_waiting_shards(&mut self) {
         for index in 0..self.shards.len() {
             let shard = &mut self.shards[index];
             if !shard.is_pending() {
--- a/src/gateway/stop_schedule.rs
+++ b/src/gateway/stop_schedule.rs
@@ -71,8 +71,8 @@
         Self::new(0, grace_ms).answer_by_us / US_PER_MS
     }
 
-    /// Returns the time for which callers may cache an address, at most `max_ms`: some use it `uses` times
-    /// as long, and a VM that stops runs requests until then.
+    /// Returns the time for which callers may cache an address, at most `max_ms`. Some cache it up to
+    /// `max_factor` times as long, and a VM that stops runs requests until then.
     ///
     /// # Examples
     ///
@@ -81,9 +81,9 @@
     /// assert_eq!(StopSchedule::cache_ms(6_000, 1_500, 3), 1_500);
     /// assert_eq!(StopSchedule::cache_ms(2_000, 1_500, 3), 583);
     /// ```
-    pub fn cache_ms(grace_ms: u64, max_ms: u64, uses: u64) -> u64 {
+    pub fn cache_ms(grace_ms: u64, max_ms: u64, max_factor: u64) -> u64 {
         let serving_ms = Self::serving_ms(grace_ms);
-        let cache_ms = serving_ms / uses.max(1);
+        let cache_ms = serving_ms / max_factor.max(1);
         cache_ms.max(MIN_CACHE_MS).min(max_ms)
     }
 
--- a/src/gateway/stop_signal.rs
+++ b/src/gateway/stop_signal.rs
@@ -14,7 +14,8 @@
 /// is suspended.
 const MAX_SLEEP_US: u64 = 100_000;
 
-/// Time after which a request that should have been answered is ended with a failure response.
+/// Time after which a request that should have been answered is ended with a failure response, in case a
+/// step of it does not follow the schedule.
 const OVERDUE_US: u64 = 20_000;
 
 /// Longest time between two signs that the process runs. After a longer one it was suspended.
@@ -105,7 +106,7 @@
         sleep_until_us(self.answer_by_us().await).await;
     }
 
-    /// Waits until requests are still unanswered some time later.
+    /// Waits until [`Self::answers_due`] was [`OVERDUE_US`] ago.
     pub(super) async fn answers_overdue(&self) {
         let answer_by_us = self.answer_by_us().await;
         sleep_until_us(answer_by_us.saturating_add(OVERDUE_US)).await;
