Serve requests that must not run twice during a stop while leaves answer quickly

What callers saw: from SIGTERM on, a VM refused all requests that must not run twice on a route whose target latency is as long as its grace period (GraceS 3 s, target 3 s: 20 of 20), although its leaves had answered each earlier one in 24 ms. A refusal costs the caller an attempt, and many while all VMs are replaced in turn.

Cause: the time within which a leaf is expected to answer was at least the target latency for these requests, whatever leaves needed.

Change: once 8 calls of a route have ended, twice the longest of the latest 64 to 128 calls counts, at least a quarter of the target. A single long call raises it at once, while the moving average cuts it at four means.

Measured: requests_of_a_slow_route_are_served_while_leaves_answer_in_time, which now sends orders too, failed with 503 after 8 ms with the estimate disabled and passes.

--- a/src/gateway/fanout_schedule.rs
+++ b/src/gateway/fanout_schedule.rs
@@ -34,11 +34,21 @@
 /// Divisor of the target latency for the mean latency assumed before the first sample.
 const INITIAL_MEAN_DIVISOR: u64 = 5;
 
-/// Moving averages of the latency of one route's leaf calls and of its deviation.
+/// Number of calls from which the longest of the latest calls tells how long calls take.
+const MIN_CALLS: u32 = 8;
+
+/// Number of calls after which the longest call is searched anew. The one before still counts until then.
+const CALLS_PER_SPAN: u32 = 64;
+
+/// Moving averages of the latency of one route's leaf calls and of its deviation, and the longest of its
+/// latest calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLatency {
     mean_us: u64,
     deviation_us: u64,
+    calls: u32,
+    /// Longest call of the current span and of the one before.
+    longest_us: [u64; 2],
 }
 
 impl CallLatency {
@@ -47,12 +57,19 @@
         Self {
             mean_us: target_us / INITIAL_MEAN_DIVISOR,
             deviation_us: target_us / INITIAL_MEAN_DIVISOR / 2,
+            calls: 0,
+            longest_us: [0; 2],
         }
     }
 
     /// Records the latency of a call, capped at four means so that a pause doesn't dominate the
     /// average.
     pub fn record(&mut self, latency_us: u64) {
+        if self.calls.is_multiple_of(CALLS_PER_SPAN) {
+            self.longest_us = [0, self.longest_us[0]];
+        }
+        self.calls = self.calls.wrapping_add(1).max(1);
+        self.longest_us[0] = self.longest_us[0].max(latency_us);
         let latency_us = latency_us.min(self.mean_us.saturating_mul(4).max(1_000));
         let difference_us = latency_us.abs_diff(self.mean_us);
         self.mean_us = ewma(self.mean_us, latency_us);
@@ -64,6 +81,23 @@
         self.mean_us + SLOW_DEVIATIONS * self.deviation_us
     }
 
+    /// Returns the longest of the latest calls, or `None` before there are enough of them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::CallLatency;
+    /// let mut latency = CallLatency::new(3_000_000);
+    /// assert_eq!(latency.longest_us(), None);
+    /// for latency_us in [24_000, 24_000, 90_000, 24_000, 24_000, 24_000, 24_000, 24_000] {
+    ///     latency.record(latency_us);
+    /// }
+    /// assert_eq!(latency.longest_us(), Some(90_000));
+    /// ```
+    pub fn longest_us(self) -> Option<u64> {
+        (self.calls >= MIN_CALLS).then(|| self.longest_us[0].max(self.longest_us[1]))
+    }
+
     /// Returns the time within which a hedged call most probably completes.
     fn expected_hedge_us(self) -> u64 {
         self.mean_us + HEDGE_DEVIATIONS * self.deviation_us + HEDGE_ROUND_TRIP_US
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -34,6 +34,10 @@
 /// twice.
 const ONCE_TIME_FACTOR: u64 = 2;
 
+/// Least expected time of such a request, as a divisor of the target latency: leaves may work longer than
+/// lately.
+const ONCE_TARGET_DIVISOR: u64 = 4;
+
 /// Refusal of a request that this VM has no time for.
 const STOPPING: Refusal = Refusal::Stopping { has_other_vm: true };
 
@@ -132,14 +136,20 @@
 
 /// Returns the time within which a leaf is expected to answer a request.
 ///
-/// It is longer for a request that must not run twice: its caller can't repeat it if this VM stops first.
+/// It is longer for a request that must not run twice: its caller can't repeat it if this VM stops first. The
+/// target latency may be far above what leaves need, so it counts in full only until some calls have
+/// ended.
 fn expected_us(engine: &Engine, route: &Route) -> u64 {
     let target_us = route.spec.target_latency_ms * 1_000;
-    let slow_us = engine.call_latency(&route.spec.name, target_us).slow_us();
-    if route.spec.idempotent {
-        return slow_us;
+    let latency = engine.call_latency(&route.spec.name, target_us);
+    match latency.longest_us() {
+        _ if route.spec.idempotent => latency.slow_us(),
+        Some(longest_us) => {
+            let min_us = target_us / ONCE_TARGET_DIVISOR;
+            min_us.max(longest_us.saturating_mul(ONCE_TIME_FACTOR))
+        }
+        None => target_us.max(latency.slow_us() * ONCE_TIME_FACTOR),
     }
-    target_us.max(slow_us * ONCE_TIME_FACTOR)
 }
 
 /// Returns the end of a request that is refused on arrival. Another VM may have what this one lacks,
--- a/tests/gateway_planned_stop.rs
+++ b/tests/gateway_planned_stop.rs
@@ -143,15 +143,17 @@
     let vm = &fleet.vms[0];
     for _ in 0..200 {
         assert!(vm.serves(request("/a/x")).await);
+        assert!(vm.serves(order("x")).await);
     }
     let _stopped = vm.stop();
     let signalled = Instant::now();
     while signalled.elapsed() < Duration::from_millis(STOP_GRACE_MS / 2) {
-        let mut patient = request("/a/x");
-        let time_left = STOP_GRACE_MS.to_string().parse().unwrap();
-        patient.headers_mut().insert("x-time-left", time_left);
-        let reply = vm.send(patient).await.unwrap();
-        assert_eq!(reply.status, StatusCode::OK, "{:?}", signalled.elapsed());
+        for mut patient in [request("/a/x"), order("x")] {
+            let time_left = STOP_GRACE_MS.to_string().parse().unwrap();
+            patient.headers_mut().insert("x-time-left", time_left);
+            let reply = vm.send(patient).await.unwrap();
+            assert_eq!(reply.status, StatusCode::OK, "{:?}", signalled.elapsed());
+        }
         sleep(Duration::from_millis(20)).await;
     }
 }
