Keep one configuration in the catalog, and bound what it keeps for peers in bytes

After some 190 changes all VMs exceeded 260 MB in the same second and were killed; 10 to 15 requests that leaves were running got no answer.

Cause: the history for peers that are behind held 128 batches of changes, and a change of the configuration is the whole document. It was bounded by count only.

Change: - The history holds changes of leaves, at most 128 batches and 1 MiB. A peer that lacks the configuration gets the current one, once. The format of the messages is the same. - Documents and compiled routes share the routes.

Ruled out: fewer batches.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -26,8 +26,10 @@
 /// Maximum number of leaves that are remembered after they have left.
 const MAX_DEPARTURES: usize = 1_024;
 
-/// Maximum number of change batches kept for peers that are behind.
+/// Maximum number and size of the change batches kept for peers that are behind. A peer that is further
+/// behind gets the whole state, which takes less than a megabyte for 4,400 leaves.
 const MAX_HISTORY_BATCHES: usize = 128;
+const MAX_HISTORY_BYTES: usize = 1_048_576;
 
 /// Record that a leaf publishes about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -135,11 +137,30 @@
     }
 }
 
-/// Changes between two versions, in the order in which they were received.
+/// Changes of leaves between two versions, in the order in which they were received.
+///
+/// Configurations are left out, since each one replaces those before it: a peer gets the current one.
 #[derive(Clone, Debug)]
 struct ChangeBatch {
     base: Version,
-    change_set: ChangeSet,
+    version: Version,
+    leaf_changes: Vec<Change>,
+    has_document: bool,
+    bytes: usize,
+}
+
+impl Change {
+    /// Returns the memory that the change of a leaf takes.
+    fn leaf_bytes(&self) -> usize {
+        let texts = match self {
+            Self::Leaf(record) => {
+                record.id.len() + record.service.len() + record.failure_domain.len()
+            }
+            Self::LeafRemoved(id) => id.len(),
+            Self::Document(_) => 0,
+        };
+        size_of::<Self>() + texts
+    }
 }
 
 /// Parts of the catalog that an update changed.
@@ -162,6 +183,7 @@
     departures: HashMap<u64, u64>,
     grace_until_ms: u64,
     history: VecDeque<ChangeBatch>,
+    history_bytes: usize,
 }
 
 impl Catalog {
@@ -212,7 +234,7 @@
         if version.epoch != self.version.epoch || version < self.version {
             return changed;
         }
-        self.record_history(change_set.clone());
+        self.record_history(&change_set);
         for change in change_set.changes {
             match change {
                 Change::Document(document) => changed.document |= self.apply_document(document),
@@ -235,14 +257,36 @@
     }
 
     /// Adds changes to the history for peers that are behind.
-    fn record_history(&mut self, change_set: ChangeSet) {
-        let base = self.version;
-        self.history.push_back(ChangeBatch { base, change_set });
-        if self.history.len() > MAX_HISTORY_BATCHES {
-            self.history.pop_front();
+    fn record_history(&mut self, change_set: &ChangeSet) {
+        let is_document = |change: &Change| matches!(change, Change::Document(_));
+        let changes = change_set.changes.iter();
+        let leaf_changes: Vec<Change> = changes
+            .filter(|change| !is_document(change))
+            .cloned()
+            .collect();
+        let leaf_bytes: usize = leaf_changes.iter().map(Change::leaf_bytes).sum();
+        let batch = ChangeBatch {
+            base: self.version,
+            version: change_set.version(),
+            has_document: change_set.changes.iter().any(is_document),
+            leaf_changes,
+            bytes: size_of::<ChangeBatch>() + leaf_bytes,
+        };
+        self.history_bytes += batch.bytes;
+        self.history.push_back(batch);
+        while self.history.len() > MAX_HISTORY_BATCHES || self.history_bytes > MAX_HISTORY_BYTES {
+            let Some(oldest) = self.history.pop_front() else {
+                return;
+            };
+            self.history_bytes -= oldest.bytes;
         }
     }
 
+    /// Returns the memory of the changes that are kept for peers.
+    pub fn history_bytes(&self) -> usize {
+        self.history_bytes
+    }
+
     /// Returns the update for a peer that has applied all changes up to version `after`.
     ///
     /// It may include changes that the peer already has, since applying them again is idempotent.
@@ -252,16 +296,21 @@
         }
         let mut changes = Vec::new();
         let mut base = None;
+        let mut has_document = false;
         for batch in &self.history {
-            if batch.change_set.version() <= after {
+            if batch.version <= after {
                 continue;
             }
             base = base.or(Some(batch.base));
-            changes.extend(batch.change_set.changes.iter().cloned());
+            has_document |= batch.has_document;
+            changes.extend(batch.leaf_changes.iter().cloned());
         }
         if base.is_none_or(|base| base.epoch != after.epoch || base > after) {
             return CatalogUpdate::Image(self.image());
         }
+        if has_document {
+            changes.extend(self.document.clone().map(Change::Document));
+        }
         CatalogUpdate::Changes(ChangeSet {
             changes,
             epoch: self.version.epoch,
@@ -311,6 +360,7 @@
         }
         if version > self.version {
             self.history.clear();
+            self.history_bytes = 0;
         }
         self.advance_to(version, changed);
         changed
--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -5,15 +5,16 @@
 //! configuration and the leaves from their peers. In a large fleet, most VMs always do, since only
 //! a few watch the platform.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 use tracing::{debug, warn};
 
@@ -33,6 +34,12 @@
 /// Maximum number of connections served concurrently.
 const MAX_CONNECTIONS: usize = 64;
 
+/// Memory of all updates that are being sent. It holds several catalogs of the largest size; a peer that
+/// finds no room asks another VM.
+const MAX_OPEN_UPDATES_KIB: usize = 8_192;
+
+const BYTES_PER_KIB: usize = 1_024;
+
 /// Header with the version up to which the requesting VM has all changes, as `EPOCH.REVISION`.
 const AFTER_HEADER: &str = "cloverrack-after";
 
@@ -124,9 +131,72 @@
     CatalogRpcError::Unreachable
 }
 
+/// Encoded updates that are being sent. Peers that ask for the same one share it.
+#[derive(Debug)]
+struct OpenUpdates {
+    available_kib: Arc<Semaphore>,
+    /// Updates by the version of the peer and the one of the catalog.
+    open: Mutex<HashMap<(Version, Version), Weak<EncodedUpdate>>>,
+}
+
+#[derive(Debug)]
+struct EncodedUpdate {
+    bytes: Vec<u8>,
+    _permit: OwnedSemaphorePermit,
+}
+
+/// A response that shares an encoded update.
+struct SharedUpdate(Arc<EncodedUpdate>);
+
+impl AsRef<[u8]> for SharedUpdate {
+    fn as_ref(&self) -> &[u8] {
+        &self.0.bytes
+    }
+}
+
+impl OpenUpdates {
+    fn new() -> Self {
+        Self {
+            available_kib: Arc::new(Semaphore::new(MAX_OPEN_UPDATES_KIB)),
+            open: Mutex::default(),
+        }
+    }
+
+    /// Returns the encoded update for a peer that has all changes up to `after`, or the status of the
+    /// refusal.
+    fn encode(&self, engine: &Engine, after: Version) -> Result<Bytes, StatusCode> {
+        let state = engine.state();
+        let key = (after, state.catalog.version());
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|_, update| update.strong_count() > 0);
+        if let Some(update) = open.get(&key).and_then(Weak::upgrade) {
+            return Ok(Bytes::from_owner(SharedUpdate(update)));
+        }
+        let update = state.catalog.update_since(after);
+        drop(state);
+        let bytes = encode(&update).map_err(|error| {
+            warn!(event = "catalog_too_large", %error);
+            StatusCode::INTERNAL_SERVER_ERROR
+        })?;
+        let size_kib = u32::try_from(bytes.len().div_ceil(BYTES_PER_KIB)).unwrap_or(u32::MAX);
+        let permit = Arc::clone(&self.available_kib).try_acquire_many_owned(size_kib);
+        let permit = permit.map_err(|_| {
+            engine.metrics.count_memory_refusal("catalog_update");
+            StatusCode::SERVICE_UNAVAILABLE
+        })?;
+        let update = Arc::new(EncodedUpdate {
+            bytes,
+            _permit: permit,
+        });
+        open.insert(key, Arc::downgrade(&update));
+        Ok(Bytes::from_owner(SharedUpdate(update)))
+    }
+}
+
 /// Serves the catalog to peers until the task is dropped.
 pub async fn serve(listener: TcpListener, engine: Arc<Engine>) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let open_updates = Arc::new(OpenUpdates::new());
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
@@ -139,10 +209,10 @@
                 continue;
             }
         };
-        let engine = Arc::clone(&engine);
+        let (engine, open_updates) = (Arc::clone(&engine), Arc::clone(&open_updates));
         tokio::spawn(async move {
             let limit = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
-            if timeout(limit, serve_connection(stream, engine))
+            if timeout(limit, serve_connection(stream, &engine, &open_updates))
                 .await
                 .is_err()
             {
@@ -153,7 +223,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, engine: Arc<Engine>) {
+async fn serve_connection(stream: TcpStream, engine: &Engine, open_updates: &OpenUpdates) {
     let handshake = h2::server::Builder::new()
         .initial_window_size(FLOW_CONTROL_WINDOW_BYTES)
         .handshake::<_, Bytes>(stream)
@@ -165,7 +235,10 @@
         let Ok((request, mut respond)) = accepted else {
             return;
         };
-        let (status, body) = handle_request(&request, &engine);
+        let (status, body) = match handle_request(&request, engine, open_updates) {
+            Ok(body) => (StatusCode::OK, body),
+            Err(status) => (status, Bytes::new()),
+        };
         let mut response = Response::new(());
         *response.status_mut() = status;
         let sent = respond.send_response(response, body.is_empty());
@@ -177,23 +250,20 @@
     }
 }
 
-fn handle_request<B>(request: &Request<B>, engine: &Engine) -> (StatusCode, Bytes) {
+fn handle_request<B>(
+    request: &Request<B>,
+    engine: &Engine,
+    open_updates: &OpenUpdates,
+) -> Result<Bytes, StatusCode> {
     let header_text = |name| request.headers().get(name)?.to_str().ok();
     let catalog_version = header_text(VERSION_HEADER).and_then(|text| text.parse().ok());
     let (Some(after), true) = (
         header_text(AFTER_HEADER).and_then(parse_version),
         catalog_version == Some(u64::from(CATALOG_VERSION)),
     ) else {
-        return (StatusCode::BAD_REQUEST, Bytes::new());
+        return Err(StatusCode::BAD_REQUEST);
     };
-    let update = engine.state().catalog.update_since(after);
-    match encode(&update) {
-        Ok(bytes) => (StatusCode::OK, Bytes::from(bytes)),
-        Err(error) => {
-            warn!(event = "catalog_too_large", %error);
-            (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
-        }
-    }
+    open_updates.encode(engine, after)
 }
 
 /// Parses a version of the form `EPOCH.REVISION`.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -4,7 +4,7 @@
 //! Handles changes of the configuration, the leaves and the number of VMs, and shares observations
 //! of leaves that stall or fail with the other active VMs.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -250,6 +250,7 @@
                 event = "configuration_in_force",
                 version = route_table.version
             );
+            state.remove_unused_latencies(&route_table);
             state.route_table = Some(Arc::new(route_table));
         }
         let records = state.catalog.leaves();
@@ -543,6 +544,15 @@
         self.leaves.observe_stall(leaf, stall);
     }
 
+    /// Removes the latencies of routes that are no longer configured.
+    fn remove_unused_latencies(&mut self, route_table: &RouteTable) {
+        let names: HashSet<&str> = route_table
+            .routes()
+            .map(|route| &*route.spec.name)
+            .collect();
+        self.call_latency.retain(|name, _| names.contains(&**name));
+    }
+
     fn update_connection_limits(&mut self) {
         let Some(route_table) = &self.route_table else {
             return;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
     link_checks: Counter<u64>,
     links_lost: Gauge<u64>,
     unanswered: Counter<u64>,
+    memory_refusals: Counter<u64>,
 }
 
 impl Metrics {
@@ -50,6 +51,9 @@
             unanswered: meter
                 .u64_counter("cloverrack_gateway_unanswered_requests")
                 .build(),
+            memory_refusals: meter
+                .u64_counter("cloverrack_gateway_memory_refusals")
+                .build(),
             exporter,
         })
     }
@@ -101,6 +105,12 @@
         self.unanswered.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a refusal for want of memory, by what it was for.
+    pub fn count_memory_refusal(&self, purpose: &'static str) {
+        self.memory_refusals
+            .add(1, &[KeyValue::new("purpose", purpose)]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -21,7 +21,7 @@
 use super::forwarded_request::PriorCalls;
 use super::merge::merge_records;
 use super::refusal::{Refusal, empty_response, failure_response};
-use super::routes::{ResolvedDestination, Route, RouteTable, pick_weighted};
+use super::routes::{ResolvedDestination, Route, pick_weighted};
 use super::service::{NOT_RUN_STATUSES, strip_hop_by_hop};
 use crate::clock::boot_us;
 use crate::http_server::HttpResponse;
@@ -30,8 +30,7 @@
 /// One in this many successful requests is logged; the others are only counted.
 const SUCCESS_LOG_SAMPLING: u32 = 32;
 
-/// Factor by which the time in which nearly all calls complete is extended for requests that must not run
-/// twice.
+/// Factor by which the time of the latest calls is extended for requests that must not run twice.
 const ONCE_TIME_FACTOR: u64 = 2;
 
 /// Least expected time of such a request, as a divisor of the target latency: leaves may work longer than
@@ -60,10 +59,11 @@
     }
 }
 
-/// Runs a request that arrived at `started_us`, and with which other VMs have done `prior_calls`.
+/// Runs a request that arrived at `started_us` with a route of configuration `version`, and with which
+/// other VMs have done `prior_calls`.
 pub(super) async fn run(
     engine: &Arc<Engine>,
-    route_table: &RouteTable,
+    version: u64,
     route: &Route,
     spec: &Arc<CallSpec>,
     prior_calls: PriorCalls,
@@ -104,7 +104,7 @@
         route,
         elapsed_us: boot_us().saturating_sub(started_us),
     };
-    request_log.log(&fanout_result, route_table.version);
+    request_log.log(&fanout_result, version);
     if !fanout_result.complete {
         let is_refused = fanout_result.is_stopping && !fanout_result.may_have_run;
         return RunEnd {
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -2,6 +2,7 @@
 //! from the operators' configuration.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 
 use bincode::{Decode, Encode};
 
@@ -88,8 +89,8 @@
 pub struct RouteDocument {
     /// Version of the configuration; a greater one replaces a smaller one.
     pub version: u64,
-    /// Routes.
-    pub routes: Vec<RouteSpec>,
+    /// Routes, which a copy of the document and the compiled routes share.
+    pub routes: Vec<Arc<RouteSpec>>,
     /// Services with their limits.
     pub services: Vec<ServiceSpec>,
     /// Limits on callers.
@@ -143,7 +144,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
     /// Configuration of the route.
-    pub spec: RouteSpec,
+    pub spec: Arc<RouteSpec>,
     /// Destination of the requests.
     pub resolved_destination: ResolvedDestination,
     /// Number of more urgent priority levels among the scatter-gather routes.
@@ -157,7 +158,8 @@
     pub version: u64,
     /// Limits on callers.
     pub limits: CallerLimits,
-    hosts: HashMap<Box<str>, Vec<Route>>,
+    /// Requests keep their route, so that a replaced table doesn't stay in memory until they end.
+    hosts: HashMap<Box<str>, Vec<Arc<Route>>>,
     max_connections: HashMap<ServiceKey, u32>,
     health_paths: HashMap<ServiceKey, Box<str>>,
 }
@@ -201,29 +203,33 @@
     ///     destination: Destination::Service("submittal-room".into()),
     /// };
     /// let limits = CallerLimits { max_body_bytes: 262_144, idle_timeout_ms: 15_000 };
-    /// let document = RouteDocument { version: 1, routes: vec![route], services: vec![], limits };
+    /// let document = RouteDocument { version: 1, routes: vec![route.into()], services: vec![], limits };
     /// let table = RouteTable::compile(document, &mut ServiceNames::default());
     /// assert!(table.find("desk.example", "/sheets/7").is_some());
     /// assert!(table.find("desk.example", "/orders/7").is_none());
     /// ```
     pub fn compile(document: RouteDocument, names: &mut ServiceNames) -> Self {
-        let mut hosts: HashMap<Box<str>, Vec<Route>> = HashMap::new();
+        let mut hosts: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
         let scatter_gather_routes = document
             .routes
             .iter()
             .filter(|spec| spec.is_scatter_gather());
         let levels: BTreeSet<u32> = scatter_gather_routes.map(|spec| spec.priority).collect();
         for mut spec in document.routes {
-            spec.timeout_ms = spec.timeout_ms.min(MAX_ROUTE_TIME_MS);
-            spec.target_latency_ms = spec.target_latency_ms.min(MAX_ROUTE_TIME_MS);
+            if spec.timeout_ms.max(spec.target_latency_ms) > MAX_ROUTE_TIME_MS {
+                let spec = Arc::make_mut(&mut spec);
+                spec.timeout_ms = spec.timeout_ms.min(MAX_ROUTE_TIME_MS);
+                spec.target_latency_ms = spec.target_latency_ms.min(MAX_ROUTE_TIME_MS);
+            }
             let rank = levels.range(..spec.priority).count();
             let resolved_destination = resolve_destination(&spec.destination, names);
             let host = spec.host.to_ascii_lowercase().into_boxed_str();
-            hosts.entry(host).or_default().push(Route {
+            let route = Route {
                 spec,
                 resolved_destination,
                 rank: u32::try_from(rank).unwrap_or(u32::MAX),
-            });
+            };
+            hosts.entry(host).or_default().push(Arc::new(route));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.spec.prefix.len()));
@@ -246,7 +252,7 @@
 
     /// Returns the route of a host and path with the longest matching prefix. The host has to be in
     /// lowercase.
-    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.hosts.get(host)?;
         let mut matching = routes.iter();
         matching.find(|route| path.starts_with(&*route.spec.prefix))
@@ -279,7 +285,7 @@
 
     /// Returns all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.hosts.values().flatten()
+        self.hosts.values().flatten().map(|route| &**route)
     }
 }
 
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -25,7 +25,7 @@
 use super::open_requests::OpenRequest;
 use super::refusal::{Refusal, empty_response, refusal_response};
 use super::request_run;
-use super::routes::{Route, RouteTable};
+use super::routes::{CallerLimits, Route};
 use crate::clock::boot_us;
 use crate::http_server::{BodyError, CallerAddress, Handler, HttpResponse, read_body};
 use crate::wire::encode;
@@ -83,10 +83,10 @@
         let route_table = self.engine.route_table().ok_or(Refusal::NoConfiguration)?;
         let host = request_host(&request);
         let route = route_table.find(&host, request.uri().path());
-        let route = route.ok_or(Refusal::NoRoute)?;
-        let spec = self
-            .call_spec(request, &route_table, route, started_us)
-            .await?;
+        let route = &*Arc::clone(route.ok_or(Refusal::NoRoute)?);
+        let (version, limits) = (route_table.version, route_table.limits);
+        drop(route_table);
+        let spec = self.call_spec(request, limits, route, started_us).await?;
         self.check_quarantine(&spec)?;
         let spec = Arc::new(spec);
         let mut prior_calls = PriorCalls::default();
@@ -96,8 +96,7 @@
                 return None;
             }
             let name = &route.spec.name;
-            let forwarding =
-                forwarder.forward(name, &host, &spec, route_table.version, prior_calls);
+            let forwarding = forwarder.forward(name, &host, &spec, version, prior_calls);
             tokio::select! {
                 biased;
                 response = forwarding => response,
@@ -110,7 +109,7 @@
             return Ok(response);
         }
         let engine = &self.engine;
-        let run = request_run::run(engine, &route_table, route, &spec, prior_calls, started_us);
+        let run = request_run::run(engine, version, route, &spec, prior_calls, started_us);
         let end = run.await;
         if matches!(end.response, Err(Refusal::Stopping { .. })) {
             return Err(self.stopping_refusal());
@@ -207,12 +206,14 @@
         let Some(route) = route_table.find(&host, spec.uri.path()) else {
             return Ok(refuse(request_id, Refusal::NoRoute));
         };
+        let (version, route) = (route_table.version, &*Arc::clone(route));
+        drop(route_table);
         if let Err(refusal) = self.check_quarantine(&spec) {
             return Ok(refuse(request_id, refusal));
         }
         let engine = &self.engine;
         let open_request = OpenRequest::new(engine, request_id, started_us);
-        let run = request_run::run(engine, &route_table, route, &spec, prior_calls, started_us);
+        let run = request_run::run(engine, version, route, &spec, prior_calls, started_us);
         let end = run.await;
         open_request.finish();
         let has_not_run = end
@@ -236,7 +237,7 @@
     async fn call_spec(
         &self,
         request: Request<Incoming>,
-        route_table: &RouteTable,
+        limits: CallerLimits,
         route: &Route,
         started_us: u64,
     ) -> Result<CallSpec, Refusal> {
@@ -251,7 +252,7 @@
         let remaining_ms = requested_ms.unwrap_or(route.spec.timeout_ms);
         let remaining_ms = remaining_ms.min(route.spec.timeout_ms);
         let remaining_ms = remaining_ms.saturating_sub(END_MARGIN_MS.min(remaining_ms / 8));
-        let limit_bytes = usize::try_from(route_table.limits.max_body_bytes).unwrap_or(usize::MAX);
+        let limit_bytes = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
         let body = tokio::select! {
             biased;
             body = read_body(body, limit_bytes) => body,
--- a/tests/gateway_cut_replies.rs
+++ b/tests/gateway_cut_replies.rs
@@ -190,10 +190,10 @@
     let document = RouteDocument {
         version: 1,
         routes: vec![
-            single_route("/a/", "s", true, 2),
-            single_route("/o/", "s", false, 2),
-            gather_route("/g/", &["s", "t"], 1_000_000),
-            gather_route("/p/", &["s", "t"], 500_000),
+            single_route("/a/", "s", true, 2).into(),
+            single_route("/o/", "s", false, 2).into(),
+            gather_route("/g/", &["s", "t"], 1_000_000).into(),
+            gather_route("/p/", &["s", "t"], 500_000).into(),
         ],
         services: services.into(),
         limits: CallerLimits {
--- a/tests/gateway_odd_configurations.rs
+++ b/tests/gateway_odd_configurations.rs
@@ -10,6 +10,7 @@
 #[path = "support/gateway.rs"]
 mod gateway;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -57,7 +58,7 @@
     };
     let document = RouteDocument {
         version,
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: vec![service.clone(), service],
         limits: CallerLimits {
             max_body_bytes: u64::MAX,
@@ -180,7 +181,7 @@
         };
         let document = RouteDocument {
             version: 1,
-            routes: vec![route],
+            routes: vec![route.into()],
             services: vec![],
             limits: CallerLimits {
                 max_body_bytes: 0,
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -3,6 +3,7 @@
 //! Covered are outages of the platform, and leaves that fail, stall or pause regularly.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use cloverrack::ServiceKey;
 use cloverrack::document::Version;
@@ -38,7 +39,7 @@
 fn document(version: u64, routes: Vec<RouteSpec>) -> RouteDocument {
     RouteDocument {
         version,
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: Vec::new(),
         limits: CallerLimits {
             max_body_bytes: 1_000,
@@ -557,3 +558,40 @@
     leaves.update([&restarted].into_iter(), &mut names, 6_100);
     assert!(choose(&leaves, 6_100).is_ok(), "the leaf was restarted");
 }
+
+/// Guards against configurations that stay in the history of the catalog, one for each change, until the
+/// process exceeds its memory.
+#[test]
+fn history_for_peers_holds_one_configuration_and_bounded_leaf_changes() {
+    let mut catalog = Catalog::default();
+    for revision in 1..=100 {
+        let published = Change::Document(document(revision, vec![route("all", "/a/")]));
+        catalog.apply(changes(vec![published], revision), 0);
+    }
+    let CatalogUpdate::Changes(update) = catalog.update_since(Version {
+        epoch: 0,
+        revision: 10,
+    }) else {
+        panic!("90 changes are in the history");
+    };
+    assert_eq!(
+        update.changes,
+        [Change::Document(document(100, vec![route("all", "/a/")]))]
+    );
+    let mut peer = Catalog::default();
+    for revision in 101..=200 {
+        let ids = (0..200).map(|number| format!("{revision}-{number}-{}", "i".repeat(200)));
+        let records = ids.map(|id| Change::Leaf(record(&id)));
+        catalog.apply(changes(records.collect(), revision), 0);
+    }
+    assert!(catalog.history_bytes() <= 1_048_576);
+    peer.update(
+        catalog.update_since(Version {
+            epoch: 0,
+            revision: 10,
+        }),
+        0,
+    );
+    assert_eq!(peer.document(), catalog.document());
+    assert!(peer.leaves().eq(catalog.leaves()));
+}
--- a/tests/message_format.rs
+++ b/tests/message_format.rs
@@ -13,6 +13,7 @@
 use std::fmt::{Debug, Write};
 use std::net::{Ipv6Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use bincode::{Decode, Encode};
 use cloverrack::document::Version;
@@ -250,16 +251,18 @@
 }
 
 fn route_document() -> RouteDocument {
-    let route = |name: &str, idempotent, destination| RouteSpec {
-        name: name.into(),
-        host: "desk.example".into(),
-        prefix: format!("/{name}/").into(),
-        idempotent,
-        timeout_ms: 1_500,
-        target_latency_ms: 200,
-        max_attempts: 2,
-        priority: 1,
-        destination,
+    let route = |name: &str, idempotent, destination| {
+        Arc::new(RouteSpec {
+            name: name.into(),
+            host: "desk.example".into(),
+            prefix: format!("/{name}/").into(),
+            idempotent,
+            timeout_ms: 1_500,
+            target_latency_ms: 200,
+            max_attempts: 2,
+            priority: 1,
+            destination,
+        })
     };
     let shards = Destination::Shards {
         services: vec!["shard-0".into(), "shard-1".into()],
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -131,7 +131,7 @@
     }
     RouteDocument {
         version: 1,
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: services.collect(),
         limits: CallerLimits {
             max_body_bytes: 100_000,
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -368,7 +368,7 @@
     });
     let document = RouteDocument {
         version,
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: services.collect(),
         limits: CallerLimits {
             max_body_bytes: 1_000,
