Fetch a new version of the catalog from any VM that has it, or from the platform

Cause: in a fleet of over ten VMs most fetch a version from a peer, and from one only: the fact that announces a version keeps the peer that it was heard of first, and the same announcement of others was dropped. If that peer was cut off, frozen or dead, it was asked again every 1.2 s. A VM that reached the platform itself did not ask it.

Change: - Each VM remembers which peers have announced which version (`catalog_sources`, without I/O) and asks one of them at random; a peer that brought nothing comes last for a second. Without an announcer, any live peer is asked. - A peer has 0.4 s to begin its response, and 0.4 s for each further part. The transfer may take 3 s (0.9 s before, too short for a catalog of a megabyte over 14 Mbit/s). A peer that fails is followed by another one at once. - A VM that is behind for 1 to 1.5 s, and whose fetch has failed, reads the platform itself until it is up to date. The delay is random, so that VMs without peers don't read it in the same moment. Messages are unchanged; an earlier build reads a refusal (503) as a failed fetch.

Ruled out: keeping several sources in the gossip fact, which changes its format; and a watch on every VM, whose calls grow with the fleet.

--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
 use tracing::{debug, warn};
 
 use super::catalog::CatalogUpdate;
@@ -23,9 +24,19 @@
 use crate::document::Version;
 use crate::wire::{MAX_FRAME_BYTES, decode, encode};
 
-/// Timeout for a complete exchange: a network round trip and the transfer of an image of some
-/// hundred kilobytes.
-const EXCHANGE_TIMEOUT_MS: u64 = 900;
+/// Timeout for a peer to accept the connection and begin to respond. It is a small part of the time within
+/// which a new configuration has to be in force, so that several peers can be asked.
+const RESPONSE_TIMEOUT_MS: u64 = 400;
+
+/// Time without any bytes of a response after which the peer counts as lost.
+const STALL_TIMEOUT_MS: u64 = 400;
+
+/// Timeout for a complete exchange. A catalog of a megabyte takes 0.6 s over a link of 14 Mbit/s, which
+/// several peers may share.
+const EXCHANGE_TIMEOUT_MS: u64 = 3_000;
+
+/// Delay after a connection that could not be accepted.
+const ACCEPT_RETRY_MS: u64 = 200;
 
 /// HTTP/2 flow-control window, large enough that an image is sent without waiting for a window
 /// update.
@@ -56,6 +67,9 @@
     /// The peer can't be reached, or did not respond in time.
     #[error("peer is unreachable or did not respond in time")]
     Unreachable,
+    /// The peer sends the catalog to too many others.
+    #[error("peer has no memory for another response")]
+    Busy,
     /// The response is an error, as for another protocol version, is too large or can't be decoded.
     #[error("response of the peer is malformed")]
     Malformed,
@@ -79,24 +93,30 @@
     peer: SocketAddr,
     after: Version,
 ) -> Result<CatalogUpdate, CatalogRpcError> {
-    let stream = TcpStream::connect(peer).await.map_err(log_unreachable)?;
-    let (client, connection) = h2::client::Builder::new()
-        .initial_window_size(FLOW_CONTROL_WINDOW_BYTES)
-        .initial_connection_window_size(FLOW_CONTROL_WINDOW_BYTES)
-        .handshake::<_, Bytes>(stream)
-        .await
-        .map_err(log_unreachable)?;
-    let driver = tokio::spawn(connection);
-    let result = fetch_update_on(client, peer, after).await;
-    driver.abort();
-    result
+    let responding = async {
+        let stream = TcpStream::connect(peer).await.map_err(log_unreachable)?;
+        let (client, connection) = h2::client::Builder::new()
+            .initial_window_size(FLOW_CONTROL_WINDOW_BYTES)
+            .initial_connection_window_size(FLOW_CONTROL_WINDOW_BYTES)
+            .handshake::<_, Bytes>(stream)
+            .await
+            .map_err(log_unreachable)?;
+        let driver = AbortOnDropHandle::new(tokio::spawn(connection));
+        let body = request_update(client, peer, after).await?;
+        Ok((driver, body))
+    };
+    let limit = Duration::from_millis(RESPONSE_TIMEOUT_MS);
+    let responded = timeout(limit, responding).await;
+    let (_driver, body) = responded.map_err(|_| CatalogRpcError::Unreachable)??;
+    read_update(body).await
 }
 
-async fn fetch_update_on(
+/// Sends the request and returns the body of the response.
+async fn request_update(
     client: h2::client::SendRequest<Bytes>,
     peer: SocketAddr,
     after: Version,
-) -> Result<CatalogUpdate, CatalogRpcError> {
+) -> Result<h2::RecvStream, CatalogRpcError> {
     let mut client = client.ready().await.map_err(log_unreachable)?;
     let request = Request::builder()
         .uri(format!("http://{peer}/catalog"))
@@ -108,12 +128,21 @@
         .send_request(request, true)
         .map_err(log_unreachable)?;
     let response = response.await.map_err(log_unreachable)?;
-    if response.status() != StatusCode::OK {
-        return Err(CatalogRpcError::Malformed);
+    match response.status() {
+        StatusCode::OK => Ok(response.into_body()),
+        StatusCode::SERVICE_UNAVAILABLE => Err(CatalogRpcError::Busy),
+        _ => Err(CatalogRpcError::Malformed),
     }
-    let mut body = response.into_body();
+}
+
+async fn read_update(mut body: h2::RecvStream) -> Result<CatalogUpdate, CatalogRpcError> {
+    let limit = Duration::from_millis(STALL_TIMEOUT_MS);
     let mut bytes = BytesMut::new();
-    while let Some(chunk) = body.data().await {
+    loop {
+        let received = timeout(limit, body.data()).await;
+        let Some(chunk) = received.map_err(|_| CatalogRpcError::Unreachable)? else {
+            break;
+        };
         let chunk = chunk.map_err(log_unreachable)?;
         let released = body.flow_control().release_capacity(chunk.len());
         released.map_err(log_unreachable)?;
@@ -205,7 +234,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 warn!(event = "catalog_rpc_not_accepted", %error);
-                tokio::time::sleep(Duration::from_millis(EXCHANGE_TIMEOUT_MS)).await;
+                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
                 continue;
             }
         };
--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -8,12 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
+use rand::RngExt;
 use tokio::time::sleep;
+use tokio_util::task::AbortOnDropHandle;
 use tracing::{debug, info};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::catalog_rpc;
+use super::catalog_sources::MAX_BEHIND_MS;
 use super::engine::Engine;
 use super::membership::{LiveVm, Membership};
 use crate::clock::boot_ms;
@@ -42,8 +44,9 @@
 /// use more connections and extra calls than one of the active VMs of a large fleet.
 pub const STARTUP_SETTLE_MS: u64 = 2_500;
 
-/// Delay after a fetch from a peer that brought no newer revision.
-const RETRY_DELAY_MS: u64 = 200;
+/// Longest random addition to the time for which a VM may be behind, so that VMs which lack the same peers
+/// don't read the platform in the same moment.
+const MAX_BEHIND_SPREAD_MS: u64 = 500;
 
 /// Returns whether a VM watches the platform itself.
 ///
@@ -74,7 +77,7 @@
     engine.set_platform_watcher(false);
     while boot_ms() < deadline_ms && engine.route_table().is_none() {
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-        if let Some(peer) = choose_peer(engine, membership, Version::default()) {
+        if let Some(peer) = choose_peer(membership, Version::default()) {
             fetch(engine, peer, Version::default()).await;
         }
     }
@@ -89,63 +92,142 @@
     if bootstrap_from_peers {
         bootstrap_catalog(&engine, &membership).await;
     }
-    let mut announced = Version::default();
-    let mut behind_since_ms = None;
-    let mut known_watcher: Option<(Arc<[LiveVm]>, bool)> = None;
+    let mut catalog_sync = CatalogSync {
+        engine,
+        membership,
+        started_ms,
+        announced: Version::default(),
+        behind: None,
+        known_watcher: None,
+        fetching: None,
+        max_behind_ms: MAX_BEHIND_MS + rand::rng().random_range(0..=MAX_BEHIND_SPREAD_MS),
+    };
     loop {
-        sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+        catalog_sync.wait().await;
+        catalog_sync.update();
+    }
+}
+
+/// A VM that knows of a newer version than its own, or has none.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    since_ms: u64,
+    failed_fetches: u32,
+}
+
+/// A fetch in progress.
+struct Fetch {
+    peer: SocketAddr,
+    task: AbortOnDropHandle<bool>,
+}
+
+struct CatalogSync {
+    engine: Arc<Engine>,
+    membership: Arc<Membership>,
+    started_ms: u64,
+    announced: Version,
+    behind: Option<Behind>,
+    known_watcher: Option<(Arc<[LiveVm]>, bool)>,
+    fetching: Option<Fetch>,
+    /// Time for which this VM may be behind before it reads the platform, drawn at the start.
+    max_behind_ms: u64,
+}
+
+impl CatalogSync {
+    /// Waits for the next check or the end of a fetch.
+    async fn wait(&mut self) {
+        let interval = sleep(Duration::from_millis(CHECK_INTERVAL_MS));
+        let Some(fetch) = &mut self.fetching else {
+            return interval.await;
+        };
+        let peer = fetch.peer;
+        let is_newer = tokio::select! {
+            is_newer = &mut fetch.task => is_newer.unwrap_or(false),
+            () = interval => return,
+        };
+        self.fetching = None;
+        if !is_newer {
+            self.membership
+                .catalog_sources()
+                .record_failure(peer, boot_ms());
+            if let Some(behind) = &mut self.behind {
+                behind.failed_fetches += 1;
+            }
+        }
+    }
+
+    /// Announces a new version of this VM, decides whether it watches the platform, and starts a fetch if
+    /// it is behind.
+    fn update(&mut self) {
         let (own_version, last_change) = {
-            let catalog = &engine.state().catalog;
+            let catalog = &self.engine.state().catalog;
             (catalog.version(), catalog.last_change())
         };
-        let age_ms = boot_ms().saturating_sub(started_ms);
-        let is_settling = age_ms < STARTUP_SETTLE_MS && engine.route_table().is_some();
-        let live_vms = membership.live_vms();
-        let is_among_watchers = match &known_watcher {
-            Some((known, is_among_watchers)) if Arc::ptr_eq(known, &live_vms) => *is_among_watchers,
-            _ => watches_platform(&live_vms, membership.address()),
-        };
-        known_watcher = Some((live_vms, is_among_watchers));
-        let is_watcher = !is_settling && is_among_watchers;
-        engine.set_platform_watcher(is_watcher);
-        if last_change > announced && engine.route_table().is_some() {
-            announced = last_change;
-            membership.announce_catalog(last_change);
+        let has_routes = self.engine.route_table().is_some();
+        if last_change > self.announced && has_routes {
+            self.announced = last_change;
+            self.membership.announce_catalog(last_change);
         }
-        let Some(peer) = choose_peer(&engine, &membership, own_version) else {
-            behind_since_ms = None;
-            continue;
+        let now_ms = boot_ms();
+        let is_behind = !has_routes || self.membership.announced_catalog() > Some(own_version);
+        self.behind = is_behind.then(|| {
+            self.behind.unwrap_or(Behind {
+                since_ms: now_ms,
+                failed_fetches: 0,
+            })
+        });
+        let is_settling = has_routes && now_ms < self.started_ms + STARTUP_SETTLE_MS;
+        let is_watcher = !is_settling && self.is_among_watchers();
+        let reads_platform = is_watcher || self.lacks_peers(now_ms);
+        self.engine.set_platform_watcher(reads_platform);
+        let Some(behind) = self.behind else {
+            return;
         };
-        let since_ms = *behind_since_ms.get_or_insert(boot_ms());
-        let waited_ms = boot_ms().saturating_sub(since_ms);
-        if is_watcher && engine.platform_is_reachable() && waited_ms < OWN_WATCH_TIMEOUT_MS {
-            continue;
+        let awaits_own_watch = is_watcher
+            && self.engine.platform_is_reachable()
+            && now_ms < behind.since_ms + OWN_WATCH_TIMEOUT_MS;
+        if self.fetching.is_some() || awaits_own_watch {
+            return;
         }
-        if !fetch(&engine, peer, own_version).await {
-            sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+        if let Some(peer) = choose_peer(&self.membership, own_version) {
+            let engine = Arc::clone(&self.engine);
+            let fetching = async move { fetch(&engine, peer, own_version).await };
+            self.fetching = Some(Fetch {
+                peer,
+                task: AbortOnDropHandle::new(tokio::spawn(fetching)),
+            });
         }
     }
-}
 
-/// Returns the peer to fetch the catalog from: one that announced a newer revision, or a random one
-/// while this VM has no routes.
-fn choose_peer(
-    engine: &Engine,
-    membership: &Membership,
-    own_version: Version,
-) -> Option<SocketAddr> {
-    if let Some((version, peer)) = membership.announced_catalog()
-        && version > own_version
-    {
-        return Some(peer);
+    fn is_among_watchers(&mut self) -> bool {
+        let live_vms = self.membership.live_vms();
+        if let Some((known, is_among_watchers)) = &self.known_watcher
+            && Arc::ptr_eq(known, &live_vms)
+        {
+            return *is_among_watchers;
+        }
+        let is_live = |address: &SocketAddr| live_vms.iter().any(|vm| vm.address == *address);
+        self.membership.catalog_sources().retain(is_live);
+        let is_among_watchers = watches_platform(&live_vms, self.membership.address());
+        self.known_watcher = Some((live_vms, is_among_watchers));
+        is_among_watchers
     }
-    if engine.route_table().is_some() {
-        return None;
+
+    /// Returns whether no peer can bring this VM up to date, so that it has to read the platform itself.
+    fn lacks_peers(&self, now_ms: u64) -> bool {
+        self.behind.is_some_and(|behind| {
+            behind.failed_fetches > 0 && now_ms >= behind.since_ms + self.max_behind_ms
+        })
     }
+}
+
+/// Returns the peer to fetch a version after `own_version` from.
+fn choose_peer(membership: &Membership, own_version: Version) -> Option<SocketAddr> {
     let live_vms = membership.live_vms();
-    let own = membership.address();
-    let peers: Vec<&LiveVm> = live_vms.iter().filter(|vm| vm.address != own).collect();
-    peers.choose(&mut rand::rng()).map(|vm| vm.address)
+    let live = live_vms.iter().map(|vm| vm.address);
+    let peers: Vec<SocketAddr> = live.filter(|vm| *vm != membership.address()).collect();
+    let sources = membership.catalog_sources();
+    sources.choose(own_version, &peers, boot_ms(), &mut rand::rng())
 }
 
 /// Applies the catalog changes of a peer, and returns whether they brought a newer version.
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -15,10 +15,11 @@
 use tokio::sync::Notify;
 use tracing::{info, warn};
 
+use super::catalog_sources::CatalogSources;
 use crate::clock::{boot_ms, unix_ms};
 use crate::document::Version;
 use crate::fact::{Fact, FactKey, LeafLinks, Profile, VmState};
-use crate::gossip::{Datagram, Gossip, GossipTiming, Outgoing};
+use crate::gossip::{Datagram, Gossip, GossipTiming, MessageKind, Outgoing};
 use crate::ids::Incarnation;
 use crate::wire::encode;
 
@@ -78,6 +79,7 @@
     state: Mutex<State>,
     evidence: Mutex<Vec<Fact>>,
     evidence_received: Notify,
+    catalog_sources: Mutex<CatalogSources>,
 }
 
 /// Failure to start membership.
@@ -128,6 +130,7 @@
             state: Mutex::new(state),
             evidence: Mutex::default(),
             evidence_received: Notify::new(),
+            catalog_sources: Mutex::default(),
         }))
     }
 
@@ -198,14 +201,35 @@
         self.state().gossip.publish(fact, boot_ms());
     }
 
-    /// Returns the newest catalog version that a peer announced, with the address of the peer.
-    pub fn announced_catalog(&self) -> Option<(Version, SocketAddr)> {
+    /// Returns the newest catalog version that a VM has announced.
+    pub fn announced_catalog(&self) -> Option<Version> {
         let state = self.state();
         let entry = state.gossip.fact(&FactKey::Document(CATALOG.into()))?;
-        let Fact::Document { version, .. } = &entry.fact else {
-            return None;
-        };
-        Some((*version, entry.source?))
+        match &entry.fact {
+            Fact::Document { version, .. } => Some(*version),
+            _ => None,
+        }
+    }
+
+    /// Returns the peers from which the catalog can be fetched.
+    pub(super) fn catalog_sources(&self) -> MutexGuard<'_, CatalogSources> {
+        let sources = self.catalog_sources.lock();
+        sources.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records from which VM the catalog can be fetched. Facts that were missing here may not be in force
+    /// on the VM that sent them.
+    fn record_catalog_source(&self, from: SocketAddr, message: &Datagram) {
+        if message.kind == MessageKind::MissingFacts {
+            return;
+        }
+        for fact in &message.facts {
+            if let Fact::Document { name, version } = fact
+                && **name == *CATALOG
+            {
+                self.catalog_sources().record_announcement(from, *version);
+            }
+        }
     }
 
     /// Publishes a fact to all VMs.
@@ -308,6 +332,7 @@
                     continue;
                 }
             };
+            self.record_catalog_source(from, &message);
             let outgoing = {
                 let state = &mut *self.state();
                 let (outgoing, changes) =
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,13 +4,14 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`].
+//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`].
 
 mod attempt;
 pub mod call;
 pub mod capacity;
 pub mod catalog;
 pub mod catalog_rpc;
+pub mod catalog_sources;
 pub mod catalog_sync;
 pub mod concurrency_limiter;
 pub mod concurrency_permit;
@@ -64,6 +65,7 @@
     Catalog, CatalogImage, CatalogUpdate, Change, ChangeSet, ChangeSummary, LeafRecord,
 };
 pub use catalog_rpc::CatalogRpcError;
+pub use catalog_sources::CatalogSources;
 pub use catalog_sync::watches_platform;
 pub use concurrency_limiter::{CompletedRequest, ConcurrencyLimiter};
 pub use concurrency_permit::ConcurrencyPermit;
