Check the platform from a VM in turn that does not watch it

If the five VMs that watch the platform are lost together, frozen, or rejected by the platform right when a version is published, nobody can announce it until new watchers are chosen, and a watcher that is only cut off from the platform is never replaced.

Cause: VMs that do not watch rely on announcements alone.

Change: the VMs that do not watch ask the platform for changes in turn, one each 0.5 s in the whole fleet whatever its size, and announce what they find. The number of calls does not grow with the fleet: 2 a second beside those of the watchers.

Evidence: a_version_is_found_without_any_watcher fails without it and passes.

Ruled out: a gossip fact by which watchers tell that they reach the platform: it needs a new kind of fact, shows a silent connection only after its timeout, and does not help while watchers are frozen.

--- a/src/gateway/catalog_sources.rs
+++ b/src/gateway/catalog_sources.rs
@@ -25,6 +25,24 @@
 /// an acknowledgement per probe interval otherwise.
 pub const ISOLATED_MS: u64 = 1_200;
 
+/// Interval between the spot checks of the whole fleet, whatever its size.
+///
+/// VMs that don't watch the platform check it in turn, so that a version is found although all watchers are
+/// lost, and the number of platform calls does not grow with the fleet.
+const SPOT_CHECK_INTERVAL_MS: u64 = 500;
+
+/// Returns the mean time between two spot checks of one VM in a fleet of `vms`.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::gateway::catalog_sources::spot_check_interval_ms;
+/// assert_eq!(spot_check_interval_ms(64), 32_000);
+/// ```
+pub fn spot_check_interval_ms(vms: usize) -> u64 {
+    (vms.max(1) as u64).saturating_mul(SPOT_CHECK_INTERVAL_MS)
+}
+
 /// What a peer is known for.
 #[derive(Clone, Copy, Debug, Default)]
 struct Peer {
--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -22,7 +22,7 @@
 use crate::document::Version;
 
 /// Maximum fleet size at which every VM watches the platform, so that none depends on a peer.
-const MAX_VMS_ALL_WATCH: usize = 10;
+pub(super) const MAX_VMS_ALL_WATCH: usize = 10;
 
 /// Number of VMs that watch the platform in a larger fleet. If the platform rejects a third of the
 /// VMs, the probability that it rejects all watchers is 0.005.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use http::header::HeaderName;
@@ -131,6 +131,7 @@
     started_ms: u64,
     stop_grace_ms: AtomicU64,
     is_watcher: AtomicBool,
+    live_vms: AtomicUsize,
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
     pub(super) forwards: watch::Sender<bool>,
@@ -174,6 +175,7 @@
             started_ms: boot_ms(),
             stop_grace_ms: AtomicU64::new(0),
             is_watcher: AtomicBool::new(true),
+            live_vms: AtomicUsize::new(1),
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
             forwards: watch::Sender::new(false),
@@ -281,6 +283,7 @@
     /// Selects the active VMs, which serve requests, and divides connections and retry budgets among
     /// the VMs that use the leaves.
     pub fn update_active_vms(&self, live: &Arc<[LiveVm]>) {
+        self.live_vms.store(live.len(), Ordering::Relaxed);
         let selection = self.selection(live, |selection| {
             (Arc::clone(&selection.selected), selection.leaf_users)
         });
@@ -294,6 +297,11 @@
             .unwrap_or_else(PoisonError::into_inner) = addresses;
     }
 
+    /// Returns the number of live VMs, including this one.
+    pub fn live_vms(&self) -> usize {
+        self.live_vms.load(Ordering::Relaxed)
+    }
+
     /// Returns the internal addresses of the active VMs that were last set.
     pub fn active_vm_addresses(&self) -> Arc<[SocketAddr]> {
         let addresses = self.active_addresses.lock();
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -9,9 +9,11 @@
 use rand::RngExt;
 use thiserror::Error;
 use tokio::time::{Instant, sleep};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use super::catalog::{CatalogImage, ChangeSet, ChangeSummary};
+use super::catalog_sources::spot_check_interval_ms;
+use super::catalog_sync::MAX_VMS_ALL_WATCH;
 use super::engine::Engine;
 use crate::clock::boot_ms;
 use crate::document::Version;
@@ -27,10 +29,13 @@
 /// Time after which a long poll counts as one that reached its timeout.
 const EARLY_END: Duration = Duration::from_millis(LONG_POLL_MS - BATCH_DELAY_MS);
 
-/// Interval at which a VM that does not watch the platform checks whether it has to; it makes no
-/// platform calls meanwhile.
+/// Interval at which a VM that does not watch the platform checks whether it has to; it makes only spot
+/// checks meanwhile.
 const STANDBY_POLL_MS: u64 = 100;
 
+/// Time for which a spot check waits for a change: none, since it asks for earlier ones.
+const SPOT_CHECK_WAIT_MS: u64 = 1;
+
 /// Minimum and maximum backoff after failed calls. The maximum is short enough for a new
 /// configuration to take effect in time once the platform has recovered.
 const BACKOFF_MS: std::ops::RangeInclusive<u64> = 50..=600;
@@ -78,6 +83,8 @@
     has_read: bool,
     /// Whether the history was lost and no change has been read since.
     has_lost_history: bool,
+    /// Time of the next spot check.
+    spot_check_ms: Option<u64>,
 }
 
 impl<S: CatalogSource> Follower<S> {
@@ -89,6 +96,7 @@
             failures: 0,
             has_read: false,
             has_lost_history: false,
+            spot_check_ms: None,
         }
     }
 
@@ -97,6 +105,7 @@
         loop {
             if !self.engine.is_platform_watcher() {
                 self.has_read = false;
+                self.spot_check_if_due().await;
                 sleep(Duration::from_millis(STANDBY_POLL_MS)).await;
                 continue;
             }
@@ -119,6 +128,46 @@
         }
     }
 
+    /// Checks from time to time that the VMs which watch the platform have not missed a change.
+    async fn spot_check_if_due(&mut self) {
+        let vms = self.engine.live_vms();
+        if vms <= MAX_VMS_ALL_WATCH || self.engine.route_table().is_none() {
+            return;
+        }
+        let interval_ms = spot_check_interval_ms(vms);
+        let now_ms = boot_ms();
+        let next_ms = |range| now_ms + rand::rng().random_range(range);
+        let due_ms = *self
+            .spot_check_ms
+            .get_or_insert_with(|| next_ms(0..interval_ms));
+        if now_ms < due_ms {
+            return;
+        }
+        self.spot_check_ms = Some(next_ms(interval_ms / 2..interval_ms * 3 / 2));
+        let after = self.engine.state().catalog.version();
+        let mut result = match self.source.changes(after, SPOT_CHECK_WAIT_MS).await {
+            Ok(changes) => Ok(self.engine.state().catalog.apply(changes, boot_ms())),
+            Err(error) => Err(error),
+        };
+        self.engine.metrics.count_platform_call(result.is_ok());
+        if result == Err(CatalogSourceError::HistoryLost) {
+            result = self.read_all().await;
+            self.engine.metrics.count_platform_call(result.is_ok());
+            self.has_read = false;
+        }
+        match result {
+            Ok(changed) if changed.document || changed.leaves => {
+                info!(
+                    event = "platform_spot_check",
+                    configuration = changed.document
+                );
+                self.engine.refresh();
+            }
+            Ok(_) => {}
+            Err(error) => debug!(event = "platform_spot_check_failed", %error),
+        }
+    }
+
     async fn read_all(&mut self) -> Result<ChangeSummary, CatalogSourceError> {
         let image = self.source.read_all().await?;
         self.has_read = true;
--- a/tests/gateway_catalog_sources.rs
+++ b/tests/gateway_catalog_sources.rs
@@ -170,6 +170,29 @@
     assert!(is_up_to_date(&lacking).await);
 }
 
+/// Guards against a fleet that keeps an old version because all VMs that watch the platform are lost, while
+/// nobody has noticed it.
+#[tokio::test]
+async fn a_version_is_found_without_any_watcher() {
+    let fleet = start_vms(VMS).await;
+    let mut spot_checkers = Vec::new();
+    for vm in &fleet {
+        let engine = engine_with_routes();
+        engine.set_platform_watcher(false);
+        engine.update_active_vms(&vm.membership.live_vms());
+        tokio::spawn(Follower::new(Platform, Arc::clone(&engine)).run());
+        spot_checkers.push(engine);
+    }
+    let found = async {
+        let is_newer =
+            |engine: &Arc<Engine>| engine.route_table().is_some_and(|table| table.version >= 2);
+        while !spot_checkers.iter().any(is_newer) {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(APPLY_LIMIT, found).await.unwrap();
+}
+
 /// A platform with version 2 of the configuration.
 struct Platform;
 
