Bound the memory of request bodies

Cause: each request holds its body until it ends, and only the length of one body was limited; so was that of a request that another VM forwards (256 of up to 4 MiB).

A request that finds no room gets 503 at once, which is true, since it is sent to no leaf; forwarded ones get "busy" and are offered to another VM. Counted by cloverrack_gateway_memory_refusals. The read buffer of an HTTP/1.1 connection is at most 64 KiB (400 KB before).

Evidence: a_request_whose_body_finds_no_memory_is_refused_at_once fails with the limit disabled (504 after the leaves' silence) and passes.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 use tracing::info;
 
+use super::body_memory::BodyMemory;
 use super::call::OpenCall;
 use super::capacity::CapacityError;
 use super::catalog::Catalog;
@@ -44,6 +45,9 @@
 /// Size of the memory that the replies of leaves share, unless it is set.
 const DEFAULT_REPLY_MEMORY_BYTES: usize = 32 * 1_048_576;
 
+/// Size of the memory that the bodies of requests share, unless it is set.
+const DEFAULT_BODY_MEMORY_BYTES: usize = 64 * 1_048_576;
+
 /// Names of the headers used between callers, the gateway and leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Headers {
@@ -124,6 +128,8 @@
     pub metrics: Metrics,
     /// Memory that the replies of leaves share.
     pub reply_memory: Arc<ReplyMemory>,
+    /// Memory that the bodies of requests share.
+    pub body_memory: BodyMemory,
     /// Requests in progress on this VM.
     pub open_requests: OpenRequests,
     active_addresses: Mutex<Arc<[SocketAddr]>>,
@@ -169,6 +175,7 @@
             headers,
             metrics,
             reply_memory: Arc::new(ReplyMemory::new(DEFAULT_REPLY_MEMORY_BYTES)),
+            body_memory: BodyMemory::new(DEFAULT_BODY_MEMORY_BYTES),
             open_requests: OpenRequests::default(),
             active_addresses: Mutex::new(Arc::from([])),
             active_vms: Mutex::default(),
@@ -192,6 +199,12 @@
         self
     }
 
+    /// Sets the size of the memory that the bodies of requests share.
+    pub fn with_body_memory(mut self, bytes: usize) -> Self {
+        self.body_memory = BodyMemory::new(bytes);
+        self
+    }
+
     /// Changes the limits of the retry budgets.
     pub fn set_retry_budget_limits(&self, limits: RetryBudgetLimits) {
         self.state().retry_budgets.set_limits(limits);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`].
 
 mod attempt;
+pub mod body_memory;
 pub mod call;
 pub mod capacity;
 pub mod catalog;
@@ -59,6 +60,7 @@
 pub mod vm_selection;
 pub mod vm_server;
 
+pub use body_memory::{BodyMemory, BodyReadError};
 pub use call::{CallSpec, OpenCall};
 pub use capacity::CapacityError;
 pub use catalog::{
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use thiserror::Error;
 
+use super::body_memory::BodyReadError;
 use super::capacity::CapacityError;
 use super::fanout::FanoutResult;
 use crate::clock::{boot_us, unix_ms};
@@ -46,6 +47,8 @@
     BodyTooLarge,
     #[error("request body is incomplete")]
     BodyIncomplete,
+    #[error("{}", BodyReadError::NoMemory)]
+    NoBodyMemory { remaining_ms: u64 },
     #[error("content is quarantined, since it crashed leaves")]
     Quarantined { until_unix_ms: u64 },
     #[error("{}", CapacityError::RateLimited)]
@@ -77,6 +80,7 @@
             | Self::Overloaded { .. }
             | Self::RateLimited { .. }
             | Self::RetryAfter { .. }
+            | Self::NoBodyMemory { .. }
             | Self::LinksLost { .. }
             | Self::Unreachable { .. }
             | Self::Stopping { .. }
@@ -96,6 +100,7 @@
         match self {
             Self::Overloaded { remaining_ms, .. }
             | Self::RateLimited { remaining_ms }
+            | Self::NoBodyMemory { remaining_ms }
             | Self::LinksLost { remaining_ms }
             | Self::Unreachable { remaining_ms } => {
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -8,12 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tracing::{info, warn};
 
+use super::body_memory::BodyReadError;
 use super::call::CallSpec;
 use super::content::Content;
 use super::content_quarantine::ContentVerdict;
@@ -27,8 +29,8 @@
 use super::request_run;
 use super::routes::{CallerLimits, Route};
 use crate::clock::boot_us;
-use crate::http_server::{BodyError, CallerAddress, Handler, HttpResponse, read_body};
-use crate::wire::encode;
+use crate::http_server::{CallerAddress, Handler, HttpResponse};
+use crate::wire::{MAX_FRAME_BYTES, encode};
 
 /// Time reserved for sending the response before the caller's deadline.
 const END_MARGIN_MS: u64 = 10;
@@ -162,6 +164,11 @@
         forwarder.is_some_and(|forwarder| forwarder.may_reach(route))
     }
 
+    /// Reads the body of a message of another VM, in the memory that all request bodies share.
+    pub(super) async fn read_message(&self, body: Incoming) -> Result<Bytes, BodyReadError> {
+        self.engine.body_memory.read(body, MAX_FRAME_BYTES).await
+    }
+
     /// Waits until this VM stops and has to answer all requests.
     pub(super) async fn answers_due(&self) {
         self.engine.answers_due().await;
@@ -255,13 +262,17 @@
         let limit_bytes = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
         let body = tokio::select! {
             biased;
-            body = read_body(body, limit_bytes) => body,
+            body = self.engine.body_memory.read(body, limit_bytes) => body,
             () = self.engine.answers_due() => return Err(self.stopping_refusal()),
         };
         let body = match body {
             Ok(body) => body,
-            Err(BodyError::TooLarge) => return Err(Refusal::BodyTooLarge),
-            Err(BodyError::Incomplete) => return Err(Refusal::BodyIncomplete),
+            Err(BodyReadError::TooLarge) => return Err(Refusal::BodyTooLarge),
+            Err(BodyReadError::Incomplete) => return Err(Refusal::BodyIncomplete),
+            Err(BodyReadError::NoMemory) => {
+                self.engine.metrics.count_memory_refusal("request_body");
+                return Err(Refusal::NoBodyMemory { remaining_ms });
+            }
         };
         let content = Content::new(&host, &head.method, &head.uri, &body, caller);
         Ok(CallSpec {
--- a/src/gateway/vm_server.rs
+++ b/src/gateway/vm_server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Semaphore;
 use tracing::info;
 
+use super::body_memory::BodyReadError;
 use super::forwarded_request::{ForwardedRequest, NotRunReason};
 use super::forwarder::FORWARD_PATH;
 use super::leaf_end_check::{LEAF_STATES_PATH, LeafQuestion};
@@ -20,8 +21,8 @@
 use super::refusal::empty_response;
 use super::service::CallerService;
 use super::vm_client::{MESSAGE_VERSION, VERSION_HEADER};
-use crate::http_server::{CallerAddress, Handler, HttpResponse, read_body};
-use crate::wire::{MAX_FRAME_BYTES, decode};
+use crate::http_server::{CallerAddress, Handler, HttpResponse};
+use crate::wire::decode;
 
 /// Header of the response to a request that the VM has not run, with the reason.
 pub(super) const NOT_RUN_HEADER: &str = "cloverrack-not-run";
@@ -29,8 +30,7 @@
 /// Header of the response to a request that the VM has handled.
 pub(super) const HANDLED_HEADER: &str = "cloverrack-handled";
 
-/// Maximum number of forwarded requests that are handled at a time, which bounds the memory of their
-/// bodies.
+/// Maximum number of forwarded requests that are handled at a time.
 const MAX_FORWARDED_REQUESTS: usize = 256;
 
 /// Handler of the calls of other VMs.
@@ -64,10 +64,13 @@
         let _permit = permit.map_err(|_| NotRunReason::Busy)?;
         let body = tokio::select! {
             biased;
-            body = read_body(request.into_body(), MAX_FRAME_BYTES) => body,
+            body = self.service.read_message(request.into_body()) => body,
             () = self.service.answers_due() => return Err(NotRunReason::Stopping),
         };
-        let body = body.map_err(|_| NotRunReason::Rejected)?;
+        let body = body.map_err(|error| match error {
+            BodyReadError::NoMemory => NotRunReason::Busy,
+            BodyReadError::TooLarge | BodyReadError::Incomplete => NotRunReason::Rejected,
+        })?;
         let malformed = |error| {
             info!(event = "forwarded_request_malformed", %error);
             NotRunReason::Rejected
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -28,7 +28,7 @@
 
 /// Time limit for receiving the first bytes of a connection, for receiving the body of a request and,
 /// unless the handler sets another one, for receiving the headers of a request.
-const READ_TIMEOUT_MS: u64 = 5_000;
+pub(crate) const READ_TIMEOUT_MS: u64 = 5_000;
 
 /// Time without write progress after which the connection of a client that does not read its
 /// response is closed.
@@ -40,6 +40,10 @@
 /// Maximum number of concurrent requests on one HTTP/2 connection.
 const MAX_STREAMS_PER_CONNECTION: u32 = 256;
 
+/// Maximum size of the read buffer of an HTTP/1.1 connection, which also limits the header block. While a long
+/// body arrives, the buffer would grow to 400 KB otherwise.
+const MAX_READ_BUFFER_BYTES: usize = 65_536;
+
 /// Maximum number of response bytes buffered for one HTTP/2 stream.
 const MAX_SEND_BUFFER_BYTES: usize = 262_144;
 
@@ -262,6 +266,7 @@
     builder
         .http1()
         .timer(TokioTimer::new())
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
         .header_read_timeout(idle_timeout);
     builder
         .http2()
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -303,6 +303,7 @@
             millicores: 500,
             link_mbps: 1_000,
             reply_memory_bytes: 16 * 1_048_576,
+            body_memory_bytes: 16 * 1_048_576,
             first_start: false,
             retry_budget: RetryBudgetLimits {
                 ratio_ppm: 200_000,
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -330,7 +330,11 @@
 impl TestGateway {
     /// Starts a gateway without a configuration.
     pub async fn spawn() -> Self {
-        let engine = engine();
+        Self::serve(engine()).await
+    }
+
+    /// Starts a gateway with an engine.
+    pub async fn serve(engine: Arc<Engine>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let service = Arc::new(CallerService::new(Arc::clone(&engine)));
