--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -42,7 +42,7 @@
 
 /// Maximum size of the read buffer of an HTTP/1.1 connection, which also limits the header block. While a long
 /// body arrives, the buffer would grow to 400 KB otherwise.
-const MAX_READ_BUFFER_BYTES: usize = 65_536;
+const MAX_READ_BUFFER_BYTES: usize = 32_768;
 
 /// Maximum number of response bytes buffered for one HTTP/2 stream.
 const MAX_SEND_BUFFER_BYTES: usize = 262_144;
