Expect requests that must not run twice to be slow in the second half of a stop

Change: the latest calls tell how long such a request takes in the first half of the grace period only; then the target latency counts again. Few callers use the VM by then, and too little time is left for a surprise.

--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -137,18 +137,22 @@
 /// Returns the time within which a leaf is expected to answer a request.
 ///
 /// It is longer for a request that must not run twice: its caller can't repeat it if this VM stops first. The
-/// target latency may be far above what leaves need, so it counts in full only until some calls have
-/// ended.
+/// target latency may be far above what leaves need, so it counts in full only before some calls have
+/// ended, and late in a stop.
 fn expected_us(engine: &Engine, route: &Route) -> u64 {
     let target_us = route.spec.target_latency_ms * 1_000;
     let latency = engine.call_latency(&route.spec.name, target_us);
+    if route.spec.idempotent {
+        return latency.slow_us();
+    }
+    let stop = *engine.stop_schedule().borrow();
+    let is_late = stop.is_some_and(|stop| boot_us() >= stop.estimate_until_us);
     match latency.longest_us() {
-        _ if route.spec.idempotent => latency.slow_us(),
-        Some(longest_us) => {
+        Some(longest_us) if !is_late => {
             let min_us = target_us / ONCE_TARGET_DIVISOR;
             min_us.max(longest_us.saturating_mul(ONCE_TIME_FACTOR))
         }
-        None => target_us.max(latency.slow_us() * ONCE_TIME_FACTOR),
+        _ => target_us.max(latency.slow_us() * ONCE_TIME_FACTOR),
     }
 }
 
--- a/src/gateway/stop_schedule.rs
+++ b/src/gateway/stop_schedule.rs
@@ -27,6 +27,9 @@
 /// Times at which a VM that stops changes what it does, on the boot clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopSchedule {
+    /// Time until which the latest calls tell how long a request that must not run twice takes. From then on
+    /// too little time is left for one that takes longer, and few callers still use the VM.
+    pub estimate_until_us: u64,
     /// Time by which all requests are answered. From then on, new ones are refused.
     pub answer_by_us: u64,
     /// Time from which no connections are accepted and idle ones are closed.
@@ -43,6 +46,7 @@
     /// ```
     /// use cloverrack::gateway::StopSchedule;
     /// let schedule = StopSchedule::new(0, 6_000);
+    /// assert_eq!(schedule.estimate_until_us, 3_000_000);
     /// assert_eq!(schedule.answer_by_us, 5_300_000);
     /// assert_eq!(schedule.close_at_us, 5_500_000);
     /// assert_eq!(schedule.exit_at_us, 5_800_000);
@@ -53,6 +57,7 @@
             now_us.saturating_add(grace_ms.saturating_sub(margin_ms).saturating_mul(US_PER_MS))
         };
         Self {
+            estimate_until_us: now_us.saturating_add(grace_ms.saturating_mul(US_PER_MS) / 2),
             answer_by_us: before_end(MAX_ANSWER_MARGIN_MS, ANSWER_MARGIN_DIVISOR),
             close_at_us: before_end(MAX_CLOSE_MARGIN_MS, CLOSE_MARGIN_DIVISOR),
             exit_at_us: before_end(MAX_EXIT_MARGIN_MS, EXIT_MARGIN_DIVISOR),
