Ask another peer next if one fails at the first start

bootstrap_catalog may ask the same silent peer again within its 0.9 s, since only the task that keeps the catalog up to date recorded failed fetches.

--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -77,8 +77,11 @@
     engine.set_platform_watcher(false);
     while boot_ms() < deadline_ms && engine.route_table().is_none() {
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-        if let Some(peer) = choose_peer(membership, Version::default()) {
-            fetch(engine, peer, Version::default()).await;
+        let Some(peer) = choose_peer(membership, Version::default()) else {
+            continue;
+        };
+        if !fetch(engine, peer, Version::default()).await {
+            membership.catalog_sources().record_failure(peer, boot_ms());
         }
     }
     engine.set_platform_watcher(engine.route_table().is_none());
