Pause between fetches of the catalog that fail

Peers that refuse at once, or that have no newer version, are asked without pause: 1,784 times in a second by one VM before the first configuration.

Change: a pause of 150 ms after a fetch that brought nothing, below the 0.4 s that a silent peer takes.

Evidence: peers_without_a_configuration_are_asked_at_a_bounded_rate counted 1,784 fetches in 1 s without the pause and at most 10 with it. Found by reading the change again.

--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -44,6 +44,9 @@
 /// use more connections and extra calls than one of the active VMs of a large fleet.
 pub const STARTUP_SETTLE_MS: u64 = 2_500;
 
+/// Delay after a fetch that brought no newer version: a peer may refuse at once.
+const RETRY_DELAY_MS: u64 = 150;
+
 /// Longest random addition to the time for which a VM may be behind, so that VMs which lack the same peers
 /// don't read the platform in the same moment.
 const MAX_BEHIND_SPREAD_MS: u64 = 500;
@@ -156,6 +159,7 @@
             if let Some(behind) = &mut self.behind {
                 behind.failed_fetches += 1;
             }
+            sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
         }
     }
 
--- a/tests/gateway_catalog_sources.rs
+++ b/tests/gateway_catalog_sources.rs
@@ -13,6 +13,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use cloverrack::document::Version;
@@ -129,6 +130,29 @@
     assert!(is_up_to_date(&joining).await);
 }
 
+/// Guards against a VM that asks its peers without pause while none of them has a configuration yet.
+#[tokio::test]
+async fn peers_without_a_configuration_are_asked_at_a_bounded_rate() {
+    const PERIOD: Duration = Duration::from_secs(1);
+    const MAX_FETCHES: usize = 10;
+    let mut vms = start_vms(VMS).await;
+    let lacking = vms.pop().unwrap();
+    let fetches = Arc::new(AtomicUsize::new(0));
+    for vm in vms {
+        let fetches = Arc::clone(&fetches);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = vm.listener.accept().await {
+                fetches.fetch_add(1, Ordering::Relaxed);
+                drop(stream);
+            }
+        });
+    }
+    tokio::spawn(catalog_sync::run(engine(), lacking.membership, false));
+    sleep(PERIOD).await;
+    let fetches = fetches.load(Ordering::Relaxed);
+    assert!((1..=MAX_FETCHES).contains(&fetches), "{fetches} in 1 s");
+}
+
 /// Guards against a VM that stays behind for want of a peer, although it reaches the platform.
 #[tokio::test]
 async fn a_vm_reads_the_platform_if_no_peer_has_the_version() {
