Draw the time of spot checks anew instead of planning it at the start

What the operators would see: more calls to the platform in larger fleets. Two checks a second of the whole fleet are the same number at every size.

Cause: a VM planned its first check by the number of live VMs that it knew right after its start, which is far too small after a restart of all.

Change: a VM that does not watch draws at each poll whether it checks, by the current number of VMs.

--- a/src/gateway/catalog_sources.rs
+++ b/src/gateway/catalog_sources.rs
@@ -25,9 +25,9 @@
 /// an acknowledgement per probe interval otherwise.
 pub const ISOLATED_MS: u64 = 1_200;
 
-/// Interval between the spot checks of the whole fleet, whatever its size.
+/// Mean interval between the spot checks of the whole fleet, whatever its size.
 ///
-/// VMs that don't watch the platform check it in turn, so that a version is found although all watchers are
+/// VMs that don't watch the platform check it at random times, so that a version is found although all watchers are
 /// lost, and the number of platform calls does not grow with the fleet.
 const SPOT_CHECK_INTERVAL_MS: u64 = 500;
 
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -83,8 +83,6 @@
     has_read: bool,
     /// Whether the history was lost and no change has been read since.
     has_lost_history: bool,
-    /// Time of the next spot check.
-    spot_check_ms: Option<u64>,
 }
 
 impl<S: CatalogSource> Follower<S> {
@@ -96,7 +94,6 @@
             failures: 0,
             has_read: false,
             has_lost_history: false,
-            spot_check_ms: None,
         }
     }
 
@@ -105,7 +102,7 @@
         loop {
             if !self.engine.is_platform_watcher() {
                 self.has_read = false;
-                self.spot_check_if_due().await;
+                self.spot_check_at_random().await;
                 sleep(Duration::from_millis(STANDBY_POLL_MS)).await;
                 continue;
             }
@@ -129,21 +126,16 @@
     }
 
     /// Checks from time to time that the VMs which watch the platform have not missed a change.
-    async fn spot_check_if_due(&mut self) {
+    async fn spot_check_at_random(&mut self) {
         let vms = self.engine.live_vms();
         if vms <= MAX_VMS_ALL_WATCH || self.engine.route_table().is_none() {
             return;
         }
+        // Drawn anew each time, since a VM that has just started knows only some of the others.
         let interval_ms = spot_check_interval_ms(vms);
-        let now_ms = boot_ms();
-        let next_ms = |range| now_ms + rand::rng().random_range(range);
-        let due_ms = *self
-            .spot_check_ms
-            .get_or_insert_with(|| next_ms(0..interval_ms));
-        if now_ms < due_ms {
+        if rand::rng().random_range(0..interval_ms) >= STANDBY_POLL_MS {
             return;
         }
-        self.spot_check_ms = Some(next_ms(interval_ms / 2..interval_ms * 3 / 2));
         let after = self.engine.state().catalog.version();
         let mut result = match self.source.changes(after, SPOT_CHECK_WAIT_MS).await {
             Ok(changes) => Ok(self.engine.state().catalog.apply(changes, boot_ms())),
