Leave the platform to its watchers while no configuration is published

Calls at the start grow with the fleet.

Cause: since a VM without routes counted as one that is behind, and a peer that has no configuration either as a failed fetch.

Change: only a VM that knows of an announced version reads the platform for want of a peer.

--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -117,6 +117,8 @@
 /// A VM that knows of a newer version than its own, or has none.
 #[derive(Clone, Copy, Debug)]
 struct Behind {
+    /// Whether a VM has announced a newer version.
+    is_announced: bool,
     since_ms: u64,
     failed_fetches: u32,
 }
@@ -176,13 +178,15 @@
             self.membership.announce_catalog(last_change);
         }
         let now_ms = boot_ms();
-        let is_behind = !has_routes || self.membership.announced_catalog() > Some(own_version);
-        self.behind = is_behind.then(|| {
-            self.behind.unwrap_or(Behind {
-                since_ms: now_ms,
-                failed_fetches: 0,
-            })
-        });
+        let is_announced = self.membership.announced_catalog() > Some(own_version);
+        let known = self
+            .behind
+            .filter(|behind| behind.is_announced == is_announced);
+        self.behind = (is_announced || !has_routes).then_some(known.unwrap_or(Behind {
+            is_announced,
+            since_ms: now_ms,
+            failed_fetches: 0,
+        }));
         let is_settling = has_routes && now_ms < self.started_ms + STARTUP_SETTLE_MS;
         let is_watcher = !is_settling && self.is_among_watchers();
         let reads_platform = is_watcher || self.lacks_peers(now_ms);
@@ -221,9 +225,12 @@
     }
 
     /// Returns whether no peer can bring this VM up to date, so that it has to read the platform itself.
+    ///
+    /// A fleet without any configuration waits for its watchers: otherwise all VMs would read the platform.
     fn lacks_peers(&self, now_ms: u64) -> bool {
         let is_stuck = self.behind.is_some_and(|behind| {
-            behind.failed_fetches > 0 && now_ms >= behind.since_ms + self.max_behind_ms
+            let is_late = now_ms >= behind.since_ms + self.max_behind_ms;
+            behind.is_announced && behind.failed_fetches > 0 && is_late
         });
         is_stuck || self.membership.is_isolated(now_ms)
     }
