Bound the memory of all replies of leaves in bytes, by size class

Cause: replies up to 64 KiB took nothing from the shared memory and were bounded for each call only. A faulty release of the leaves that sends 64 KiB on each connection and stays open makes a VM of 160 MB with some 4,400 connections to leaves keep 280 MB; the requests of all other callers on that VM end with its process. Trailers and chunk headers were bounded by 16 KiB and 32 MiB for each connection. What a VM keeps besides added up to more than the memory of the smallest VM.

Change: a reply takes its whole capacity from the memory of its size class (2, 8 and 64 KiB, and above). What has no room fails at once, is counted, and is no evidence against the leaf; larger replies leave the memory of smaller ones alone. Bytes beyond the body are bounded by 8 KiB. `MemoryLimits` divides the memory of a VM in one place: request bodies get an eighth instead of a quarter, forwarded requests and updates for peers follow the size of the VM, and an update from a peer takes 8 MiB at most once decoded.

Evidence: `incomplete_replies_share_the_memory` fails with the reservation disabled ("a reply without memory fails: Elapsed"), 100 replies of 60,000 bytes being kept at the same time. Replies without end were bounded before; trailers and chunk extensions without end are in their test now.

Ruled out: one pool for all replies, in which incomplete replies of 64 KiB leave no room for parts of merged answers.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -261,6 +261,9 @@
 
     fn finish(&mut self, outcome: Result<StatusCode, CallError>, reply: Option<&Reply>) {
         self.finished = true;
+        if outcome == Err(CallError::NoReplyMemory) {
+            self.engine.metrics.count_memory_refusal("reply");
+        }
         let now_us = boot_us();
         let connection = self.connection.take();
         let state = &mut *self.engine.state();
@@ -321,12 +324,17 @@
             Ok(_) | Err(CallError::Refused) => {
                 leaf.leaf_stats.record_error_reply(self.call_number, now_us)
             }
-            Err(CallError::RequestIdMismatch | CallError::Withheld) => {
+            // Other leaves may have sent what takes the memory.
+            Err(CallError::RequestIdMismatch | CallError::Withheld | CallError::NoReplyMemory) => {
                 leaf.leaf_stats.record_abandoned(self.call_number);
             }
             Err(_) => leaf.leaf_stats.record_failure(self.call_number, now_us),
         }
-        if reply.is_none() && outcome != Err(CallError::Withheld) && !is_distorted {
+        let is_failed = match outcome {
+            Err(CallError::Withheld | CallError::NoReplyMemory) => false,
+            _ => reply.is_none(),
+        };
+        if is_failed && !is_distorted {
             leaf.record_failed_call(now_us);
         }
         let no_headers = HeaderMap::new();
@@ -395,6 +403,7 @@
             | CallError::ConnectRefused
             | CallError::Unsent
             | CallError::Withheld
+            | CallError::NoReplyMemory
             | CallError::RequestIdMismatch
             | CallError::WrongLeaf,
         ) => None,
--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -22,7 +22,7 @@
 use super::catalog::CatalogUpdate;
 use super::engine::Engine;
 use crate::document::Version;
-use crate::wire::{MAX_FRAME_BYTES, decode, encode};
+use crate::wire::{MAX_FRAME_BYTES, decode_within, encode};
 
 /// Timeout for a peer to accept the connection and begin to respond. It is a small part of the time within
 /// which a new configuration has to be in force, so that several peers can be asked.
@@ -42,13 +42,12 @@
 /// update.
 const FLOW_CONTROL_WINDOW_BYTES: u32 = 1_048_576;
 
+/// Maximum size of an update in memory. The largest configuration, of a megabyte, takes about three.
+const MAX_DECODED_BYTES: usize = 8 * 1_048_576;
+
 /// Maximum number of connections served concurrently.
 const MAX_CONNECTIONS: usize = 64;
 
-/// Memory of all updates that are being sent. It holds several catalogs of the largest size; a peer that
-/// finds no room asks another VM.
-const MAX_OPEN_UPDATES_KIB: usize = 8_192;
-
 const BYTES_PER_KIB: usize = 1_024;
 
 /// Header with the version up to which the requesting VM has all changes, as `EPOCH.REVISION`.
@@ -151,7 +150,7 @@
             return Err(CatalogRpcError::Malformed);
         }
     }
-    decode(&bytes).map_err(|_| CatalogRpcError::Malformed)
+    decode_within::<MAX_DECODED_BYTES, _>(&bytes).map_err(|_| CatalogRpcError::Malformed)
 }
 
 /// Logs the failure of an exchange and returns it as [`CatalogRpcError::Unreachable`].
@@ -184,9 +183,10 @@
 }
 
 impl OpenUpdates {
-    fn new() -> Self {
+    /// Creates a memory for updates. A peer that finds no room asks another VM.
+    fn new(bytes: usize) -> Self {
         Self {
-            available_kib: Arc::new(Semaphore::new(MAX_OPEN_UPDATES_KIB)),
+            available_kib: Arc::new(Semaphore::new(bytes / BYTES_PER_KIB)),
             open: Mutex::default(),
         }
     }
@@ -225,7 +225,7 @@
 /// Serves the catalog to peers until the task is dropped.
 pub async fn serve(listener: TcpListener, engine: Arc<Engine>) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    let open_updates = Arc::new(OpenUpdates::new());
+    let open_updates = Arc::new(OpenUpdates::new(engine.memory_limits.catalog_update_bytes));
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -19,7 +19,7 @@
 
 use super::late_reply::{HeadObserver, LateReply};
 use super::metered_stream::{MeteredStream, ReadAllowance};
-use super::reply_memory::{ReplyMemory, ReplyReceiver};
+use super::reply_memory::{ReceiveError, ReplyMemory, ReplyReceiver};
 use super::reply_origin::ReplyHistory;
 
 /// Timeout for opening a connection: a network round trip and the setup at the leaf, with a margin
@@ -29,9 +29,12 @@
 /// Memory of the reply to a call that shares none with other calls.
 const OWN_REPLY_BYTES: usize = 16 * 1_048_576;
 
-/// Maximum number of bytes that are received for the body of a reply, with the headers of its
-/// chunks.
-const MAX_BODY_READ_BYTES: usize = 2 * OWN_REPLY_BYTES;
+/// Maximum number of bytes that are received beyond the parts of a body: what the read buffer holds, the
+/// headers of chunks and trailers, which are collected in memory.
+const MAX_BODY_OVERHEAD_BYTES: usize = 2 * READ_BUFFER_BYTES;
+
+/// Number of these bytes that each part of a body adds: the header of a chunk.
+const CHUNK_HEADER_BYTES: usize = 32;
 
 /// Maximum number of bytes that are received before a reply's body: its head and interim responses.
 const MAX_HEAD_READ_BYTES: usize = 32 * 1_024;
@@ -116,6 +119,9 @@
     /// The reply has no end, or is larger than the memory for replies allows.
     #[error("reply is too large")]
     ReplyTooLarge,
+    /// Other replies take the memory for replies of this size.
+    #[error("no memory for the reply")]
+    NoReplyMemory,
     /// The leaf's process ended after the request was sent.
     #[error("leaf crashed")]
     LeafCrashed,
@@ -133,6 +139,15 @@
     Refused,
 }
 
+impl From<ReceiveError> for CallError {
+    fn from(error: ReceiveError) -> Self {
+        match error {
+            ReceiveError::TooLarge => Self::ReplyTooLarge,
+            ReceiveError::NoMemory => Self::NoReplyMemory,
+        }
+    }
+}
+
 impl CallError {
     /// Returns whether the request was written to a connection.
     pub fn was_sent(self) -> bool {
@@ -154,6 +169,7 @@
             Self::Broken
             | Self::RecordCut
             | Self::ReplyTooLarge
+            | Self::NoReplyMemory
             | Self::LeafCrashed
             | Self::RequestIdMismatch
             | Self::Unsigned => false,
@@ -264,7 +280,7 @@
             // A switch of protocols, for which no request asks, is no answer.
             return Err(CallError::Broken);
         }
-        self.allowance.set(MAX_BODY_READ_BYTES);
+        self.allowance.set(MAX_BODY_OVERHEAD_BYTES);
         let (head, mut body) = response.into_parts();
         observe_head(head.status, &head.headers);
         let mut receiver = ReplyReceiver::new(Arc::clone(memory));
@@ -273,10 +289,9 @@
             let Some(part) = frame.data_ref() else {
                 continue;
             };
+            self.allowance.add(part.len() + CHUNK_HEADER_BYTES);
             // Copied because a slice would keep the whole read buffer allocated.
-            if !receiver.append(part).await {
-                return Err(CallError::ReplyTooLarge);
-            }
+            receiver.append(part).await?;
         }
         Ok(Reply {
             status: head.status,
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -27,6 +27,7 @@
 use super::leaves::{Leaf, Leaves, NoLeafError};
 use super::link_monitor::LinkMonitor;
 use super::membership::LiveVm;
+use super::memory_limits::MemoryLimits;
 use super::metrics::Metrics;
 use super::open_requests::OpenRequests;
 use super::pause_predictor::Stall;
@@ -42,11 +43,8 @@
 use crate::fact::Fact;
 use crate::ids::{LeafKey, ServiceKey};
 
-/// Size of the memory that the replies of leaves share, unless it is set.
-const DEFAULT_REPLY_MEMORY_BYTES: usize = 32 * 1_048_576;
-
-/// Size of the memory that the bodies of requests share, unless it is set.
-const DEFAULT_BODY_MEMORY_BYTES: usize = 64 * 1_048_576;
+/// Memory of a VM, unless it is set.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1_048_576;
 
 /// Names of the headers used between callers, the gateway and leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -126,6 +124,8 @@
     pub headers: Headers,
     /// Metrics of the gateway.
     pub metrics: Metrics,
+    /// Limits on what this VM holds in memory.
+    pub memory_limits: MemoryLimits,
     /// Memory that the replies of leaves share.
     pub reply_memory: Arc<ReplyMemory>,
     /// Memory that the bodies of requests share.
@@ -155,6 +155,7 @@
         own_domain: Box<str>,
         metrics: Metrics,
     ) -> Self {
+        let memory_limits = MemoryLimits::new(DEFAULT_MEMORY_BYTES);
         let state = State {
             names: ServiceNames::default(),
             catalog: Catalog::default(),
@@ -174,8 +175,9 @@
         Self {
             headers,
             metrics,
-            reply_memory: Arc::new(ReplyMemory::new(DEFAULT_REPLY_MEMORY_BYTES)),
-            body_memory: BodyMemory::new(DEFAULT_BODY_MEMORY_BYTES),
+            memory_limits,
+            reply_memory: Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes)),
+            body_memory: BodyMemory::new(memory_limits.body_bytes),
             open_requests: OpenRequests::default(),
             active_addresses: Mutex::new(Arc::from([])),
             active_vms: Mutex::default(),
@@ -193,9 +195,12 @@
         }
     }
 
-    /// Sets the size of the memory that the replies of leaves share.
-    pub fn with_reply_memory(mut self, bytes: usize) -> Self {
-        self.reply_memory = Arc::new(ReplyMemory::new(bytes));
+    /// Divides the memory of a VM of another size.
+    pub fn with_memory(mut self, memory_bytes: usize) -> Self {
+        let memory_limits = MemoryLimits::new(memory_bytes);
+        self.memory_limits = memory_limits;
+        self.reply_memory = Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes));
+        self.body_memory = BodyMemory::new(memory_limits.body_bytes);
         self
     }
 
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -60,10 +60,8 @@
     pub millicores: u32,
     /// Bandwidth of this VM's network link, in megabits per second.
     pub link_mbps: u32,
-    /// Memory that the replies of leaves share.
-    pub reply_memory_bytes: usize,
-    /// Memory that the bodies of requests share.
-    pub body_memory_bytes: usize,
+    /// Memory of this VM.
+    pub memory_bytes: usize,
     /// Whether the whole system is started for the first time.
     pub first_start: bool,
     /// Limits of the retry budgets.
@@ -152,10 +150,7 @@
             settings.failure_domain.clone(),
             metrics,
         );
-        let engine = engine
-            .with_reply_memory(settings.reply_memory_bytes)
-            .with_body_memory(settings.body_memory_bytes);
-        let engine = Arc::new(engine);
+        let engine = Arc::new(engine.with_memory(settings.memory_bytes));
         engine.set_stop_grace_ms(settings.stop_grace_ms);
         let component_registry = Arc::new(ComponentRegistry::default());
         component_registry.register(CONTROL, Arc::clone(&membership));
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -34,10 +34,6 @@
 /// Number of VMs to which a request is offered.
 const MAX_OFFERS: usize = 3;
 
-/// Maximum size of the requests that are forwarded at a time. Each is held twice, as received and
-/// as sent.
-const MAX_FORWARDED_KIB: usize = 8_192;
-
 const BYTES_PER_KIB: usize = 1_024;
 
 /// Time for which requests of a route are not forwarded after another VM did not reach its leaves
@@ -55,7 +51,8 @@
 pub struct Forwarder {
     engine: Arc<Engine>,
     vm_client: Arc<VmClient>,
-    forwarded_kib: Semaphore,
+    /// Memory of the requests that are being forwarded. Each is held twice, as received and as sent.
+    available_kib: Semaphore,
     /// Routes whose leaves another VM does not reach either, until a time since boot.
     unreachable_until_ms: Mutex<HashMap<Box<str>, u64>>,
 }
@@ -63,10 +60,11 @@
 impl Forwarder {
     /// Creates a forwarder.
     pub fn new(engine: Arc<Engine>, vm_client: Arc<VmClient>) -> Self {
+        let available_kib = engine.memory_limits.forwarded_bytes / BYTES_PER_KIB;
         Self {
             engine,
             vm_client,
-            forwarded_kib: Semaphore::new(MAX_FORWARDED_KIB),
+            available_kib: Semaphore::new(available_kib),
             unreachable_until_ms: Mutex::default(),
         }
     }
@@ -101,7 +99,7 @@
         prior_calls: PriorCalls,
     ) -> Option<HttpResponse> {
         let size_kib = u32::try_from(spec.body.len() / BYTES_PER_KIB + 1).ok()?;
-        let _permit = self.forwarded_kib.try_acquire_many(size_kib).ok()?;
+        let _permit = self.available_kib.try_acquire_many(size_kib).ok()?;
         let mut offered = Vec::new();
         while offered.len() < MAX_OFFERS {
             let vm = self.vm_client.choose(&offered)?;
@@ -167,7 +165,8 @@
             let Some(part) = frame.data_ref() else {
                 continue;
             };
-            if !receiver.append(part).await {
+            if let Err(error) = receiver.append(part).await {
+                debug!(event = "forwarded_response_not_received", %error);
                 return Err(VmCallError::Broken);
             }
         }
--- /dev/null
+++ b/src/gateway/memory_limits.rs
@@ -0,0 +1,75 @@
+//! Divides the memory of a VM among what it holds for callers, leaves and other VMs.
+//!
+//! Handles callers, leaves and VMs that all send as much as they may at the same moment: the limits together
+//! leave room for the configuration and the process itself on a VM of 160 MiB.
+
+use super::reply_memory::SIZE_CLASSES;
+use crate::wire::MAX_FRAME_BYTES;
+
+/// Memory of a connection of a caller: two read buffers, one of which holds the head of a request in
+/// progress, and the tasks.
+const CALLER_CONNECTION_BYTES: usize = 20 * 1_024;
+
+/// Largest number of callers' connections on a VM of any size, which leaves descriptors for leaves.
+const MAX_CALLER_CONNECTIONS: usize = 4_096;
+
+/// Shares of the memory, as divisors.
+const BODY_DIVISOR: usize = 8;
+const FORWARDED_DIVISOR: usize = 32;
+const REPLY_DIVISOR: usize = 4;
+const CALLER_CONNECTIONS_DIVISOR: usize = 4;
+const REQUEST_HEAD_DIVISOR: usize = 32;
+const CATALOG_UPDATE_DIVISOR: usize = 32;
+
+/// Limits on what a VM holds in memory, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryLimits {
+    /// Bodies of requests, and messages of other VMs.
+    pub body_bytes: usize,
+    /// Bodies of forwarded requests as they are sent.
+    pub forwarded_bytes: usize,
+    /// Replies of leaves of each size class.
+    pub reply_class_bytes: usize,
+    /// Number of open connections of callers.
+    pub caller_connections: usize,
+    /// Heads of requests that exceed a read buffer.
+    pub request_head_bytes: usize,
+    /// Encoded updates of the catalog that are being sent.
+    pub catalog_update_bytes: usize,
+}
+
+impl MemoryLimits {
+    /// Divides the memory of a VM.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::MemoryLimits;
+    /// let limits = MemoryLimits::new(160 * 1_048_576);
+    /// assert_eq!(limits.body_bytes, 20 * 1_048_576);
+    /// assert_eq!(limits.caller_connections, 2_048);
+    /// ```
+    pub fn new(memory_bytes: usize) -> Self {
+        let connections_bytes = memory_bytes / CALLER_CONNECTIONS_DIVISOR;
+        let connections = connections_bytes / CALLER_CONNECTION_BYTES;
+        Self {
+            body_bytes: memory_bytes / BODY_DIVISOR,
+            forwarded_bytes: memory_bytes / FORWARDED_DIVISOR,
+            reply_class_bytes: memory_bytes / REPLY_DIVISOR / SIZE_CLASSES,
+            caller_connections: connections.clamp(1, MAX_CALLER_CONNECTIONS),
+            request_head_bytes: memory_bytes / REQUEST_HEAD_DIVISOR,
+            // A VM without room for one update of the largest size could help no other.
+            catalog_update_bytes: (memory_bytes / CATALOG_UPDATE_DIVISOR).max(MAX_FRAME_BYTES),
+        }
+    }
+
+    /// Returns the sum of the limits.
+    pub fn total_bytes(&self) -> usize {
+        self.body_bytes
+            + self.forwarded_bytes
+            + self.reply_class_bytes * SIZE_CLASSES
+            + self.caller_connections * CALLER_CONNECTION_BYTES
+            + self.request_head_bytes
+            + self.catalog_update_bytes
+    }
+}
--- a/src/gateway/metered_stream.rs
+++ b/src/gateway/metered_stream.rs
@@ -21,6 +21,11 @@
         self.0.store(bytes, Ordering::Relaxed);
     }
 
+    pub(super) fn add(&self, bytes: usize) {
+        let rest = self.0.load(Ordering::Relaxed).saturating_add(bytes);
+        self.set(rest);
+    }
+
     pub(super) fn is_exhausted(&self) -> bool {
         self.0.load(Ordering::Relaxed) == 0
     }
--- a/src/gateway/reply_memory.rs
+++ b/src/gateway/reply_memory.rs
@@ -1,27 +1,36 @@
 //! Bounds the memory and the processor time of all replies that this VM is receiving from leaves.
 //!
-//! Handles leaves that send bytes without end, to many requests at the same time: some replies may
-//! be large, but not all of them.
+//! Handles leaves that send bytes without end, or large replies that they never complete, to many
+//! requests at the same time. Replies share memory with those of a similar size only, so that usual ones
+//! are received while larger ones use all of theirs.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use thiserror::Error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-/// Size up to which a reply takes nothing from the shared memory, so that usual replies are received
-/// while large ones use all of it. The number of calls bounds the total of these.
-const SMALL_REPLY_BYTES: usize = 64 * 1_024;
-
-/// Number of parts up to which a reply is small: receiving a part takes about as much processor time
-/// whatever its size.
-const SMALL_REPLY_PARTS: usize = 64;
-
 /// Maximum size of a reply, and number of parts in which it arrives. Usual parts have some kilobytes.
 const MAX_REPLY_BYTES: usize = 16 * 1_048_576;
 const MAX_REPLY_PARTS: usize = 16 * 1_024;
 
+/// Number of size classes, each of which has memory of its own.
+pub const SIZE_CLASSES: usize = 4;
+
+/// Size of the largest reply of each class. Most parts of merged answers are of the first one, whose
+/// memory suffices for a reply on each connection that the descriptors of a VM allow.
+const CLASS_LIMITS_BYTES: [usize; SIZE_CLASSES] =
+    [2 * 1_024, 8 * 1_024, 64 * 1_024, MAX_REPLY_BYTES];
+
+/// Class of large replies, of which few are received at the same time.
+const LARGE_CLASS: usize = SIZE_CLASSES - 1;
+
+/// Number of parts up to which a reply is not large: receiving a part takes about as much processor time
+/// whatever its size.
+const MAX_SMALL_REPLY_PARTS: usize = 64;
+
 /// Number of large replies that are received at the same time. More of them would delay the small
 /// ones.
 const MAX_LARGE_REPLIES: usize = 8;
@@ -34,10 +43,23 @@
 /// Smallest capacity of the buffer for a body.
 const MIN_CAPACITY_BYTES: usize = 1_024;
 
-/// Memory that large replies share.
+/// Reason why a reply is not received any further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub enum ReceiveError {
+    /// The reply has no end, or is larger than the memory for large replies allows.
+    #[error("reply is too large")]
+    TooLarge,
+    /// Other replies of this size take the memory, which says nothing about the leaf.
+    #[error("no memory for another reply")]
+    NoMemory,
+}
+
+/// Memory that replies share.
 #[derive(Debug)]
 pub struct ReplyMemory {
-    available_bytes: AtomicUsize,
+    /// Bytes that further replies of each size class may take.
+    available_bytes: [AtomicUsize; SIZE_CLASSES],
     large_replies: Arc<Semaphore>,
     waiting_replies: Semaphore,
 }
@@ -48,6 +70,7 @@
     bytes: Vec<u8>,
     parts: usize,
     memory: Arc<ReplyMemory>,
+    size_class: usize,
     reserved_bytes: usize,
 }
 
@@ -59,10 +82,10 @@
 }
 
 impl ReplyMemory {
-    /// Creates a memory for large replies.
-    pub fn new(bytes: usize) -> Self {
+    /// Creates a memory with `class_bytes` for the replies of each of the [`SIZE_CLASSES`].
+    pub fn new(class_bytes: usize) -> Self {
         Self {
-            available_bytes: AtomicUsize::new(bytes),
+            available_bytes: std::array::from_fn(|_| AtomicUsize::new(class_bytes)),
             large_replies: Arc::new(Semaphore::new(MAX_LARGE_REPLIES)),
             waiting_replies: Semaphore::new(MAX_WAITING_REPLIES),
         }
@@ -79,18 +102,22 @@
         admitted.await.ok()?.ok()
     }
 
-    /// Returns the bytes that large replies may still take.
+    /// Returns the bytes that further large replies may take.
     pub fn available_bytes(&self) -> usize {
-        self.available_bytes.load(Ordering::Relaxed)
+        self.available_bytes[LARGE_CLASS].load(Ordering::Relaxed)
     }
 
-    fn reserve(&self, bytes: usize) -> bool {
+    fn reserve(&self, size_class: usize, bytes: usize) -> bool {
         let take = |available: usize| available.checked_sub(bytes);
         let order = Ordering::Relaxed;
-        self.available_bytes
+        self.available_bytes[size_class]
             .fetch_update(order, order, take)
             .is_ok()
     }
+
+    fn release(&self, size_class: usize, bytes: usize) {
+        self.available_bytes[size_class].fetch_add(bytes, Ordering::Relaxed);
+    }
 }
 
 impl ReplyReceiver {
@@ -101,41 +128,45 @@
                 bytes: Vec::new(),
                 parts: 0,
                 memory,
+                size_class: 0,
                 reserved_bytes: 0,
             },
             permit: None,
         }
     }
 
-    /// Appends a part of the body; returns false if the reply is too large, or if other replies take
-    /// the memory or the processor time.
+    /// Appends a part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the reply is too large, or if other replies take the memory or the processor time.
     ///
     /// # Examples
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use cloverrack::gateway::{ReplyMemory, ReplyReceiver};
+    /// use cloverrack::gateway::{ReceiveError, ReplyMemory, ReplyReceiver};
     /// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
     /// let memory = Arc::new(ReplyMemory::new(100_000));
     /// let mut receiver = ReplyReceiver::new(Arc::clone(&memory));
-    /// assert!(runtime.block_on(receiver.append(&[0; 60_000])));
-    /// assert!(!runtime.block_on(receiver.append(&[0; 160_000])));
+    /// assert_eq!(runtime.block_on(receiver.append(&[0; 60_000])), Ok(()));
+    /// let too_large = Err(ReceiveError::TooLarge);
+    /// assert_eq!(runtime.block_on(receiver.append(&[0; 160_000])), too_large);
     /// drop(receiver);
     /// assert_eq!(memory.available_bytes(), 100_000);
     /// ```
-    pub async fn append(&mut self, part: &[u8]) -> bool {
+    pub async fn append(&mut self, part: &[u8]) -> Result<(), ReceiveError> {
         let reply_buffer = &mut self.reply_buffer;
         reply_buffer.parts += 1;
         let length = reply_buffer.bytes.len() + part.len();
         if length > MAX_REPLY_BYTES || reply_buffer.parts > MAX_REPLY_PARTS {
-            return false;
+            return Err(ReceiveError::TooLarge);
         }
-        let is_small = length <= SMALL_REPLY_BYTES && reply_buffer.parts <= SMALL_REPLY_PARTS;
-        if !is_small && self.permit.is_none() {
-            let Some(permit) = reply_buffer.memory.admit_large().await else {
-                return false;
-            };
-            self.permit = Some(permit);
+        let is_large =
+            size_class(length) == LARGE_CLASS || reply_buffer.parts > MAX_SMALL_REPLY_PARTS;
+        if is_large && self.permit.is_none() {
+            let permit = reply_buffer.memory.admit_large().await;
+            self.permit = Some(permit.ok_or(ReceiveError::TooLarge)?);
         }
         reply_buffer.append(part)
     }
@@ -146,27 +177,47 @@
     }
 }
 
+/// Returns the class of a reply that takes `bytes`.
+fn size_class(bytes: usize) -> usize {
+    let class = CLASS_LIMITS_BYTES.iter().position(|limit| bytes <= *limit);
+    class.unwrap_or(LARGE_CLASS)
+}
+
 impl ReplyBuffer {
-    fn append(&mut self, part: &[u8]) -> bool {
+    fn append(&mut self, part: &[u8]) -> Result<(), ReceiveError> {
         let length = self.bytes.len() + part.len();
         if length > self.bytes.capacity() {
-            let capacity = length.max(self.bytes.capacity() * 2);
-            let capacity = capacity.max(MIN_CAPACITY_BYTES);
+            // The capacity grows to the limit of a class first, since the next one has other memory.
+            let class_limit = CLASS_LIMITS_BYTES[size_class(length)];
+            let doubled = length.max(self.bytes.capacity() * 2);
+            let capacity = doubled.max(MIN_CAPACITY_BYTES).min(class_limit);
             if !self.reserve_capacity(capacity) && !self.reserve_capacity(length) {
-                return false;
+                return Err(if size_class(length) == LARGE_CLASS {
+                    ReceiveError::TooLarge
+                } else {
+                    ReceiveError::NoMemory
+                });
             }
         }
         self.bytes.extend_from_slice(part);
-        true
+        Ok(())
     }
 
     fn reserve_capacity(&mut self, capacity: usize) -> bool {
-        let shared_bytes = capacity.saturating_sub(SMALL_REPLY_BYTES);
-        let additional_bytes = shared_bytes.saturating_sub(self.reserved_bytes);
-        if !self.memory.reserve(additional_bytes) {
-            return false;
+        let size_class = size_class(capacity);
+        if size_class == self.size_class {
+            let additional_bytes = capacity.saturating_sub(self.reserved_bytes);
+            if !self.memory.reserve(size_class, additional_bytes) {
+                return false;
+            }
+        } else {
+            if !self.memory.reserve(size_class, capacity) {
+                return false;
+            }
+            self.memory.release(self.size_class, self.reserved_bytes);
+            self.size_class = size_class;
         }
-        self.reserved_bytes += additional_bytes;
+        self.reserved_bytes = capacity;
         self.bytes.reserve_exact(capacity - self.bytes.len());
         true
     }
@@ -180,9 +231,6 @@
 
 impl Drop for ReplyBuffer {
     fn drop(&mut self) {
-        let reserved_bytes = self.reserved_bytes;
-        self.memory
-            .available_bytes
-            .fetch_add(reserved_bytes, Ordering::Relaxed);
+        self.memory.release(self.size_class, self.reserved_bytes);
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -236,6 +236,32 @@
     })
 }
 
+/// Decodes a message that fills `bytes` exactly and takes at most `LIMIT_BYTES` in memory.
+///
+/// # Errors
+///
+/// Fails on malformed content, on trailing bytes, and if the message is larger.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::wire::{WireError, decode_within, encode};
+/// let bytes = encode(&vec![7_u64; 4]).unwrap();
+/// assert_eq!(decode_within::<64, Vec<u64>>(&bytes), Ok(vec![7; 4]));
+/// assert_eq!(decode_within::<16, Vec<u64>>(&bytes), Err(WireError::Malformed));
+/// ```
+pub fn decode_within<const LIMIT_BYTES: usize, T: Decode<()>>(
+    bytes: &[u8],
+) -> Result<T, WireError> {
+    let config = bincode::config::standard().with_limit::<LIMIT_BYTES>();
+    let decoded = bincode::decode_from_slice(bytes, config);
+    let (message, used) = decoded.map_err(|_| WireError::Malformed)?;
+    if used != bytes.len() {
+        return Err(WireError::Malformed);
+    }
+    Ok(message)
+}
+
 /// Memory that decoding a message may allocate, as a multiple of its encoded size.
 ///
 /// A collection allocates the memory of all its elements before they are read. The largest element,
--- a/tests/gateway_reply_size.rs
+++ b/tests/gateway_reply_size.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 
 /// Limit for an exchange with a peer whose reply has no end.
@@ -36,6 +37,11 @@
 
 /// Starts a peer that answers with a body of `length` bytes.
 async fn peer(length: usize) -> Connection {
+    peer_that_sends(length, length).await
+}
+
+/// Starts a peer that answers with `sent` bytes of a body of `length`, and keeps the connection open.
+async fn peer_that_sends(sent: usize, length: usize) -> Connection {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
@@ -45,7 +51,7 @@
         let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
         stream.write_all(head.as_bytes()).await.unwrap();
         // Fails if the receiver gives up.
-        stream.write_all(&vec![b'x'; length]).await.ok();
+        stream.write_all(&vec![b'x'; sent]).await.ok();
         std::future::pending::<()>().await;
     });
     Connection::open(address).await.unwrap()
@@ -64,7 +70,7 @@
     exchanged.await.expect("the exchange ends")
 }
 
-/// Guards against bodies, chunks, heads and interim responses without end.
+/// Guards against bodies, chunks, heads, interim responses, trailers and chunk extensions without end.
 #[tokio::test]
 async fn replies_without_end_fail() {
     for (beginning, repeated) in [
@@ -75,6 +81,14 @@
         ),
         ("HTTP/1.1 200 OK\r\n", "name: value\r\n"),
         ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            "name: value\r\n",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;",
+            "extension;",
+        ),
     ] {
         let memory = Arc::new(ReplyMemory::new(1_000_000));
         let connection = endless_peer(beginning, repeated).await;
@@ -109,3 +123,31 @@
     let large = exchange(peer(600_000).await, &memory).await.unwrap();
     assert_eq!(large.body.len(), 600_000);
 }
+
+/// Guards against memory that grows with the number of replies that leaves begin and never complete,
+/// and against small replies that find no memory beside them.
+#[tokio::test]
+async fn incomplete_replies_share_the_memory() {
+    const MEMORY_BYTES: usize = 1_000_000;
+    const SENT_BYTES: usize = 60_000;
+    const PEERS: usize = 100;
+    let memory = Arc::new(ReplyMemory::new(MEMORY_BYTES));
+    let mut exchanges = JoinSet::new();
+    for _ in 0..PEERS {
+        let memory = Arc::clone(&memory);
+        let connection = peer_that_sends(SENT_BYTES, SENT_BYTES + 1).await;
+        exchanges.spawn(async move { exchange(connection, &memory).await });
+    }
+    for _ in MEMORY_BYTES / SENT_BYTES..PEERS {
+        let refused = timeout(EXCHANGE_LIMIT / 2, exchanges.join_next()).await;
+        let refused = refused.expect("a reply without memory fails").unwrap();
+        assert_eq!(refused.unwrap().unwrap_err(), CallError::NoReplyMemory);
+    }
+    for length in [1_000, 6_000] {
+        let small = exchange(peer(length).await, &memory).await.unwrap();
+        assert_eq!(small.body.len(), length);
+    }
+    exchanges.shutdown().await;
+    let reply = exchange(peer(SENT_BYTES).await, &memory).await.unwrap();
+    assert_eq!(reply.body.len(), SENT_BYTES);
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -302,8 +302,7 @@
             failure_domain: ["a", "b"][index % 2].into(),
             millicores: 500,
             link_mbps: 1_000,
-            reply_memory_bytes: 16 * 1_048_576,
-            body_memory_bytes: 16 * 1_048_576,
+            memory_bytes: 256 * 1_048_576,
             first_start: false,
             retry_budget: RetryBudgetLimits {
                 ratio_ppm: 200_000,
