Bound the memory of callers' connections and long request heads

Cause: a connection of a caller may fill a read buffer of 32 KiB with a head that it never completes, or with a long body, and 4,096 connections are accepted on a VM of any size: 128 MB on a VM of 160 MB.

Change: the number of connections follows the memory of the VM (2,048 at 160 MB). A head that exceeds the first read buffer takes 40 KiB of a shared memory; without room, the connection is closed with its request unread, and counted. A read takes less than 8 KiB, so that long bodies don't make the read buffer grow.

Evidence: `long_heads_share_the_memory` fails with the limit disabled (a third head of 20 KB is answered with 200 while the memory has room for two). The tests of closing connections pass, also the one that sends 400 KB behind a request.

Ruled out: a smaller limit for each head; configurations allow 16 KiB.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -41,6 +41,7 @@
 use super::vm_selection::{active_vms, desired_active_vms, leaf_using_vms};
 use crate::clock::{boot_ms, boot_us};
 use crate::fact::Fact;
+use crate::head_memory::RequestHeadMemory;
 use crate::ids::{LeafKey, ServiceKey};
 
 /// Memory of a VM, unless it is set.
@@ -130,6 +131,8 @@
     pub reply_memory: Arc<ReplyMemory>,
     /// Memory that the bodies of requests share.
     pub body_memory: BodyMemory,
+    /// Memory that the heads of requests share which exceed a read buffer.
+    pub request_heads: RequestHeadMemory,
     /// Requests in progress on this VM.
     pub open_requests: OpenRequests,
     active_addresses: Mutex<Arc<[SocketAddr]>>,
@@ -178,6 +181,7 @@
             memory_limits,
             reply_memory: Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes)),
             body_memory: BodyMemory::new(memory_limits.body_bytes),
+            request_heads: RequestHeadMemory::new(memory_limits.request_head_bytes),
             open_requests: OpenRequests::default(),
             active_addresses: Mutex::new(Arc::from([])),
             active_vms: Mutex::default(),
@@ -201,6 +205,7 @@
         self.memory_limits = memory_limits;
         self.reply_memory = Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes));
         self.body_memory = BodyMemory::new(memory_limits.body_bytes);
+        self.request_heads = RequestHeadMemory::new(memory_limits.request_head_bytes);
         self
     }
 
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -29,6 +29,7 @@
 use super::request_run;
 use super::routes::{CallerLimits, Route};
 use crate::clock::boot_us;
+use crate::head_memory::RequestHeadMemory;
 use crate::http_server::{CallerAddress, Handler, HttpResponse};
 use crate::wire::{MAX_FRAME_BYTES, encode};
 
@@ -294,6 +295,18 @@
         Duration::from_millis(idle_ms.clamp(MIN_IDLE_TIMEOUT_MS, MAX_IDLE_TIMEOUT_MS))
     }
 
+    fn max_connections(&self) -> usize {
+        self.engine.memory_limits.caller_connections
+    }
+
+    fn head_memory(&self) -> RequestHeadMemory {
+        self.engine.request_heads.clone()
+    }
+
+    fn record_refused_head(&self) {
+        self.engine.metrics.count_memory_refusal("request_head");
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
         let started_us = boot_us();
         let request_id = request.headers().get(&self.engine.headers.request_id);
--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -24,6 +24,7 @@
 use tokio_util::task::TaskTracker;
 use tracing::debug;
 
+use crate::head_memory::{HeadMeter, HeadMeteredStream, RequestHeadMemory};
 use crate::lingering_stream::LingeringStream;
 
 /// Time limit for receiving the first bytes of a connection, for receiving the body of a request and,
@@ -40,8 +41,7 @@
 /// Maximum number of concurrent requests on one HTTP/2 connection.
 const MAX_STREAMS_PER_CONNECTION: u32 = 256;
 
-/// Maximum size of the read buffer of an HTTP/1.1 connection, which also limits the header block. While a long
-/// body arrives, the buffer would grow to 400 KB otherwise.
+/// Maximum size of the read buffer of an HTTP/1.1 connection, which also limits the header block.
 const MAX_READ_BUFFER_BYTES: usize = 32_768;
 
 /// Maximum number of response bytes buffered for one HTTP/2 stream.
@@ -53,9 +53,12 @@
 /// Interval between checks of an incomplete connection preface.
 const PREFACE_POLL_INTERVAL_MS: u64 = 20;
 
-/// Maximum number of open connections of one listener.
+/// Maximum number of open connections of one listener, unless its handler sets another one.
 const MAX_CONNECTIONS: usize = 4_096;
 
+/// Memory of the long heads of one listener's requests, unless its handler has one.
+const HEAD_MEMORY_BYTES: usize = 8 * 1_048_576;
+
 /// Time limit during shutdown for the first request of a connection that is already open.
 const FIRST_REQUEST_TIMEOUT_MS: u64 = 250;
 
@@ -86,6 +89,19 @@
     fn idle_timeout(&self) -> Duration {
         Duration::from_millis(READ_TIMEOUT_MS)
     }
+
+    /// Returns the maximum number of open connections.
+    fn max_connections(&self) -> usize {
+        MAX_CONNECTIONS
+    }
+
+    /// Returns the memory that the long heads of requests share.
+    fn head_memory(&self) -> RequestHeadMemory {
+        RequestHeadMemory::new(HEAD_MEMORY_BYTES)
+    }
+
+    /// Records that a connection ended because a long head found no memory.
+    fn record_refused_head(&self) {}
 }
 
 /// Signals for the two phases of a listener's shutdown.
@@ -115,7 +131,8 @@
     shutdown_signals: ShutdownSignals,
 ) {
     let connections = TaskTracker::new();
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let permits = Arc::new(Semaphore::new(handler.max_connections()));
+    let head_memory = handler.head_memory();
     loop {
         let permit = tokio::select! {
             permit = Arc::clone(&permits).acquire_owned() => permit,
@@ -135,6 +152,7 @@
             stream,
             peer.ip(),
             Arc::clone(&handler),
+            head_memory.clone(),
             shutdown_signals.clone(),
         );
         connections.spawn(async move {
@@ -142,7 +160,14 @@
             drop(permit);
         });
     }
-    serve_backlog(&listener, &handler, &shutdown_signals, &connections).await;
+    serve_backlog(
+        &listener,
+        &handler,
+        &head_memory,
+        &shutdown_signals,
+        &connections,
+    )
+    .await;
     drop(listener);
     connections.close();
     connections.wait().await;
@@ -152,6 +177,7 @@
 async fn serve_backlog<H: Handler>(
     listener: &TcpListener,
     handler: &Arc<H>,
+    head_memory: &RequestHeadMemory,
     shutdown_signals: &ShutdownSignals,
     connections: &TaskTracker,
 ) {
@@ -161,6 +187,7 @@
                 stream,
                 peer.ip(),
                 Arc::clone(handler),
+                head_memory.clone(),
                 shutdown_signals.clone(),
             );
             connections.spawn(connection);
@@ -173,6 +200,7 @@
     stream: TcpStream,
     caller: IpAddr,
     handler: Arc<H>,
+    head_memory: RequestHeadMemory,
     shutdown_signals: ShutdownSignals,
 ) {
     let _ = stream.set_nodelay(true);
@@ -193,11 +221,17 @@
     let seen_version = watch::Sender::new(None);
     let close_signal = wait_for_close(seen_version.subscribe(), shutdown_signals.clone());
     let idle_timeout = handler.idle_timeout();
+    let meter = Arc::new(HeadMeter::new(head_memory));
+    let service_meter = Arc::clone(&meter);
+    let service_handler = Arc::clone(&handler);
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(CallerAddress(caller));
         let version = request.version();
-        seen_version.send_replace(Some(version));
-        let handler = Arc::clone(&handler);
+        if seen_version.send_replace(Some(version)).is_none() && version == Version::HTTP_2 {
+            service_meter.set_http2();
+        }
+        let open_head = service_meter.begin_request();
+        let handler = Arc::clone(&service_handler);
         let draining = shutdown_signals.draining.clone();
         async move {
             let mut response = handler.handle(request).await;
@@ -207,11 +241,13 @@
                     .headers_mut()
                     .insert(http::header::CONNECTION, close);
             }
+            drop(open_head);
             Ok::<_, Infallible>(response)
         }
     });
     let builder = connection_builder(idle_timeout);
     let (stream, closing_stream) = LingeringStream::new(Box::pin(stream));
+    let stream = HeadMeteredStream::new(stream, Arc::clone(&meter));
     {
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
@@ -228,6 +264,9 @@
             debug!(event = "connection_ended", %error);
         }
     }
+    if meter.is_refused() {
+        handler.record_refused_head();
+    }
     closing_stream.wait_for_client().await;
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod gossip;
+pub mod head_memory;
 pub mod http_server;
 pub mod ids;
 pub mod latency;
