Blame no leaf for a time in which this process did not run

Cause: after a delay of the process, all leaves with open calls seem to have been silent, since their replies were not read.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -368,7 +368,8 @@
         }
         let now_us = boot_us();
         let state = &mut *self.engine.state();
-        let is_distorted = state.link_monitor.distorts_call(self.started_us);
+        let is_distorted = state.link_monitor.distorts_call(self.started_us)
+            || state.process_delays.explains(self.started_us, now_us);
         if let Some(leaf) = state.leaves.get_mut(self.leaf) {
             leaf.connections = leaf.connections.saturating_sub(1);
             let age_us = now_us.saturating_sub(self.started_us);
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -31,6 +31,7 @@
 use super::metrics::Metrics;
 use super::open_requests::OpenRequests;
 use super::pause_predictor::Stall;
+use super::process_delays::ProcessDelays;
 use super::reply_memory::ReplyMemory;
 use super::reply_origin::OriginHeaders;
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
@@ -101,6 +102,8 @@
     pub content_quarantine: ContentQuarantine,
     /// Links between this VM and the leaves.
     pub link_monitor: LinkMonitor,
+    /// Times in which this process did not run.
+    pub process_delays: ProcessDelays,
     pub(super) recent_successes: RecentSuccesses,
     pub(super) evidence_queue: Vec<Fact>,
     report_queue: ReportQueue,
@@ -169,6 +172,7 @@
             concurrency_limiter: ConcurrencyLimiter::default(),
             content_quarantine: ContentQuarantine::default(),
             link_monitor: LinkMonitor::default(),
+            process_delays: ProcessDelays::default(),
             recent_successes: RecentSuccesses::default(),
             evidence_queue: Vec::new(),
             report_queue: ReportQueue::default(),
@@ -425,6 +429,10 @@
             return Vec::new();
         }
         for (leaf, silent_us) in state.leaves.unreported_stalls(now_us) {
+            let since_us = now_us.saturating_sub(silent_us);
+            if state.process_delays.explains(since_us, now_us) {
+                continue;
+            }
             let silent_us = u32::try_from(silent_us).unwrap_or(u32::MAX);
             state
                 .report_queue
@@ -433,6 +441,12 @@
         state.report_queue.take(now_us)
     }
 
+    /// Records that this process runs, and when the calling task runs again.
+    pub fn record_turn(&self, interval_ms: u64) {
+        let delays = &mut self.state().process_delays;
+        delays.record_turn(boot_us(), interval_ms * 1_000);
+    }
+
     /// Returns the reports for the other VMs on leaves that have named a limit.
     pub fn rate_reports(&self) -> Vec<RateReport> {
         self.state().leaves.rate_reports(boot_us())
@@ -567,6 +581,9 @@
         let (Some(stall), Some(address)) = (stall, address) else {
             return;
         };
+        if self.process_delays.explains(stall.start_us, stall.end_us) {
+            return;
+        }
         let stall_us = stall.end_us.saturating_sub(stall.start_us);
         let observation = Observation::Resumed {
             stall_us: u32::try_from(stall_us).unwrap_or(u32::MAX),
--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -222,7 +222,9 @@
     loop {
         let active_vms = engine.active_vm_addresses();
         let interval_ms = flush_interval_ms(&active_vms, own);
+        engine.record_turn(interval_ms);
         sleep(Duration::from_millis(interval_ms)).await;
+        engine.record_turn(0);
         let mut datagrams = Vec::new();
         for chunk in engine.take_reports().chunks(MAX_REPORTS_PER_DATAGRAM) {
             datagrams.push((chunk.to_vec(), Vec::new()));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`].
+//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`].
 
 mod attempt;
 pub mod body_memory;
@@ -43,6 +43,7 @@
 pub mod metrics;
 pub mod open_requests;
 pub mod pause_predictor;
+pub mod process_delays;
 pub mod rate_limit;
 mod reconnect;
 mod refusal;
@@ -94,6 +95,7 @@
 pub use metrics::Metrics;
 pub use open_requests::OpenRequests;
 pub use pause_predictor::{PausePeriod, PausePredictor, Stall};
+pub use process_delays::ProcessDelays;
 pub use rate_limit::{RateLimit, RateUsage, SharingVms};
 pub use reply_memory::{ReceiveError, ReplyBuffer, ReplyMemory, ReplyReceiver, SIZE_CLASSES};
 pub use reply_origin::{OriginHeaders, ReplyHistory};
--- a/tests/gateway_lost_links.rs
+++ b/tests/gateway_lost_links.rs
@@ -19,7 +19,7 @@
 
 use bytes::Bytes;
 use cloverrack::LeafKey;
-use cloverrack::gateway::{LeafReport, Observation};
+use cloverrack::gateway::{Connection, LeafReport, Observation};
 use fleet::{CUTS, Cut, ONCE_SERVICE, SAFE_SERVICE, SHARDS, TestFleet};
 use gateway::{Leaf, LeafBehaviour, TestGateway, gather_route, order, request, single_route};
 use http::{Request, StatusCode};
@@ -206,6 +206,23 @@
     assert!(!links.may_be_lost(4), "the check has passed");
 }
 
+/// Guards against reports to other VMs that leaves stall while only this process was delayed.
+#[tokio::test]
+async fn a_delay_of_the_process_is_no_stall_of_leaves() {
+    let (gateway, _leaves) = gateway_with_slow_leaves().await;
+    let address = gateway.address;
+    gateway.engine.record_turn(20);
+    let request = tokio::spawn(async move {
+        let mut connection = Connection::open(address).await.unwrap();
+        connection.exchange(request("/a/x")).await
+    });
+    sleep(Duration::from_millis(15)).await;
+    std::thread::sleep(PROCESS_DELAY);
+    assert_eq!(gateway.engine.take_reports(), []);
+    assert_eq!(request.await.unwrap().unwrap().status, StatusCode::OK);
+    assert_eq!(gateway.engine.take_reports(), []);
+}
+
 /// Guards against VMs that take slow leaves for lost links and refuse requests: all of them do at the
 /// same time then, so that none is left to serve.
 #[tokio::test(flavor = "multi_thread")]
