Let retry budgets hold what several requests need at the same moment

Cause: the bucket of a VM holds its share of the slack only: 2 calls on a fleet of 7 VMs. A request that needs three more replies gets none, and what requests earn while no call is needed is lost, although pauses of leaves and lost replies come in bursts.

Evidence: `unused_extra_calls_complete_a_request_that_needs_several` fails without the additional capacity (0 of 5 calls). `replaced_vms_stay_within_the_limit` plays a fault just before all VMs are replaced.

Ruled out: a sliding window alone, which a fleet could use in full before and after a restart of all VMs. One budget for the fleet, reported between the VMs: at the moment at which all replies are lost all VMs need calls, so that each could use its share only; what was unused was lost to the size of the buckets, not to their division.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -393,7 +393,7 @@
 
     /// Deducts an allowed extra call from the retry budget of a service.
     pub fn spend_retry(&self, service: ServiceKey) {
-        let spent = self.state().retry_budgets.spend(service);
+        let spent = self.state().retry_budgets.spend(service, boot_ms());
         self.metrics.count_retry(spent);
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
-//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
+//! [`retry_budgets`], [`usage_window`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
 //! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`].
 
 mod attempt;
@@ -58,6 +58,7 @@
 pub mod stop_schedule;
 mod stop_signal;
 pub mod unanswered_runs;
+pub mod usage_window;
 pub mod vm_client;
 pub mod vm_selection;
 pub mod vm_server;
@@ -108,6 +109,7 @@
 pub use service::CallerService;
 pub use stop_schedule::StopSchedule;
 pub use unanswered_runs::{RecentSuccesses, UnansweredRun, UnansweredRuns};
+pub use usage_window::UsageWindow;
 pub use vm_client::{ChosenVm, VmCallError, VmClient};
 pub use vm_selection::{active_vms, caller_addresses, desired_active_vms, leaf_using_vms};
 pub use vm_server::VmServer;
--- a/tests/gateway_retry_budgets.rs
+++ b/tests/gateway_retry_budgets.rs
@@ -55,7 +55,7 @@
             continue;
         }
         for _ in 0..calls_wanted {
-            if budget.allows(service, 1) && budget.spend(service) {
+            if budget.allows(service, 1) && budget.spend(service, now_ms) {
                 simulation.extra_calls_ms.push(now_ms);
             }
         }
@@ -134,7 +134,7 @@
         let mut taken = 0;
         while taken < needed
             && retry_budgets.allows(service, needed - taken)
-            && retry_budgets.spend(service)
+            && retry_budgets.spend(service, request * 50)
         {
             taken += 1;
         }
@@ -151,3 +151,80 @@
         "{spent} extra calls for {completed} completed requests"
     );
 }
+
+/// Limits of a small fleet, in which a share of the slack is less than two calls.
+const SMALL_LIMITS: RetryBudgetLimits = RetryBudgetLimits {
+    ratio_ppm: 200_000,
+    slack_calls: 54,
+    window_ms: 10_000,
+};
+
+/// VMs of the small fleet, and requests to each of them in a second.
+const SMALL_FLEET: u32 = 7;
+const SMALL_FLEET_REQUESTS_PER_S: u64 = 25;
+
+fn small_fleet() -> Vec<RetryBudgets> {
+    let mut budgets = vec![RetryBudgets::new(SMALL_LIMITS); SMALL_FLEET as usize];
+    for budget in &mut budgets {
+        budget.set_vms(SMALL_FLEET);
+    }
+    budgets
+}
+
+/// Spends up to `wanted` extra calls for a request that needs them all, and returns how many it got.
+fn take(budget: &mut RetryBudgets, wanted: usize, now_ms: u64) -> usize {
+    let service = ServiceKey::new(0);
+    let mut taken = 0;
+    while taken < wanted && budget.allows(service, wanted - taken) && budget.spend(service, now_ms)
+    {
+        taken += 1;
+    }
+    taken
+}
+
+/// Guards against requests that fail for want of a few extra calls at the same moment although the fleet has
+/// used hardly any of those that the window allows.
+#[test]
+fn unused_extra_calls_complete_a_request_that_needs_several() {
+    for budget in &mut small_fleet() {
+        for now_ms in (0..20_000).step_by(1_000 / SMALL_FLEET_REQUESTS_PER_S as usize) {
+            budget.earn(ServiceKey::new(0), now_ms);
+        }
+        assert_eq!(take(budget, 5, 20_000), 5);
+    }
+}
+
+/// Guards against VMs that spend all they have before they are replaced, and whose successors do so again in
+/// the same window.
+#[test]
+fn replaced_vms_stay_within_the_limit() {
+    const REPLACED_MS: u64 = 20_000;
+    const WINDOW_MS: u64 = SMALL_LIMITS.window_ms;
+    let mut budgets = small_fleet();
+    let mut extra_calls_ms = Vec::new();
+    for now_ms in (0..REPLACED_MS + WINDOW_MS).step_by(1_000 / SMALL_FLEET_REQUESTS_PER_S as usize)
+    {
+        if now_ms == REPLACED_MS {
+            budgets = small_fleet();
+        }
+        for budget in &mut budgets {
+            budget.earn(ServiceKey::new(0), now_ms);
+            // The fault begins just before the replacement.
+            while now_ms + 200 >= REPLACED_MS && take(budget, 1, now_ms) > 0 {
+                extra_calls_ms.push(now_ms);
+            }
+        }
+    }
+    let first_ms = extra_calls_ms[0];
+    let in_window = extra_calls_ms
+        .iter()
+        .filter(|ms| **ms < first_ms + WINDOW_MS)
+        .count() as u64;
+    let requests = u64::from(SMALL_FLEET) * SMALL_FLEET_REQUESTS_PER_S * WINDOW_MS / 1_000;
+    let allowed =
+        requests * u64::from(SMALL_LIMITS.ratio_ppm) / 1_000_000 + SMALL_LIMITS.slack_calls;
+    assert!(
+        in_window <= allowed,
+        "{in_window} extra calls, {allowed} allowed"
+    );
+}
