End requests without a body with their head in tests of messages

Cause: the test sends the head of a request and its empty body separately. If the response arrives in between, the server has closed the stream.

--- a/tests/message_heads.rs
+++ b/tests/message_heads.rs
@@ -103,8 +103,12 @@
     let (client, connection) = h2::client::handshake(stream).await.unwrap();
     let driver = tokio::spawn(connection);
     let mut client = client.ready().await.unwrap();
-    let (response, mut sent) = client.send_request(request, false).unwrap();
-    sent.send_data(body, true).unwrap();
+    // A request without a body ends with its head, as those of earlier builds do. Its response may close the
+    // stream before a separate end could be sent.
+    let (response, mut sent) = client.send_request(request, body.is_empty()).unwrap();
+    if !body.is_empty() {
+        sent.send_data(body, true).unwrap();
+    }
     let (head, body) = timeout(EXCHANGE_LIMIT, response)
         .await
         .unwrap()
