Bound the reports of leaves' limits in large fleets

Cause: each active VM reports its calls to leaves that have named a limit to each other active VM every 60 ms, so the datagrams of the fleet grow with the square of the active VMs. There are ten on the sites so far; leaves that accept 1,200 connections suffice for a hundred.

Change: the interval grows with the active VMs from ten on, to at most some 170 datagrams a second sent by each. VMs that hear each other less often than every 300 ms keep to equal shares of the limit, as they do when reports are lost.

Evidence: the example of `rate_report_interval_us`; the tests of the limits pass.

--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -41,6 +41,10 @@
 /// may send the calls that are left.
 const RATE_REPORT_INTERVAL_US: u64 = 60_000;
 
+/// Least time between two of these reports of a VM, to different VMs. It bounds what a VM sends and receives in
+/// fleets with more than ten active VMs; VMs that hear each other too rarely keep to equal shares.
+const RATE_REPORT_SPACING_US: u64 = 6_000;
+
 /// Maximum number of reports on limits in one datagram: such a report takes at most 40 bytes.
 const MAX_RATE_REPORTS_PER_DATAGRAM: usize = 30;
 
@@ -214,6 +218,20 @@
     }
 }
 
+/// Returns the interval between the reports of a VM on leaves that have named a limit.
+///
+/// # Examples
+///
+/// ```
+/// use cloverrack::gateway::leaf_reports::rate_report_interval_us;
+/// assert_eq!(rate_report_interval_us(7), 60_000);
+/// assert_eq!(rate_report_interval_us(100), 600_000);
+/// ```
+pub fn rate_report_interval_us(active_vms: usize) -> u64 {
+    let active_vms = u64::try_from(active_vms).unwrap_or(u64::MAX);
+    RATE_REPORT_INTERVAL_US.max(active_vms.saturating_mul(RATE_REPORT_SPACING_US))
+}
+
 /// Sends the reports of the VM with internal address `own` to the other active VMs until the task
 /// is dropped.
 pub async fn send(socket: Arc<UdpSocket>, engine: Arc<Engine>, own: SocketAddr) {
@@ -230,7 +248,8 @@
             datagrams.push((chunk.to_vec(), Vec::new()));
         }
         let now_us = boot_us();
-        if now_us.saturating_sub(rates_reported_us) >= RATE_REPORT_INTERVAL_US {
+        let rate_interval_us = rate_report_interval_us(active_vms.len());
+        if now_us.saturating_sub(rates_reported_us) >= rate_interval_us {
             rates_reported_us = now_us;
             for chunk in engine.rate_reports().chunks(MAX_RATE_REPORTS_PER_DATAGRAM) {
                 datagrams.push((Vec::new(), chunk.to_vec()));
