Share budgets with the VMs of the settings right after a start

Cause: until a VM has discovered the others it shares connections and retry budgets with as many VMs as the connections of the leaves suffice for. With 31 connections these are two, but two VMs of each failure domain use the leaves.

Change: in a fleet of up to ten VMs, a VM shares with the VMs in its settings for the time in which it discovers them.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -17,7 +17,7 @@
 use super::call::OpenCall;
 use super::capacity::CapacityError;
 use super::catalog::Catalog;
-use super::catalog_sync::STARTUP_SETTLE_MS;
+use super::catalog_sync::{MAX_VMS_ALL_WATCH, STARTUP_SETTLE_MS};
 use super::concurrency_limiter::ConcurrencyLimiter;
 use super::connection::Connection;
 use super::connection_limits::ConnectionLimits;
@@ -144,6 +144,7 @@
     stop_grace_ms: AtomicU64,
     is_watcher: AtomicBool,
     live_vms: AtomicUsize,
+    listed_vms: AtomicUsize,
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
     pub(super) forwards: watch::Sender<bool>,
@@ -193,6 +194,7 @@
             stop_grace_ms: AtomicU64::new(0),
             is_watcher: AtomicBool::new(true),
             live_vms: AtomicUsize::new(1),
+            listed_vms: AtomicUsize::new(1),
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
             forwards: watch::Sender::new(false),
@@ -293,17 +295,29 @@
         state.update_connection_limits();
     }
 
+    /// Sets the number of VMs that are listed in the settings, this one included.
+    pub fn set_listed_vms(&self, listed_vms: usize) {
+        self.listed_vms.store(listed_vms, Ordering::Relaxed);
+    }
+
     /// Returns the least number of VMs with which this VM shares connections and retry budgets.
     ///
     /// After its start a VM has discovered only some of the others, while those that start at the
-    /// same moment take their shares as well.
+    /// same moment take their shares as well. All VMs of a small fleet use the leaves; of a large one, only as
+    /// many as the connections suffice for.
     fn min_sharing_vms(&self, state: &State) -> u32 {
         if boot_ms().saturating_sub(self.started_ms) >= STARTUP_SETTLE_MS {
             return 1;
         }
         let route_table = state.route_table.as_ref();
         let min_connections = route_table.and_then(|table| table.min_shard_connections());
-        let desired = min_connections.map_or(1, desired_active_vms);
+        let listed = self.listed_vms.load(Ordering::Relaxed);
+        let listed = if listed <= MAX_VMS_ALL_WATCH {
+            listed
+        } else {
+            1
+        };
+        let desired = min_connections.map_or(1, desired_active_vms).max(listed);
         u32::try_from(desired).unwrap_or(u32::MAX)
     }
 
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -3,6 +3,7 @@
 //! Handles rolling restarts: callers are first moved to other VMs and requests in flight finish
 //! before the process ends.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -151,6 +152,9 @@
             metrics,
         );
         let engine = Arc::new(engine.with_memory(settings.memory_bytes));
+        let listed: HashSet<&SocketAddr> = settings.seeds.iter().collect();
+        let is_listed = listed.contains(&settings.internal_address);
+        engine.set_listed_vms(listed.len() + usize::from(!is_listed));
         engine.set_stop_grace_ms(settings.stop_grace_ms);
         let component_registry = Arc::new(ComponentRegistry::default());
         component_registry.register(CONTROL, Arc::clone(&membership));
--- a/tests/gateway_startup_shares.rs
+++ b/tests/gateway_startup_shares.rs
@@ -46,3 +46,18 @@
         connection_share(MAX_CONNECTIONS, 1)
     );
 }
+
+/// Guards against VMs of a small fleet that start together and each take the budget and the connections of
+/// more than one: leaves with few connections suffice for two VMs with usual shares, but all VMs use them.
+#[tokio::test]
+async fn a_vm_that_has_just_started_shares_with_the_vms_in_its_settings() {
+    const LISTED_VMS: usize = 7;
+    let engine = engine();
+    engine.set_listed_vms(LISTED_VMS);
+    let leaf = Leaf::spawn("leaf", 1, LeafBehaviour::Answer).await;
+    let routes = vec![gather_route("/g/", &["s"], 1_000_000)];
+    publish(&engine, 1, routes, &[("s", &leaf)]);
+    assert!(desired_active_vms(MAX_CONNECTIONS) < LISTED_VMS);
+    engine.set_vms(1);
+    assert_eq!(engine.state().vms, 7);
+}
