Wait before a connection is accepted again without descriptors

Cause: without a free descriptor `accept` fails at once and its socket stays ready, so the listener's loop tries again without pause. A VM of 0.12 cores has no processor time left for the requests whose ends would free descriptors; a VM of 160 MB has 4,100 descriptors for callers, leaves and peers.

Change: a pause of 20 ms after a failed accept, and a log event.

Evidence: `a_server_without_descriptors_waits` fails before ("498.232991ms of 500ms" of processor time), and passes with the pause; the connection that waits is served once there are descriptors again.

Found by reading, while the bounds of connections were added up.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -66,6 +66,9 @@
 /// it receives the GOAWAY may take the request for refused although it is handled.
 const GOAWAY_DELAY_MS: u64 = 50;
 
+/// Delay after a connection that could not be accepted: without free descriptors, each further try fails at once.
+const ACCEPT_RETRY_MS: u64 = 20;
+
 /// Time during shutdown for accepting the connections in the kernel's backlog.
 const BACKLOG_ACCEPT_MS: u64 = 20;
 
@@ -145,8 +148,13 @@
             accepted = listener.accept() => accepted,
             () = shutdown_signals.stop.cancelled() => break,
         };
-        let Ok((stream, peer)) = accepted else {
-            continue;
+        let (stream, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                debug!(event = "connection_not_accepted", %error);
+                tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+                continue;
+            }
         };
         let connection = serve_connection(
             stream,
