Open another connection if one is busy with an earlier request

What callers saw: a leaf answers a request of 8 MiB before it has read it, keeps the connection and reads on. The next request on that connection got 504 at its deadline; the leaf had received nothing of it.

Cause: a connection whose reply is complete is reused although it may still send the body of that request. The next call waits until it is ready, without a limit of its own, and the connection may never be. Why it isn't after the leaf has read all is not traced further; it is inside the HTTP library.

Change: a connection that is not ready within 20 ms is closed and another one is opened. Nothing of the request was sent then, so this holds for requests that must not run twice, too.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -132,6 +132,8 @@
                 return result;
             }
         }
+        // Closed first, since it counts towards the connections that the leaf accepts.
+        self.connection = None;
         self.connection = Some(Connection::open(address).await?);
         self.engine.state().link_monitor.record_connection();
         self.exchange(spec, &id).await
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -26,6 +26,10 @@
 /// for a loaded leaf. A lost SYN is retransmitted only after a second.
 const CONNECT_TIMEOUT_MS: u64 = 120;
 
+/// Timeout for a connection to finish with the request before. It may still be sending a long body that the leaf
+/// has answered early and reads slowly.
+const READY_TIMEOUT_MS: u64 = 20;
+
 /// Memory of the reply to a call that shares none with other calls.
 const OWN_REPLY_BYTES: usize = 16 * 1_048_576;
 
@@ -259,7 +263,8 @@
         memory: &Arc<ReplyMemory>,
         observe_head: impl FnOnce(StatusCode, &HeaderMap),
     ) -> Result<Reply, CallError> {
-        if self.sender.ready().await.is_err() {
+        let limit = Duration::from_millis(READY_TIMEOUT_MS);
+        if !matches!(timeout(limit, self.sender.ready()).await, Ok(Ok(()))) {
             return Err(CallError::Unsent);
         }
         self.allowance.set(MAX_HEAD_READ_BYTES);
