--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -17,7 +17,7 @@
 use super::call::OpenCall;
 use super::capacity::CapacityError;
 use super::catalog::Catalog;
-use super::catalog_sync::STARTUP_SETTLE_MS;
+use super::catalog_sync::{MAX_VMS_ALL_WATCH, STARTUP_SETTLE_MS};
 use super::concurrency_limiter::ConcurrencyLimiter;
 use super::connection::Connection;
 use super::connection_limits::ConnectionLimits;
@@ -27,9 +27,11 @@
 use super::leaves::{Leaf, Leaves, NoLeafError};
 use super::link_monitor::LinkMonitor;
 use super::membership::LiveVm;
+use super::memory_limits::MemoryLimits;
 use super::metrics::Metrics;
 use super::open_requests::OpenRequests;
 use super::pause_predictor::Stall;
+use super::process_delays::ProcessDelays;
 use super::reply_memory::ReplyMemory;
 use super::reply_origin::OriginHeaders;
 use super::retry_budgets::{RetryBudgetLimits, RetryBudgets};
@@ -40,13 +42,11 @@
 use super::vm_selection::{active_vms, desired_active_vms, leaf_using_vms};
 use crate::clock::{boot_ms, boot_us};
 use crate::fact::Fact;
+use crate::head_memory::RequestHeadMemory;
 use crate::ids::{LeafKey, ServiceKey};
 
-/// Size of the memory that the replies of leaves share, unless it is set.
-const DEFAULT_REPLY_MEMORY_BYTES: usize = 32 * 1_048_576;
-
-/// Size of the memory that the bodies of requests share, unless it is set.
-const DEFAULT_BODY_MEMORY_BYTES: usize = 64 * 1_048_576;
+/// Memory of a VM, unless it is set.
+const DEFAULT_MEMORY_BYTES: usize = 256 * 1_048_576;
 
 /// Names of the headers used between callers, the gateway and leaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -102,6 +102,8 @@
     pub content_quarantine: ContentQuarantine,
     /// Links between this VM and the leaves.
     pub link_monitor: LinkMonitor,
+    /// Times in which this process did not run.
+    pub process_delays: ProcessDelays,
     pub(super) recent_successes: RecentSuccesses,
     pub(super) evidence_queue: Vec<Fact>,
     report_queue: ReportQueue,
@@ -126,10 +128,14 @@
     pub headers: Headers,
     /// Metrics of the gateway.
     pub metrics: Metrics,
+    /// Limits on what this VM holds in memory.
+    pub memory_limits: MemoryLimits,
     /// Memory that the replies of leaves share.
     pub reply_memory: Arc<ReplyMemory>,
     /// Memory that the bodies of requests share.
     pub body_memory: BodyMemory,
+    /// Memory that the heads of requests share which exceed a read buffer.
+    pub request_heads: RequestHeadMemory,
     /// Requests in progress on this VM.
     pub open_requests: OpenRequests,
     active_addresses: Mutex<Arc<[SocketAddr]>>,
@@ -138,6 +144,7 @@
     stop_grace_ms: AtomicU64,
     is_watcher: AtomicBool,
     live_vms: AtomicUsize,
+    listed_vms: AtomicUsize,
     platform_is_reachable: AtomicBool,
     pub(super) evidence_queued: Notify,
     pub(super) forwards: watch::Sender<bool>,
@@ -155,6 +162,7 @@
         own_domain: Box<str>,
         metrics: Metrics,
     ) -> Self {
+        let memory_limits = MemoryLimits::new(DEFAULT_MEMORY_BYTES);
         let state = State {
             names: ServiceNames::default(),
             catalog: Catalog::default(),
@@ -165,6 +173,7 @@
             concurrency_limiter: ConcurrencyLimiter::default(),
             content_quarantine: ContentQuarantine::default(),
             link_monitor: LinkMonitor::default(),
+            process_delays: ProcessDelays::default(),
             recent_successes: RecentSuccesses::default(),
             evidence_queue: Vec::new(),
             report_queue: ReportQueue::default(),
@@ -174,8 +183,10 @@
         Self {
             headers,
             metrics,
-            reply_memory: Arc::new(ReplyMemory::new(DEFAULT_REPLY_MEMORY_BYTES)),
-            body_memory: BodyMemory::new(DEFAULT_BODY_MEMORY_BYTES),
+            memory_limits,
+            reply_memory: Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes)),
+            body_memory: BodyMemory::new(memory_limits.body_bytes),
+            request_heads: RequestHeadMemory::new(memory_limits.request_head_bytes),
             open_requests: OpenRequests::default(),
             active_addresses: Mutex::new(Arc::from([])),
             active_vms: Mutex::default(),
@@ -183,6 +194,7 @@
             stop_grace_ms: AtomicU64::new(0),
             is_watcher: AtomicBool::new(true),
             live_vms: AtomicUsize::new(1),
+            listed_vms: AtomicUsize::new(1),
             platform_is_reachable: AtomicBool::new(true),
             evidence_queued: Notify::new(),
             forwards: watch::Sender::new(false),
@@ -193,9 +205,13 @@
         }
     }
 
-    /// Sets the size of the memory that the replies of leaves share.
-    pub fn with_reply_memory(mut self, bytes: usize) -> Self {
-        self.reply_memory = Arc::new(ReplyMemory::new(bytes));
+    /// Divides the memory of a VM of another size.
+    pub fn with_memory(mut self, memory_bytes: usize) -> Self {
+        let memory_limits = MemoryLimits::new(memory_bytes);
+        self.memory_limits = memory_limits;
+        self.reply_memory = Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes));
+        self.body_memory = BodyMemory::new(memory_limits.body_bytes);
+        self.request_heads = RequestHeadMemory::new(memory_limits.request_head_bytes);
         self
     }
 
@@ -279,17 +295,29 @@
         state.update_connection_limits();
     }
 
+    /// Sets the number of VMs that are listed in the settings, this one included.
+    pub fn set_listed_vms(&self, listed_vms: usize) {
+        self.listed_vms.store(listed_vms, Ordering::Relaxed);
+    }
+
     /// Returns the least number of VMs with which this VM shares connections and retry budgets.
     ///
     /// After its start a VM has discovered only some of the others, while those that start at the
-    /// same moment take their shares as well.
+    /// same moment take their shares as well. All VMs of a small fleet use the leaves; of a large one, only as
+    /// many as the connections suffice for.
     fn min_sharing_vms(&self, state: &State) -> u32 {
         if boot_ms().saturating_sub(self.started_ms) >= STARTUP_SETTLE_MS {
             return 1;
         }
         let route_table = state.route_table.as_ref();
         let min_connections = route_table.and_then(|table| table.min_shard_connections());
-        let desired = min_connections.map_or(1, desired_active_vms);
+        let listed = self.listed_vms.load(Ordering::Relaxed);
+        let listed = if listed <= MAX_VMS_ALL_WATCH {
+            listed
+        } else {
+            1
+        };
+        let desired = min_connections.map_or(1, desired_active_vms).max(listed);
         u32::try_from(desired).unwrap_or(u32::MAX)
     }
 
@@ -379,7 +407,7 @@
 
     /// Deducts an allowed extra call from the retry budget of a service.
     pub fn spend_retry(&self, service: ServiceKey) {
-        let spent = self.state().retry_budgets.spend(service);
+        let spent = self.state().retry_budgets.spend(service, boot_ms());
         self.metrics.count_retry(spent);
     }
 
@@ -415,6 +443,10 @@
             return Vec::new();
         }
         for (leaf, silent_us) in state.leaves.unreported_stalls(now_us) {
+            let since_us = now_us.saturating_sub(silent_us);
+            if state.process_delays.explains(since_us, now_us) {
+                continue;
+            }
             let silent_us = u32::try_from(silent_us).unwrap_or(u32::MAX);
             state
                 .report_queue
@@ -423,6 +455,12 @@
         state.report_queue.take(now_us)
     }
 
+    /// Records that this process runs, and when the calling task runs again.
+    pub fn record_turn(&self, interval_ms: u64) {
+        let delays = &mut self.state().process_delays;
+        delays.record_turn(boot_us(), interval_ms * 1_000);
+    }
+
     /// Returns the reports for the other VMs on leaves that have named a limit.
     pub fn rate_reports(&self) -> Vec<RateReport> {
         self.state().leaves.rate_reports(boot_us())
@@ -557,6 +595,9 @@
         let (Some(stall), Some(address)) = (stall, address) else {
             return;
         };
+        if self.process_delays.explains(stall.start_us, stall.end_us) {
+            return;
+        }
         let stall_us = stall.end_us.saturating_sub(stall.start_us);
         let observation = Observation::Resumed {
             stall_us: u32::try_from(stall_us).unwrap_or(u32::MAX),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
-//! [`retry_budgets`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`].
+//! [`retry_budgets`], [`usage_window`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
+//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`].
 
 mod attempt;
 pub mod body_memory;
@@ -37,11 +37,13 @@
 mod link_check;
 pub mod link_monitor;
 pub mod membership;
+pub mod memory_limits;
 pub mod merge;
 mod metered_stream;
 pub mod metrics;
 pub mod open_requests;
 pub mod pause_predictor;
+pub mod process_delays;
 pub mod rate_limit;
 mod reconnect;
 mod refusal;
@@ -56,6 +58,7 @@
 pub mod stop_schedule;
 mod stop_signal;
 pub mod unanswered_runs;
+pub mod usage_window;
 pub mod vm_client;
 pub mod vm_selection;
 pub mod vm_server;
@@ -88,12 +91,14 @@
 pub use leaves::{Leaves, NoLeafError};
 pub use link_monitor::{CheckResult, LinkChange, LinkMonitor, LinkState};
 pub use membership::{LiveVm, Membership};
+pub use memory_limits::MemoryLimits;
 pub use merge::merge_records;
 pub use metrics::Metrics;
 pub use open_requests::OpenRequests;
 pub use pause_predictor::{PausePeriod, PausePredictor, Stall};
+pub use process_delays::ProcessDelays;
 pub use rate_limit::{RateLimit, RateUsage, SharingVms};
-pub use reply_memory::{ReplyBuffer, ReplyMemory, ReplyReceiver};
+pub use reply_memory::{ReceiveError, ReplyBuffer, ReplyMemory, ReplyReceiver, SIZE_CLASSES};
 pub use reply_origin::{OriginHeaders, ReplyHistory};
 pub use retry_after::RetryAfter;
 pub use retry_budgets::{RetryBudgetLimits, RetryBudgets};
@@ -104,6 +109,7 @@
 pub use service::CallerService;
 pub use stop_schedule::StopSchedule;
 pub use unanswered_runs::{RecentSuccesses, UnansweredRun, UnansweredRuns};
+pub use usage_window::UsageWindow;
 pub use vm_client::{ChosenVm, VmCallError, VmClient};
 pub use vm_selection::{active_vms, caller_addresses, desired_active_vms, leaf_using_vms};
 pub use vm_server::VmServer;
