Delay status checks of test leaves only where a test asks for it

The leaves of this test work for 1.5 s, longer than the time limit of a check, so the VM took its links for lost. The delay belongs to the test of delays alone, which now asks for it by a behaviour of its own. Whether VMs should take leaves for lost that all answer their checks after more than half a second is a question of its own.

--- a/tests/gateway_lost_links.rs
+++ b/tests/gateway_lost_links.rs
@@ -177,7 +177,7 @@
     let gateway = TestGateway::spawn().await;
     let mut leaves = Vec::new();
     for index in 0..4 {
-        leaves.push(Leaf::spawn(&format!("leaf-{index}"), 1, LeafBehaviour::Slow(40)).await);
+        leaves.push(Leaf::spawn(&format!("leaf-{index}"), 1, LeafBehaviour::SlowCheck(40)).await);
     }
     let listed: Vec<(&str, &Leaf)> = leaves.iter().map(|leaf| ("s0", leaf)).collect();
     gateway.publish(1, vec![single_route("/a/", "s0", true, 1)], &listed);
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -50,6 +50,8 @@
     Answer,
     /// Answers after a delay in milliseconds.
     Slow(u64),
+    /// Answers requests and status checks after a delay in milliseconds.
+    SlowCheck(u64),
     /// Never answers.
     Hang,
     /// Closes the connection after it has run the request.
@@ -240,7 +242,7 @@
     ) -> Result<Response<Full<Bytes>>, ConnectionAborted> {
         let behaviour = *self.behaviour.lock().unwrap();
         if request.uri().path() == HEALTH_PATH {
-            if let LeafBehaviour::Slow(ms) = behaviour {
+            if let LeafBehaviour::SlowCheck(ms) = behaviour {
                 tokio::time::sleep(Duration::from_millis(ms)).await;
             }
             return match behaviour {
@@ -285,7 +287,9 @@
             fields.insert("x-signature", signature.parse().unwrap());
         }
         match behaviour {
-            LeafBehaviour::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            LeafBehaviour::Slow(ms) | LeafBehaviour::SlowCheck(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+            }
             LeafBehaviour::Hang => std::future::pending().await,
             LeafBehaviour::Break => return Err(ConnectionAborted),
             LeafBehaviour::CutOff => {
