Give large replies an eighth of the memory again

What failed: four tests of planned stops on, all with callers that read slowly: 502 for answers of some megabytes that leaves had given.

Cause: halved the memory of large replies, which they keep until the caller has read them.

Change: an eighth of the memory for large replies as before, a sixteenth for each smaller size class; callers' connections get 3/16.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -184,7 +184,7 @@
             headers,
             metrics,
             memory_limits,
-            reply_memory: Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes)),
+            reply_memory: Arc::new(ReplyMemory::new(memory_limits.large_reply_bytes)),
             body_memory: BodyMemory::new(memory_limits.body_bytes),
             request_heads: RequestHeadMemory::new(memory_limits.request_head_bytes),
             open_requests: OpenRequests::default(),
@@ -209,7 +209,7 @@
     pub fn with_memory(mut self, memory_bytes: usize) -> Self {
         let memory_limits = MemoryLimits::new(memory_bytes);
         self.memory_limits = memory_limits;
-        self.reply_memory = Arc::new(ReplyMemory::new(memory_limits.reply_class_bytes));
+        self.reply_memory = Arc::new(ReplyMemory::new(memory_limits.large_reply_bytes));
         self.body_memory = BodyMemory::new(memory_limits.body_bytes);
         self.request_heads = RequestHeadMemory::new(memory_limits.request_head_bytes);
         self
--- a/src/gateway/memory_limits.rs
+++ b/src/gateway/memory_limits.rs
@@ -3,7 +3,7 @@
 //! Handles callers, leaves and VMs that all send as much as they may at the same moment: the limits together
 //! leave room for the configuration and the process itself on a VM of 160 MiB.
 
-use super::reply_memory::SIZE_CLASSES;
+use super::reply_memory::ReplyMemory;
 use crate::wire::MAX_FRAME_BYTES;
 
 /// Memory of a connection of a caller: two read buffers, one of which holds the head of a request in
@@ -16,8 +16,8 @@
 /// Shares of the memory, as divisors.
 const BODY_DIVISOR: usize = 8;
 const FORWARDED_DIVISOR: usize = 32;
-const REPLY_DIVISOR: usize = 4;
-const CALLER_CONNECTIONS_DIVISOR: usize = 4;
+const LARGE_REPLY_DIVISOR: usize = 8;
+const CALLER_CONNECTIONS_SIXTEENTHS: usize = 3;
 const REQUEST_HEAD_DIVISOR: usize = 32;
 const CATALOG_UPDATE_DIVISOR: usize = 32;
 
@@ -28,8 +28,8 @@
     pub body_bytes: usize,
     /// Bodies of forwarded requests as they are sent.
     pub forwarded_bytes: usize,
-    /// Replies of leaves of each size class.
-    pub reply_class_bytes: usize,
+    /// Large replies of leaves; those of smaller size classes get memory in proportion.
+    pub large_reply_bytes: usize,
     /// Number of open connections of callers.
     pub caller_connections: usize,
     /// Heads of requests that exceed a read buffer.
@@ -47,15 +47,15 @@
     /// use cloverrack::gateway::MemoryLimits;
     /// let limits = MemoryLimits::new(160 * 1_048_576);
     /// assert_eq!(limits.body_bytes, 20 * 1_048_576);
-    /// assert_eq!(limits.caller_connections, 2_048);
+    /// assert_eq!(limits.caller_connections, 1_536);
     /// ```
     pub fn new(memory_bytes: usize) -> Self {
-        let connections_bytes = memory_bytes / CALLER_CONNECTIONS_DIVISOR;
+        let connections_bytes = memory_bytes / 16 * CALLER_CONNECTIONS_SIXTEENTHS;
         let connections = connections_bytes / CALLER_CONNECTION_BYTES;
         Self {
             body_bytes: memory_bytes / BODY_DIVISOR,
             forwarded_bytes: memory_bytes / FORWARDED_DIVISOR,
-            reply_class_bytes: memory_bytes / REPLY_DIVISOR / SIZE_CLASSES,
+            large_reply_bytes: memory_bytes / LARGE_REPLY_DIVISOR,
             caller_connections: connections.clamp(1, MAX_CALLER_CONNECTIONS),
             request_head_bytes: memory_bytes / REQUEST_HEAD_DIVISOR,
             // A VM without room for one update of the largest size could help no other.
@@ -67,7 +67,7 @@
     pub fn total_bytes(&self) -> usize {
         self.body_bytes
             + self.forwarded_bytes
-            + self.reply_class_bytes * SIZE_CLASSES
+            + ReplyMemory::total_bytes(self.large_reply_bytes)
             + self.caller_connections * CALLER_CONNECTION_BYTES
             + self.request_head_bytes
             + self.catalog_update_bytes
--- a/src/gateway/reply_memory.rs
+++ b/src/gateway/reply_memory.rs
@@ -82,15 +82,27 @@
 }
 
 impl ReplyMemory {
-    /// Creates a memory with `class_bytes` for the replies of each of the [`SIZE_CLASSES`].
-    pub fn new(class_bytes: usize) -> Self {
+    /// Creates a memory with `large_bytes` for large replies, and half of it for each smaller size class.
+    pub fn new(large_bytes: usize) -> Self {
         Self {
-            available_bytes: std::array::from_fn(|_| AtomicUsize::new(class_bytes)),
+            available_bytes: std::array::from_fn(|size_class| {
+                let is_large = size_class == LARGE_CLASS;
+                AtomicUsize::new(if is_large {
+                    large_bytes
+                } else {
+                    large_bytes / 2
+                })
+            }),
             large_replies: Arc::new(Semaphore::new(MAX_LARGE_REPLIES)),
             waiting_replies: Semaphore::new(MAX_WAITING_REPLIES),
         }
     }
 
+    /// Returns the size of a memory with `large_bytes` for large replies.
+    pub fn total_bytes(large_bytes: usize) -> usize {
+        large_bytes + LARGE_CLASS * (large_bytes / 2)
+    }
+
     /// Waits until another large reply may be received, or returns `None` if too many are.
     async fn admit_large(&self) -> Option<OwnedSemaphorePermit> {
         if let Ok(permit) = Arc::clone(&self.large_replies).try_acquire_owned() {
