Split the engine and the leaves of the gateway into files of one job

Several parts that are built next change the engine and the choice of a leaf. Their code moves unchanged to engine/active_vms.rs, engine/reports.rs, engine/retries.rs and leaves/selection.rs; nothing else changes. Lints and the tests of pure decisions pass.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -4,8 +4,12 @@
 //! Handles changes of the configuration, the leaves and the number of VMs, and shares observations
 //! of leaves that stall or fail with the other active VMs.
 
+mod active_vms;
+mod reports;
+mod retries;
+
 use std::collections::{HashMap, HashSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -13,24 +17,23 @@
 use tokio::sync::{Notify, watch};
 use tracing::info;
 
+use active_vms::ActiveVms;
+
 use super::body_memory::BodyMemory;
 use super::call::OpenCall;
 use super::capacity::CapacityError;
 use super::catalog::Catalog;
-use super::catalog_sync::{MAX_VMS_ALL_WATCH, STARTUP_SETTLE_MS};
 use super::concurrency_limiter::ConcurrencyLimiter;
 use super::connection::Connection;
 use super::connection_limits::ConnectionLimits;
 use super::content_quarantine::ContentQuarantine;
 use super::fanout_schedule::CallLatency;
-use super::leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
+use super::leaf_reports::ReportQueue;
 use super::leaves::{Leaf, Leaves, NoLeafError};
 use super::link_monitor::LinkMonitor;
-use super::membership::LiveVm;
 use super::memory_limits::MemoryLimits;
 use super::metrics::Metrics;
 use super::open_requests::OpenRequests;
-use super::pause_predictor::Stall;
 use super::process_delays::ProcessDelays;
 use super::reply_memory::ReplyMemory;
 use super::reply_origin::OriginHeaders;
@@ -39,7 +42,6 @@
 use super::stop_schedule::StopSchedule;
 use super::stop_signal::RunTimes;
 use super::unanswered_runs::RecentSuccesses;
-use super::vm_selection::{active_vms, desired_active_vms, leaf_using_vms};
 use crate::clock::{boot_ms, boot_us};
 use crate::fact::Fact;
 use crate::head_memory::RequestHeadMemory;
@@ -111,16 +113,6 @@
     call_latency: HashMap<Box<str>, CallLatency>,
 }
 
-/// Active VMs, and what they were selected from.
-#[derive(Debug)]
-struct ActiveVms {
-    live: Arc<[LiveVm]>,
-    desired: usize,
-    selected: Arc<[LiveVm]>,
-    /// Number of VMs that use the leaves.
-    leaf_users: usize,
-}
-
 /// Shared state of the gateway from which requests are routed to leaves.
 #[derive(Debug)]
 pub struct Engine {
@@ -295,122 +287,6 @@
         state.update_connection_limits();
     }
 
-    /// Sets the number of VMs that are listed in the settings, this one included.
-    pub fn set_listed_vms(&self, listed_vms: usize) {
-        self.listed_vms.store(listed_vms, Ordering::Relaxed);
-    }
-
-    /// Returns the least number of VMs with which this VM shares connections and retry budgets.
-    ///
-    /// After its start a VM has discovered only some of the others, while those that start at the
-    /// same moment take their shares as well. All VMs of a small fleet use the leaves; of a large one, only as
-    /// many as the connections suffice for.
-    fn min_sharing_vms(&self, state: &State) -> u32 {
-        if boot_ms().saturating_sub(self.started_ms) >= STARTUP_SETTLE_MS {
-            return 1;
-        }
-        let route_table = state.route_table.as_ref();
-        let min_connections = route_table.and_then(|table| table.min_shard_connections());
-        let listed = self.listed_vms.load(Ordering::Relaxed);
-        let listed = if listed <= MAX_VMS_ALL_WATCH {
-            listed
-        } else {
-            1
-        };
-        let desired = min_connections.map_or(1, desired_active_vms).max(listed);
-        u32::try_from(desired).unwrap_or(u32::MAX)
-    }
-
-    /// Selects the active VMs, which serve requests, and divides connections and retry budgets among
-    /// the VMs that use the leaves.
-    pub fn update_active_vms(&self, live: &Arc<[LiveVm]>) {
-        self.live_vms.store(live.len(), Ordering::Relaxed);
-        let selection = self.selection(live, |selection| {
-            (Arc::clone(&selection.selected), selection.leaf_users)
-        });
-        let (active_vms, leaf_users) = selection;
-        let addresses = active_vms.iter().map(|active_vm| active_vm.address);
-        let addresses: Arc<[SocketAddr]> = addresses.collect();
-        self.set_vms(u32::try_from(leaf_users.max(1)).unwrap_or(u32::MAX));
-        *self
-            .active_addresses
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = addresses;
-    }
-
-    /// Returns the number of live VMs, including this one.
-    pub fn live_vms(&self) -> usize {
-        self.live_vms.load(Ordering::Relaxed)
-    }
-
-    /// Returns the internal addresses of the active VMs that were last set.
-    pub fn active_vm_addresses(&self) -> Arc<[SocketAddr]> {
-        let addresses = self.active_addresses.lock();
-        Arc::clone(&addresses.unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Sets the number of VMs among which connections, retry budgets and the rates that leaves name
-    /// are divided.
-    pub fn set_vms(&self, vms: u32) {
-        let state = &mut *self.state();
-        state.leaves.sharing_vms.set_live(vms, boot_ms());
-        let vms = vms.max(self.min_sharing_vms(state));
-        if state.vms == vms {
-            return;
-        }
-        state.vms = vms;
-        state.retry_budgets.set_vms(vms);
-        state.update_connection_limits();
-    }
-
-    /// Returns the VMs of `live` that should be active, by the connection limits in the current
-    /// routes. They are selected again only if the list or the limits have changed.
-    pub fn active_vms(&self, live: &Arc<[LiveVm]>) -> Arc<[LiveVm]> {
-        self.selection(live, |selection| Arc::clone(&selection.selected))
-    }
-
-    fn selection<T>(&self, live: &Arc<[LiveVm]>, read: impl FnOnce(&ActiveVms) -> T) -> T {
-        let route_table = self.route_table();
-        let min_connections =
-            route_table.and_then(|route_table| route_table.min_shard_connections());
-        let desired = min_connections.map_or(live.len(), desired_active_vms);
-        let latest = self.active_vms.lock();
-        let mut latest = latest.unwrap_or_else(PoisonError::into_inner);
-        if let Some(known) = &*latest
-            && known.desired == desired
-            && Arc::ptr_eq(&known.live, live)
-        {
-            return read(known);
-        }
-        read(latest.insert(ActiveVms {
-            live: Arc::clone(live),
-            desired,
-            selected: active_vms(live, desired).into(),
-            leaf_users: leaf_using_vms(live, desired).len(),
-        }))
-    }
-
-    /// Credits the retry budget of a service for one request.
-    pub fn earn_retry(&self, service: ServiceKey) {
-        self.state().retry_budgets.earn(service, boot_ms());
-    }
-
-    /// Returns whether an extra call is allowed for a request that needs `needed` of them to
-    /// succeed, and counts a denial in the metrics.
-    pub fn allows_retry(&self, service: ServiceKey, needed: usize) -> bool {
-        let allowed = self.state().retry_budgets.allows(service, needed);
-        if !allowed {
-            self.metrics.count_retry(false);
-        }
-        allowed
-    }
-
-    /// Deducts an allowed extra call from the retry budget of a service.
-    pub fn spend_retry(&self, service: ServiceKey) {
-        let spent = self.state().retry_budgets.spend(service, boot_ms());
-        self.metrics.count_retry(spent);
-    }
-
     /// Returns the call latency of a route, or an estimate before the first call.
     pub fn call_latency(&self, route: &str, target_us: u64) -> CallLatency {
         let state = self.state();
@@ -430,51 +306,12 @@
         state.call_latency.insert(route.into(), latency);
     }
 
-    /// Removes and returns the queued leaf reports for the other active VMs.
-    pub fn take_reports(&self) -> Vec<LeafReport> {
-        let now_us = boot_us();
-        let state = &mut *self.state();
-        if state.link_monitor.is_lost() {
-            state.report_queue = ReportQueue::default();
-        }
-        // The reports wait until it is known whether the links of this VM are at fault.
-        let links = &state.link_monitor;
-        if links.is_lost() || links.may_be_lost(state.leaves.count()) {
-            return Vec::new();
-        }
-        for (leaf, silent_us) in state.leaves.unreported_stalls(now_us) {
-            let since_us = now_us.saturating_sub(silent_us);
-            // Replies may have arrived that this process has not read.
-            if state.process_delays.running_us(since_us, now_us) * 2 <= silent_us {
-                continue;
-            }
-            let silent_us = u32::try_from(silent_us).unwrap_or(u32::MAX);
-            state
-                .report_queue
-                .add(leaf, now_us, Observation::Stalled { silent_us });
-        }
-        state.report_queue.take(now_us)
-    }
-
     /// Records that this process runs, and when the calling task runs again.
     pub fn record_turn(&self, interval_ms: u64) {
         let delays = &mut self.state().process_delays;
         delays.record_turn(boot_us(), interval_ms * 1_000);
     }
 
-    /// Returns the reports for the other VMs on leaves that have named a limit.
-    pub fn rate_reports(&self) -> Vec<RateReport> {
-        self.state().leaves.rate_reports(boot_us())
-    }
-
-    /// Applies the reports of another VM on leaves that have named a limit.
-    pub fn apply_rate_reports(&self, peer: IpAddr, rate_reports: &[RateReport], now_us: u64) {
-        let state = &mut *self.state();
-        for report in rate_reports {
-            state.leaves.apply_rate_report(peer, report, now_us);
-        }
-    }
-
     /// Checks that a request which needs a leaf of at least `min_services` services can be served now.
     ///
     /// # Errors
@@ -496,14 +333,6 @@
             .check_capacity(services, min_services, &state.limits, now_us)
     }
 
-    /// Applies the leaf reports of another active VM.
-    pub fn apply_reports(&self, leaf_reports: &[LeafReport], now_us: u64) {
-        let state = &mut *self.state();
-        for report in leaf_reports {
-            state.leaves.apply_report(report, now_us);
-        }
-    }
-
     /// Opens a call to a leaf that begins at `started_us`, on an idle connection or on a new one that
     /// the call sets up.
     fn open(
@@ -565,49 +394,6 @@
 }
 
 impl State {
-    /// Queues a report for the other active VMs if a leaf failed a call. A success is only reported
-    /// for a leaf that failed recently.
-    pub(super) fn report_outcome(&mut self, leaf: LeafKey, observation: Observation, now_us: u64) {
-        let Some(leaf) = self.leaves.get(leaf) else {
-            return;
-        };
-        if observation == Observation::Failed || leaf.leaf_stats.is_outlier(now_us) {
-            self.report_queue.add(leaf.address(), now_us, observation);
-        }
-    }
-
-    /// Records that a leaf wants no calls from this VM for a time, and queues a report on it for the
-    /// other active VMs.
-    pub(super) fn record_retry_after(&mut self, leaf: LeafKey, wait_ms: u64) {
-        let now_us = boot_us();
-        self.leaves.record_retry_after(leaf, wait_ms, now_us);
-        let Some(leaf) = self.leaves.get(leaf) else {
-            return;
-        };
-        info!(event = "leaf_retry_after", leaf = %leaf.address(), wait_ms);
-        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
-        let observation = Observation::RetryAfter { wait_ms };
-        self.report_queue.add(leaf.address(), now_us, observation);
-    }
-
-    /// Records a completed stall of a leaf and queues a report on it for the other active VMs.
-    pub(super) fn record_stall(&mut self, leaf: LeafKey, stall: Option<Stall>) {
-        let (Some(stall), Some(leaf_entry)) = (stall, self.leaves.get(leaf)) else {
-            return;
-        };
-        let address = leaf_entry.address();
-        let running_us = self.process_delays.running_us(stall.start_us, stall.end_us);
-        if running_us <= leaf_entry.leaf_stats.stall_limit_us() {
-            return;
-        }
-        let stall_us = stall.end_us.saturating_sub(stall.start_us);
-        let observation = Observation::Resumed {
-            stall_us: u32::try_from(stall_us).unwrap_or(u32::MAX),
-        };
-        self.report_queue.add(address, stall.end_us, observation);
-        self.leaves.observe_stall(leaf, stall);
-    }
-
     /// Removes the latencies of routes that are no longer configured.
     fn remove_unused_latencies(&mut self, route_table: &RouteTable) {
         let names: HashSet<&str> = route_table
--- /dev/null
+++ b/src/gateway/engine/reports.rs
@@ -0,0 +1,110 @@
+//! Queues reports on leaves for the other active VMs, and applies theirs.
+
+use std::net::IpAddr;
+
+use tracing::info;
+
+use super::{Engine, State};
+use crate::clock::boot_us;
+use crate::gateway::leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
+use crate::gateway::pause_predictor::Stall;
+use crate::ids::LeafKey;
+
+impl Engine {
+    /// Removes and returns the queued leaf reports for the other active VMs.
+    pub fn take_reports(&self) -> Vec<LeafReport> {
+        let now_us = boot_us();
+        let state = &mut *self.state();
+        if state.link_monitor.is_lost() {
+            state.report_queue = ReportQueue::default();
+        }
+        // The reports wait until it is known whether the links of this VM are at fault.
+        let links = &state.link_monitor;
+        if links.is_lost() || links.may_be_lost(state.leaves.count()) {
+            return Vec::new();
+        }
+        for (leaf, silent_us) in state.leaves.unreported_stalls(now_us) {
+            let since_us = now_us.saturating_sub(silent_us);
+            // Replies may have arrived that this process has not read.
+            if state.process_delays.running_us(since_us, now_us) * 2 <= silent_us {
+                continue;
+            }
+            let silent_us = u32::try_from(silent_us).unwrap_or(u32::MAX);
+            state
+                .report_queue
+                .add(leaf, now_us, Observation::Stalled { silent_us });
+        }
+        state.report_queue.take(now_us)
+    }
+
+    /// Returns the reports for the other VMs on leaves that have named a limit.
+    pub fn rate_reports(&self) -> Vec<RateReport> {
+        self.state().leaves.rate_reports(boot_us())
+    }
+
+    /// Applies the reports of another VM on leaves that have named a limit.
+    pub fn apply_rate_reports(&self, peer: IpAddr, rate_reports: &[RateReport], now_us: u64) {
+        let state = &mut *self.state();
+        for report in rate_reports {
+            state.leaves.apply_rate_report(peer, report, now_us);
+        }
+    }
+
+    /// Applies the leaf reports of another active VM.
+    pub fn apply_reports(&self, leaf_reports: &[LeafReport], now_us: u64) {
+        let state = &mut *self.state();
+        for report in leaf_reports {
+            state.leaves.apply_report(report, now_us);
+        }
+    }
+}
+
+impl State {
+    /// Queues a report for the other active VMs if a leaf failed a call. A success is only reported
+    /// for a leaf that failed recently.
+    pub(in crate::gateway) fn report_outcome(
+        &mut self,
+        leaf: LeafKey,
+        observation: Observation,
+        now_us: u64,
+    ) {
+        let Some(leaf) = self.leaves.get(leaf) else {
+            return;
+        };
+        if observation == Observation::Failed || leaf.leaf_stats.is_outlier(now_us) {
+            self.report_queue.add(leaf.address(), now_us, observation);
+        }
+    }
+
+    /// Records that a leaf wants no calls from this VM for a time, and queues a report on it for the
+    /// other active VMs.
+    pub(in crate::gateway) fn record_retry_after(&mut self, leaf: LeafKey, wait_ms: u64) {
+        let now_us = boot_us();
+        self.leaves.record_retry_after(leaf, wait_ms, now_us);
+        let Some(leaf) = self.leaves.get(leaf) else {
+            return;
+        };
+        info!(event = "leaf_retry_after", leaf = %leaf.address(), wait_ms);
+        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+        let observation = Observation::RetryAfter { wait_ms };
+        self.report_queue.add(leaf.address(), now_us, observation);
+    }
+
+    /// Records a completed stall of a leaf and queues a report on it for the other active VMs.
+    pub(in crate::gateway) fn record_stall(&mut self, leaf: LeafKey, stall: Option<Stall>) {
+        let (Some(stall), Some(leaf_entry)) = (stall, self.leaves.get(leaf)) else {
+            return;
+        };
+        let address = leaf_entry.address();
+        let running_us = self.process_delays.running_us(stall.start_us, stall.end_us);
+        if running_us <= leaf_entry.leaf_stats.stall_limit_us() {
+            return;
+        }
+        let stall_us = stall.end_us.saturating_sub(stall.start_us);
+        let observation = Observation::Resumed {
+            stall_us: u32::try_from(stall_us).unwrap_or(u32::MAX),
+        };
+        self.report_queue.add(address, stall.end_us, observation);
+        self.leaves.observe_stall(leaf, stall);
+    }
+}
--- /dev/null
+++ b/src/gateway/engine/retries.rs
@@ -0,0 +1,28 @@
+//! Charges extra calls to the retry budgets of services.
+
+use super::Engine;
+use crate::clock::boot_ms;
+use crate::ids::ServiceKey;
+
+impl Engine {
+    /// Credits the retry budget of a service for one request.
+    pub fn earn_retry(&self, service: ServiceKey) {
+        self.state().retry_budgets.earn(service, boot_ms());
+    }
+
+    /// Returns whether an extra call is allowed for a request that needs `needed` of them to
+    /// succeed, and counts a denial in the metrics.
+    pub fn allows_retry(&self, service: ServiceKey, needed: usize) -> bool {
+        let allowed = self.state().retry_budgets.allows(service, needed);
+        if !allowed {
+            self.metrics.count_retry(false);
+        }
+        allowed
+    }
+
+    /// Deducts an allowed extra call from the retry budget of a service.
+    pub fn spend_retry(&self, service: ServiceKey) {
+        let spent = self.state().retry_budgets.spend(service, boot_ms());
+        self.metrics.count_retry(spent);
+    }
+}
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -1,5 +1,5 @@
-//! Selects the replica with the lowest expected latency for a call, from an arena of all leaves
-//! with their statistics and connections.
+//! Stores all leaves with their statistics and connections, from which the replica for a call is
+//! selected.
 //!
 //! Handles leaves that are slow, failing, paused, warming up or replaced, and VMs whose own stalls
 //! would be mistaken for stalls of leaves.
@@ -9,6 +9,7 @@
 mod rates;
 mod reachability;
 mod refusals;
+mod selection;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -16,28 +17,19 @@
 use tracing::info;
 
 pub use refusals::Refusal;
+pub use selection::NoLeafError;
 
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
-use super::connection_limits::ConnectionLimits;
 use super::leaf_reports::{LeafReport, Observation};
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
 use super::rate_limit::{RateLimit, SharingVms};
-use super::retry_after::{Admission, REMOTE_RETRY_AFTER_COST_US, RetryAfter};
+use super::retry_after::RetryAfter;
 use super::routes::ServiceNames;
 use super::unanswered_runs::{UnansweredRun, UnansweredRuns};
 use crate::ids::{LeafKey, ServiceKey};
 
-/// Latency cost of a call to another failure domain: network round trip and transfer.
-const REMOTE_COST_US: u64 = 5_000;
-
-/// Latency cost of setting up a new connection at the leaf.
-const CONNECT_COST_US: u64 = 7_000;
-
-/// Latency cost of a call to a leaf that has started recently.
-const WARMUP_COST_US: u64 = 40_000;
-
 /// Time for which a leaf is excluded after another process replied at its address, unless its
 /// record changes. The platform drops the record of a leaf after three missed report intervals,
 /// about 4 s.
@@ -124,27 +116,6 @@
     retry_after_until_us: u64,
 }
 
-/// Reason why no leaf of a service can take a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoLeafError {
-    /// The service has no eligible leaf.
-    NoneAvailable,
-    /// All connections to its leaves are in use.
-    NoConnection,
-    /// Its leaves take no further calls for now, by the limits that they have named.
-    RateLimited,
-    /// Its leaves want no calls for now.
-    RetryAfter {
-        /// Earliest time at which one may be called.
-        at_us: u64,
-    },
-    /// The addresses of its leaves refuse connections.
-    Unreachable {
-        /// Time since which all of them do.
-        since_us: u64,
-    },
-}
-
 impl Leaves {
     /// Creates an empty arena for a VM in a failure domain.
     pub fn new(own_domain: Box<str>) -> Self {
@@ -418,98 +389,6 @@
         };
         services.iter().map(slots).min().unwrap_or(0)
     }
-
-    /// Chooses the leaf of a service with the lowest expected latency, excluding those already
-    /// tried.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the service has no untried leaf, none with a free connection, or none that takes a
-    /// call now.
-    pub fn choose(
-        &self,
-        service: ServiceKey,
-        tried: &[LeafKey],
-        limits: &ConnectionLimits,
-        now_us: u64,
-    ) -> Result<LeafKey, NoLeafError> {
-        let mut best: Option<(u64, LeafKey)> = None;
-        let mut has_no_connection = false;
-        let mut is_rate_limited = false;
-        let mut retry_at_us: Option<u64> = None;
-        let mut unreachable_since_us: Option<u64> = None;
-        for key in self.of_service(service) {
-            let Some(leaf) = self.arena.get(key) else {
-                continue;
-            };
-            if tried.contains(key) || now_us / 1_000 < leaf.misdirected_until_ms {
-                continue;
-            }
-            if let Some(since_us) = leaf.unreachable_since_us {
-                unreachable_since_us = unreachable_since_us.max(Some(since_us));
-                continue;
-            }
-            if leaf.idle.is_empty() && leaf.connections >= limits.per_leaf(service) {
-                has_no_connection = true;
-                continue;
-            }
-            let Some(wait_us) = self.rate_limit_wait_us(leaf, now_us) else {
-                is_rate_limited = true;
-                continue;
-            };
-            let mut cost_us = self.cost_us(leaf, now_us) + wait_us;
-            match leaf
-                .retry_after
-                .admission(leaf.leaf_stats.open_calls(), now_us)
-            {
-                Admission::Allowed => {}
-                Admission::LastChoice => cost_us += REMOTE_RETRY_AFTER_COST_US,
-                Admission::Recovering => {
-                    has_no_connection = true;
-                    continue;
-                }
-                Admission::NotBefore(at_us) => {
-                    retry_at_us = Some(retry_at_us.map_or(at_us, |earlier| earlier.min(at_us)));
-                    continue;
-                }
-            }
-            if best.is_none_or(|(lowest_us, _)| cost_us < lowest_us) {
-                best = Some((cost_us, *key));
-            }
-        }
-        best.map(|(_, key)| key).ok_or({
-            if has_no_connection {
-                NoLeafError::NoConnection
-            } else if is_rate_limited {
-                NoLeafError::RateLimited
-            } else if let Some(at_us) = retry_at_us {
-                NoLeafError::RetryAfter { at_us }
-            } else if let Some(since_us) = unreachable_since_us {
-                NoLeafError::Unreachable { since_us }
-            } else {
-                NoLeafError::NoneAvailable
-            }
-        })
-    }
-
-    fn cost_us(&self, leaf: &Leaf, now_us: u64) -> u64 {
-        let mut cost_us = leaf.leaf_stats.expected_us(leaf.record.slots, now_us);
-        if leaf.record.failure_domain != self.own_domain {
-            cost_us += REMOTE_COST_US;
-        }
-        if leaf.idle.is_empty() {
-            cost_us += CONNECT_COST_US;
-        }
-        if now_us / 1_000 < leaf.warmup_until_ms {
-            cost_us += WARMUP_COST_US;
-        }
-        let call_us = leaf.leaf_stats.average_us();
-        let pause_left_us = leaf
-            .pause_predictor
-            .pause_left_us(now_us, call_us, &self.pause_period);
-        cost_us += pause_left_us.unwrap_or(0);
-        cost_us
-    }
 }
 
 /// Returns whether two records belong to the same process: a leaf may restart under the same ID.
