Give each shard a retry budget of its own, and hedge early while it is plentiful

Cause: the users' rule counts extra calls for each service, and each shard is a service. All shards of a route were charged to the budget of the first one, about 0.29 extra calls a request for 36 shards, so that a request which lost two replies failed, and calls to paused or slow leaves were hedged at the last moment or not at all.

Change: a request credits all its services, and an extra call is charged to the service that gets it. A request that needs several gets them only if enough of its late shards have budget; a denied call waits for half of the target latency. Calls older than nearly all of their route are hedged while the budget is at least half full.

Evidence: each_shard_has_a_retry_budget_of_its_own fails before (no extra call). a_request_that_lost_too_many_shards_spends_no_extra_call assumed the shared budget; its replacement checks the same promise, that calls of a request which fails anyway are left to others, for each shard.

--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -34,6 +34,10 @@
 /// this time, so that the number of extra calls that the request needs is known by then.
 const RETRY_DELAY_US: u64 = 4_000;
 
+/// Share of the target latency for which a request waits for the retry budget, as a divisor. A call that is
+/// sent later hardly ends in time.
+const BUDGET_WAIT_DIVISOR: u64 = 2;
+
 /// Time for which calls in flight continue after the response is complete, so that their
 /// connections stay open and a pause of a leaf is observed to its end.
 const LINGER_MS: u64 = 300;
@@ -45,8 +49,6 @@
     pub route: Box<str>,
     /// Service of each shard; a request to a single leaf has one.
     pub services: Vec<ServiceKey>,
-    /// Service whose retry budget is charged for extra calls.
-    pub budget: ServiceKey,
     /// Minimum number of shards in a response.
     pub min_parts: usize,
     /// Maximum number of leaves of a shard that the request is sent to.
@@ -164,7 +166,7 @@
     /// Dropping the future cancels all its calls.
     pub async fn run(mut self) -> FanoutResult {
         if !self.plan.prior_calls.is_credited {
-            self.engine.earn_retry(self.plan.budget);
+            self.engine.earn_retries(&self.plan.services);
         }
         let timer = sleep_until(Instant::now());
         tokio::pin!(timer);
@@ -316,23 +318,23 @@
         let age_us = elapsed_us.saturating_sub(shard.last_sent_us);
         !shard.hedged
             && shard.sent < self.plan.max_attempts
-            && age_us >= self.plan.schedule.hedge_us
+            && age_us >= self.plan.schedule.early_hedge_us
     }
 
     /// Starts a call to a shard, if a leaf, a connection and the budget allow it.
     fn try_call(&mut self, index: usize, elapsed_us: u64) {
         let shard = &self.shards[index];
+        let service = shard.service;
         let is_extra_call = shard.sent > 0;
         if is_extra_call {
-            let needed = self.shard_counts(elapsed_us).retries_needed();
+            let needed = self.extra_calls_needed(index, elapsed_us);
             // Checked before a leaf is chosen, since dropping an opened call closes its connection.
-            if !self.engine.allows_retry(self.plan.budget, needed) {
-                self.handle_budget_exhausted(index, needed > 0);
+            if !self.allows_extra_call(service, needed, elapsed_us) {
+                self.handle_budget_exhausted(index, needed > 0, elapsed_us);
                 return;
             }
         }
-        let shard = &self.shards[index];
-        let opened = self.engine.open_call(shard.service, &shard.tried);
+        let opened = self.engine.open_call(service, &self.shards[index].tried);
         let call = match opened {
             Ok(call) => call,
             Err(NoLeafError::NoConnection) => return,
@@ -359,7 +361,7 @@
             }
         };
         if is_extra_call {
-            self.engine.spend_retry(self.plan.budget);
+            self.engine.spend_retry(service);
         }
         let sent_us = call.started_us.saturating_sub(self.started_us);
         let shard = &mut self.shards[index];
@@ -374,14 +376,41 @@
             .push(run_call(index, call, Arc::clone(&self.spec)));
     }
 
+    /// Returns how many extra calls have to succeed for an answer in time, or 0 if the call to a shard is an
+    /// early hedge: the open call is still expected in time.
+    fn extra_calls_needed(&self, index: usize, elapsed_us: u64) -> usize {
+        let shard = &self.shards[index];
+        let hedge_us = self.plan.schedule.hedge_us;
+        if !shard.needs_call && shard.is_on_time(elapsed_us, hedge_us) {
+            return 0;
+        }
+        self.shard_counts(elapsed_us).retries_needed()
+    }
+
+    /// Returns whether the retry budgets allow an extra call to a service. A call that is needed together
+    /// with others is wasted unless the budgets of enough late shards allow one too.
+    fn allows_extra_call(&self, service: ServiceKey, needed: usize, elapsed_us: u64) -> bool {
+        if !self.engine.allows_retry(service, needed > 0) {
+            return false;
+        }
+        if needed <= 1 {
+            return true;
+        }
+        let hedge_us = self.plan.schedule.hedge_us;
+        let shards = self.shards.iter();
+        let late = shards.filter(|s| s.is_pending() && !s.is_on_time(elapsed_us, hedge_us));
+        self.engine.affordable_retries(late.map(|s| s.service)) >= needed
+    }
+
     /// Handles a denied extra call.
     ///
-    /// A shard with an error reply completes with it. A request that fails without this shard fails
-    /// immediately: the caller is better served by its own next attempt than by waiting for a
-    /// budget that other requests use up as well.
-    fn handle_budget_exhausted(&mut self, index: usize, is_required: bool) {
+    /// A shard with an error reply completes with it. A request that fails without this shard waits for
+    /// the budget while an answer may still arrive in time. Later it fails, since the caller is
+    /// better served by its own next attempt.
+    fn handle_budget_exhausted(&mut self, index: usize, is_required: bool, elapsed_us: u64) {
+        let may_wait = elapsed_us < self.plan.target_us / BUDGET_WAIT_DIVISOR;
         let shard = &mut self.shards[index];
-        let fails_request = shard.open_calls == 0 && is_required;
+        let fails_request = shard.open_calls == 0 && is_required && !may_wait;
         if shard.fallback.is_some() || fails_request {
             shard.finish();
             self.denied_retries += 1;
@@ -513,7 +542,8 @@
             if !self.plan.idempotent || shard.hedged || shard.sent >= self.plan.max_attempts {
                 continue;
             }
-            let hedge_at_us = shard.last_sent_us + schedule.hedge_us;
+            let hedge_at_us = shard.last_sent_us
+                + schedule.next_hedge_us(elapsed_us - shard.last_sent_us.min(elapsed_us));
             next_us = next_us.min(hedge_at_us.max(elapsed_us + POLL_INTERVAL_US));
         }
         next_us.max(elapsed_us + 1)
--- a/src/gateway/fanout_schedule.rs
+++ b/src/gateway/fanout_schedule.rs
@@ -113,7 +113,9 @@
 pub struct FanoutSchedule {
     /// Time from which a response with enough shards is sent although others are missing.
     pub partial_response_us: u64,
-    /// Age of a call from which it is hedged.
+    /// Age of a call from which it is hedged if the retry budget is plentiful: nearly all calls have ended.
+    pub early_hedge_us: u64,
+    /// Age of a call from which it is hedged in any case, since a later hedge would not end in time.
     pub hedge_us: u64,
     /// Time at which the request is given up.
     pub timeout_us: u64,
@@ -136,22 +138,44 @@
         let partial_response_us = target_us.saturating_sub(margin_us).min(timeout_us);
         let latest_us = partial_response_us.saturating_sub(latency.expected_hedge_us());
         let earliest_us = MIN_HEDGE_DELAY_MEANS * latency.mean_us;
+        let hedge_us = latest_us.max(earliest_us);
         Self {
             partial_response_us,
-            hedge_us: latest_us.max(earliest_us),
+            early_hedge_us: earliest_us.max(latency.slow_us()).min(hedge_us),
+            hedge_us,
             timeout_us,
         }
     }
 
     /// Returns the schedule of a request to a single leaf.
     pub fn single(target_us: u64, timeout_us: u64) -> Self {
+        let hedge_us = target_us * SINGLE_HEDGE_PERCENT / 100;
         Self {
             partial_response_us: timeout_us,
-            hedge_us: target_us * SINGLE_HEDGE_PERCENT / 100,
+            early_hedge_us: hedge_us,
+            hedge_us,
             timeout_us,
         }
     }
 
+    /// Returns the age of a call at which it may next be hedged, given its present age.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use cloverrack::gateway::{CallLatency, FanoutSchedule};
+    /// let schedule = FanoutSchedule::gather(150_000, 1_500_000, CallLatency::new(150_000));
+    /// assert_eq!(schedule.next_hedge_us(0), schedule.early_hedge_us);
+    /// assert_eq!(schedule.next_hedge_us(schedule.early_hedge_us), schedule.hedge_us);
+    /// ```
+    pub fn next_hedge_us(self, age_us: u64) -> u64 {
+        if age_us < self.early_hedge_us {
+            self.early_hedge_us
+        } else {
+            self.hedge_us
+        }
+    }
+
     /// Returns the schedule of a request that has to end by `end_us`, with the shards that have replied
     /// by then.
     ///
@@ -202,7 +226,12 @@
     ///
     /// ```
     /// use cloverrack::gateway::{FanoutSchedule, FanoutDecision, ShardCounts};
-    /// let schedule = FanoutSchedule { partial_response_us: 140, hedge_us: 90, timeout_us: 1_500 };
+    /// let schedule = FanoutSchedule {
+    ///     partial_response_us: 140,
+    ///     early_hedge_us: 40,
+    ///     hedge_us: 90,
+    ///     timeout_us: 1_500,
+    /// };
     /// let shard_counts = ShardCounts { parts: 9, open: 1, on_time: 1, min_parts: 9 };
     /// assert_eq!(shard_counts.step(&schedule, 100), FanoutDecision::Wait);
     /// assert_eq!(shard_counts.step(&schedule, 140), FanoutDecision::Answer);
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -308,7 +308,6 @@
     };
     FanoutPlan {
         route: spec.name.clone(),
-        budget: services.first().copied().unwrap_or(ServiceKey::new(0)),
         services,
         min_parts,
         max_attempts: usize::try_from(spec.max_attempts).unwrap_or(1).max(1),
--- a/tests/gateway_serving.rs
+++ b/tests/gateway_serving.rs
@@ -8,8 +8,10 @@
 
 use std::time::{Duration, Instant};
 
+use cloverrack::gateway::RetryBudgetLimits;
 use gateway::{
-    Leaf, LeafBehaviour, TARGET_LATENCY_MS, TestGateway, gather_route, request, single_route,
+    Leaf, LeafBehaviour, TARGET_LATENCY_MS, TestGateway, engine, gather_route, request,
+    single_route,
 };
 use http::StatusCode;
 
@@ -363,60 +365,99 @@
     }
 }
 
+/// Shards of two leaves each, every second one a replica, behind a VM whose retry budgets hold one call for
+/// each shard and earn hardly any by time.
+struct Replicas {
+    test_gateway: TestGateway,
+    leaves: Vec<Leaf>,
+}
+
+impl Replicas {
+    async fn spawn() -> Self {
+        const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
+        let engine = engine();
+        engine.set_retry_budget_limits(RetryBudgetLimits {
+            ratio_ppm: 200_000,
+            slack_calls: 1,
+            window_ms: 10_000,
+        });
+        let test_gateway = TestGateway::serve(engine).await;
+        let mut leaves = Vec::new();
+        let mut services = Vec::new();
+        for shard in SHARDS {
+            for replica in ["a", "b"] {
+                let id = format!("{shard}-{replica}");
+                leaves.push(Leaf::spawn(&id, 1, LeafBehaviour::Answer).await);
+                services.push(shard);
+            }
+        }
+        let listed = services.into_iter().zip(&leaves).collect::<Vec<_>>();
+        test_gateway.publish(1, vec![gather_route("/g/", &SHARDS, 1_000_000)], &listed);
+        // Earns one extra call for each shard, at 0.17 per request.
+        for _ in 0..12 {
+            test_gateway.get("/g/x").await;
+        }
+        Self {
+            test_gateway,
+            leaves,
+        }
+    }
+
+    /// Lets the leaves of some shards fail and those of the others answer.
+    fn fail(&self, shards: std::ops::Range<usize>) {
+        for (index, leaf) in self.leaves.iter().enumerate() {
+            let is_failing = shards.contains(&(index / 2));
+            leaf.set(match is_failing {
+                true => LeafBehaviour::Fail,
+                false => LeafBehaviour::Answer,
+            });
+        }
+    }
+
+    /// Sends a request, and returns its status and the number of calls to each shard.
+    async fn send(&self) -> (StatusCode, Vec<usize>) {
+        let executed = |pair: &[Leaf]| pair.iter().map(Leaf::executed).sum::<usize>();
+        let before: Vec<usize> = self.leaves.chunks(2).map(executed).collect();
+        let reply = self.test_gateway.get("/g/x").await;
+        let after = self.leaves.chunks(2).map(executed);
+        let calls = after.zip(before).map(|(after, before)| after - before);
+        (reply.status, calls.collect())
+    }
+}
+
+/// Guards against one retry budget for all shards of a route: each shard is a service of its own, and the
+/// extra calls that several shards need at the same moment must not compete.
+#[tokio::test]
+async fn each_shard_has_a_retry_budget_of_its_own() {
+    let replicas = Replicas::spawn().await;
+    replicas.fail(0..3);
+    let (status, calls) = replicas.send().await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(calls, [2, 2, 2, 1], "each failed shard gets an extra call");
+}
+
 /// Guards against scarce extra calls being spent on a request that fails anyway. A request that
-/// lost more shards than the budget can replace must leave its extra calls to requests that need
+/// lost more shards than the budgets can replace must leave their extra calls to requests that need
 /// fewer.
 #[tokio::test]
 async fn a_request_that_lost_too_many_shards_spends_no_extra_call() {
-    const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
-    let test_gateway = TestGateway::spawn().await;
-    let mut leaves = Vec::new();
-    for shard in SHARDS {
-        for replica in ["a", "b"] {
-            let id = format!("{shard}-{replica}");
-            leaves.push((shard, Leaf::spawn(&id, 1, LeafBehaviour::Answer).await));
-        }
-    }
-    let listed: Vec<(&str, &Leaf)> = leaves.iter().map(|(shard, leaf)| (*shard, leaf)).collect();
-    test_gateway.publish(1, vec![gather_route("/g/", &SHARDS, 1_000_000)], &listed);
-    // Earns two extra calls, at 0.18 per request.
-    for _ in 0..12 {
-        test_gateway.get("/g/x").await;
-    }
-    let executed = |failing: usize| {
-        let failing = leaves.iter().take(2 * failing);
-        failing.map(|(_, leaf)| leaf.executed()).sum::<usize>()
-    };
-    let fail = |shards: usize| {
-        for (_, leaf) in leaves.iter().take(2 * shards) {
-            leaf.set(LeafBehaviour::Fail);
-        }
-    };
-    fail(1);
-    let before = executed(1);
-    test_gateway.get("/g/x").await;
-    assert_eq!(
-        executed(1) - before,
-        2,
-        "one failed shard gets an extra call"
-    );
-    fail(3);
-    let before = executed(3);
-    let reply = test_gateway.get("/g/x").await;
-    assert_eq!(reply.status, StatusCode::BAD_GATEWAY);
+    let replicas = Replicas::spawn().await;
+    replicas.fail(0..1);
+    let (_, calls) = replicas.send().await;
+    assert_eq!(calls, [2, 1, 1, 1], "one failed shard gets an extra call");
+    replicas.fail(0..3);
+    let (status, calls) = replicas.send().await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
     assert_eq!(
-        executed(3) - before,
-        3,
-        "three failed shards get no extra call"
+        calls,
+        [1, 1, 1, 1],
+        "the first shard has no extra call left"
     );
-    for (_, leaf) in leaves.iter().skip(2) {
-        leaf.set(LeafBehaviour::Answer);
-    }
-    let before = executed(1);
-    test_gateway.get("/g/x").await;
+    replicas.fail(1..2);
+    let (_, calls) = replicas.send().await;
     assert_eq!(
-        executed(1) - before,
-        2,
+        calls,
+        [1, 2, 1, 1],
         "the extra call is still available to the next request"
     );
 }
--- a/tests/gateway_stop_schedule.rs
+++ b/tests/gateway_stop_schedule.rs
@@ -64,6 +64,7 @@
 fn a_request_that_ends_early_is_answered_with_its_parts() {
     let schedule = FanoutSchedule {
         partial_response_us: 140,
+        early_hedge_us: 40,
         hedge_us: 90,
         timeout_us: 1_500,
     };
