Admit requests by priority where routes are ranked

Cause: under a burst, calls of less urgent requests fill the FIFO queues of the leaves. Urgent requests, which alone would fit, are then late, and most of the work ends late or fails. Single-leaf routes are not limited.

Change: if a route has priority 0 and another route has a different one, the shards of the former and all single-leaf services have a concurrency limit for each priority level (src/gateway/admission/). Limits begin when answers are late, or when far more requests are in service than there are slots, at what the slots allow. The least urgent level shrinks first, and after a reduction only requests that were admitted later count. Requests above the limit wait for a part of the target latency if a place is expected to get free by then, or are refused on arrival. Callers that come back as told go first within their level for up to every second place. While a group is limited, only hedges that an answer in time needs are sent. Other configurations keep the concurrency limiter.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -19,6 +19,7 @@
 
 use active_vms::ActiveVms;
 
+use super::admission::Admission;
 use super::body_memory::BodyMemory;
 use super::call::OpenCall;
 use super::capacity::CapacityError;
@@ -100,6 +101,8 @@
     pub vms: u32,
     /// Concurrency limits of scatter-gather requests.
     pub concurrency_limiter: ConcurrencyLimiter,
+    /// Admission of requests of ranked routes.
+    pub admission: Admission,
     /// Contents that crash leaves.
     pub content_quarantine: ContentQuarantine,
     /// Links between this VM and the leaves.
@@ -163,6 +166,7 @@
             limits: ConnectionLimits::default(),
             vms: 1,
             concurrency_limiter: ConcurrencyLimiter::default(),
+            admission: Admission::default(),
             content_quarantine: ContentQuarantine::default(),
             link_monitor: LinkMonitor::default(),
             process_delays: ProcessDelays::default(),
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -95,6 +95,8 @@
     /// Median over the shards of the latency of the reply, or of the age of the latest call if it
     /// is still in flight.
     pub median_call_us: Option<u64>,
+    /// Times at which the shards replied, since the request arrived, in ascending order.
+    pub replied_us: Vec<u64>,
 }
 
 /// Shard index, leaf, start time on the boot clock and result of a call that has ended.
@@ -281,7 +283,10 @@
                 }
                 continue;
             }
-            if self.plan.idempotent && self.is_hedge_due(shard, elapsed_us) && self.may_call(index)
+            if self.plan.idempotent
+                && self.is_hedge_due(shard, elapsed_us)
+                && self.may_call(index)
+                && self.may_hedge(elapsed_us)
             {
                 let before = self.sent_calls;
                 self.try_call(index, elapsed_us);
@@ -312,6 +317,14 @@
         }
     }
 
+    /// Returns whether a hedge may be sent: while the admission of requests is limited, only those that
+    /// an answer in time needs.
+    fn may_hedge(&self, elapsed_us: u64) -> bool {
+        let group = self.plan.services.first().copied();
+        let is_limited = group.is_some_and(|group| self.engine.state().admission.is_limited(group));
+        !is_limited || self.shard_counts(elapsed_us).retries_needed() > 0
+    }
+
     fn is_hedge_due(&self, shard: &Shard, elapsed_us: u64) -> bool {
         let age_us = elapsed_us.saturating_sub(shard.last_sent_us);
         !shard.hedged
@@ -446,6 +459,7 @@
     }
 
     fn handle_reply(&mut self, index: usize, reply: Reply, latency_us: u64) {
+        let replied_us = self.elapsed_us();
         let shard = &mut self.shards[index];
         if shard.reply.is_some() {
             return;
@@ -453,6 +467,7 @@
         if reply.status.is_success() {
             shard.reply = Some(reply);
             shard.latency_us = latency_us;
+            shard.replied_us = replied_us;
             return;
         }
         if self.plan.relays_errors {
@@ -563,11 +578,20 @@
             last_error: self.last_error,
             timed_out,
             median_call_us,
+            replied_us: replied_us(&self.shards),
             parts: self.shards.into_iter().map(|shard| shard.reply).collect(),
         }
     }
 }
 
+/// Returns the times at which shards replied, in ascending order.
+fn replied_us(shards: &[Shard]) -> Vec<u64> {
+    let replied = shards.iter().filter(|shard| shard.reply.is_some());
+    let mut replied_us: Vec<u64> = replied.map(|shard| shard.replied_us).collect();
+    replied_us.sort_unstable();
+    replied_us
+}
+
 /// Waits for the calls that remain after the response, under which leaves may still crash.
 async fn finish_calls(mut calls: FuturesUnordered<CallFuture>, mut attempt: Attempt) {
     while let Some((index, leaf, _, result)) = calls.next().await {
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -175,6 +175,7 @@
                     state.leaves.close_all_idle();
                 }
                 state.concurrency_limiter.forget_pressure();
+                state.admission.forget_pressure();
             }
             Some(LinkChange::Answering { lost_us }) => {
                 info!(event = "leaf_links_answering", lost_us);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,7 @@
     links_lost: Gauge<u64>,
     unanswered: Counter<u64>,
     memory_refusals: Counter<u64>,
+    admissions: Counter<u64>,
 }
 
 impl Metrics {
@@ -54,6 +55,7 @@
             memory_refusals: meter
                 .u64_counter("cloverrack_gateway_memory_refusals")
                 .build(),
+            admissions: meter.u64_counter("cloverrack_gateway_admissions").build(),
             exporter,
         })
     }
@@ -111,6 +113,13 @@
             .add(1, &[KeyValue::new("purpose", purpose)]);
     }
 
+    /// Counts a request of a ranked route that was not admitted on arrival, by rank and outcome.
+    pub fn count_admission(&self, rank: u32, outcome: &'static str) {
+        let rank = KeyValue::new("rank", i64::from(rank));
+        self.admissions
+            .add(1, &[rank, KeyValue::new("outcome", outcome)]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,8 +4,10 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`usage_window`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`].
+//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`],
+//! and those of [`admission`].
 
+pub mod admission;
 mod attempt;
 pub mod body_memory;
 pub mod call;
@@ -63,6 +65,7 @@
 pub mod vm_selection;
 pub mod vm_server;
 
+pub use admission::{Admission, AdmissionPermit};
 pub use body_memory::{BodyMemory, BodyReadError};
 pub use call::{CallSpec, OpenCall};
 pub use capacity::CapacityError;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -64,6 +64,13 @@
         /// Whether callers find another VM, which can serve the request at once.
         has_other_vm: bool,
     },
+    /// `pressure` is the smoothed ratio of the latency to the acceptable one. The caller was told `wait_ms`.
+    #[error("no place for this priority level: limit {limit:.1}, pressure {pressure:.2}")]
+    NotAdmitted {
+        wait_ms: u64,
+        limit: f64,
+        pressure: f64,
+    },
     /// `pressure` is the smoothed ratio of the median call latency to the acceptable one.
     #[error("leaf queues are too long: limit {limit:.1}, pressure {pressure:.2}")]
     Overloaded {
@@ -78,6 +85,7 @@
         match self {
             Self::NoConfiguration
             | Self::Overloaded { .. }
+            | Self::NotAdmitted { .. }
             | Self::RateLimited { .. }
             | Self::RetryAfter { .. }
             | Self::NoBodyMemory { .. }
@@ -106,6 +114,7 @@
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
                 max_wait_ms / 2..max_wait_ms.max(MIN_RETRY_WAIT_MS)
             }
+            Self::NotAdmitted { wait_ms, .. } => wait_ms..wait_ms + 1,
             Self::Stopping { has_other_vm: true } => OTHER_VM_RETRY_WAIT_MS,
             Self::RetryAfter { wait_ms } => retry_wait_after_ms(wait_ms),
             Self::Quarantined { until_unix_ms } => {
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use tracing::info;
 
+use super::admission::AdmissionPermit;
 use super::call::CallSpec;
 use super::capacity::CapacityError;
 use super::concurrency_permit::ConcurrencyPermit;
@@ -76,12 +77,11 @@
     let timeout_us = spec.deadline_us.saturating_sub(started_us);
     let plan = build_plan(engine, route, timeout_us, prior_calls);
     let is_merged = !plan.relays_errors;
-    let admitted = check_capacity(engine, &plan, spec, started_us).and_then(|()| {
-        let permit = is_merged.then(|| admit(engine, &plan, route, spec, started_us));
-        permit.transpose()
-    });
-    let concurrency_permit = match admitted {
-        Ok(concurrency_permit) => concurrency_permit,
+    if let Err(refusal) = check_capacity(engine, &plan, spec, started_us) {
+        return refused(refusal, prior_calls);
+    }
+    let permit = match admit(engine, &plan, route, spec, started_us).await {
+        Ok(permit) => permit,
         Err(refusal) => return refused(refusal, prior_calls),
     };
     let plan = Arc::new(plan);
@@ -92,11 +92,8 @@
         started_us,
     );
     let fanout_result = fanout.run().await;
-    if let (Some(concurrency_permit), Some(median_call_us)) =
-        (concurrency_permit, fanout_result.median_call_us)
-        && !engine.state().link_monitor.distorts_call(started_us)
-    {
-        concurrency_permit.finish(&plan, median_call_us);
+    if !engine.state().link_monitor.distorts_call(started_us) {
+        permit.finish(&plan, &fanout_result, started_us);
     }
     let request_log = RequestLog {
         request_id: &spec.request_id,
@@ -162,7 +159,10 @@
     let is_unreachable = matches!(refusal, Refusal::Unreachable { .. });
     let is_local = matches!(
         refusal,
-        Refusal::Overloaded { .. } | Refusal::LinksLost { .. } | Refusal::Stopping { .. }
+        Refusal::Overloaded { .. }
+            | Refusal::NotAdmitted { .. }
+            | Refusal::LinksLost { .. }
+            | Refusal::Stopping { .. }
     );
     let is_movable = is_unreachable || is_local;
     RunEnd {
@@ -190,23 +190,53 @@
     })
 }
 
-/// Admits a scatter-gather request, or rejects it if the leaves' queues are too long.
-fn admit(
+/// Permit of a running request, released on drop.
+enum Permit {
+    /// The route is ranked.
+    Ranked(AdmissionPermit),
+    Concurrency(ConcurrencyPermit),
+    /// The requests of the route are not limited.
+    Unlimited,
+}
+
+impl Permit {
+    /// Adjusts the limits by the latency of the request.
+    fn finish(self, plan: &FanoutPlan, fanout_result: &FanoutResult, started_us: u64) {
+        match (self, fanout_result.median_call_us) {
+            (Self::Ranked(permit), _) => permit.finish(plan, fanout_result, started_us),
+            (Self::Concurrency(permit), Some(median_call_us)) => {
+                permit.finish(plan, median_call_us);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Admits a request, or rejects it if the leaves' queues are too long.
+async fn admit(
     engine: &Arc<Engine>,
     plan: &FanoutPlan,
     route: &Route,
     spec: &CallSpec,
     started_us: u64,
-) -> Result<ConcurrencyPermit, Refusal> {
+) -> Result<Permit, Refusal> {
+    if let Some(rank) = route.admission_rank {
+        let permit = engine.admit_ranked(plan, rank, spec, started_us).await?;
+        return Ok(Permit::Ranked(permit));
+    }
+    if plan.relays_errors {
+        return Ok(Permit::Unlimited);
+    }
     let admitted = engine.admit(&plan.services, route.rank);
-    admitted.map_err(|(limit, pressure)| {
+    let admitted = admitted.map_err(|(limit, pressure)| {
         let remaining_ms = spec.deadline_us.saturating_sub(started_us) / 1_000;
         Refusal::Overloaded {
             remaining_ms,
             limit,
             pressure,
         }
-    })
+    });
+    admitted.map(Permit::Concurrency)
 }
 
 /// Builds the response from the records of all shards that replied.
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -59,6 +59,14 @@
     fn is_scatter_gather(&self) -> bool {
         matches!(self.destination, Destination::Shards { .. })
     }
+
+    /// Returns the service that identifies the shards of a scatter-gather route.
+    fn first_shard(&self) -> Option<&str> {
+        match &self.destination {
+            Destination::Shards { services, .. } => services.first().map(|name| &**name),
+            _ => None,
+        }
+    }
 }
 
 /// Limits of one service.
@@ -149,6 +157,8 @@
     pub resolved_destination: ResolvedDestination,
     /// Number of more urgent priority levels among the scatter-gather routes.
     pub rank: u32,
+    /// Number of more urgent priority levels among all routes, if requests are admitted by priority.
+    pub admission_rank: Option<u32>,
 }
 
 /// Compiled routes of one configuration version.
@@ -215,6 +225,7 @@
             .iter()
             .filter(|spec| spec.is_scatter_gather());
         let levels: BTreeSet<u32> = scatter_gather_routes.map(|spec| spec.priority).collect();
+        let ranking = Ranking::new(&document.routes);
         for mut spec in document.routes {
             if spec.timeout_ms.max(spec.target_latency_ms) > MAX_ROUTE_TIME_MS {
                 let spec = Arc::make_mut(&mut spec);
@@ -222,12 +233,14 @@
                 spec.target_latency_ms = spec.target_latency_ms.min(MAX_ROUTE_TIME_MS);
             }
             let rank = levels.range(..spec.priority).count();
+            let admission_rank = ranking.rank(&spec);
             let resolved_destination = resolve_destination(&spec.destination, names);
             let host = spec.host.to_ascii_lowercase().into_boxed_str();
             let route = Route {
                 spec,
                 resolved_destination,
                 rank: u32::try_from(rank).unwrap_or(u32::MAX),
+                admission_rank,
             };
             hosts.entry(host).or_default().push(Arc::new(route));
         }
@@ -289,6 +302,36 @@
     }
 }
 
+/// Priority levels of a configuration, and the groups whose requests are admitted by them.
+struct Ranking {
+    levels: BTreeSet<u32>,
+    /// First shard of each scatter-gather route with priority 0.
+    urgent_groups: BTreeSet<Box<str>>,
+}
+
+impl Ranking {
+    fn new(routes: &[Arc<RouteSpec>]) -> Self {
+        let urgent = routes.iter().filter(|spec| spec.priority == 0);
+        let urgent_groups = urgent.filter_map(|spec| spec.first_shard()).map(Box::from);
+        Self {
+            levels: routes.iter().map(|spec| spec.priority).collect(),
+            urgent_groups: urgent_groups.collect(),
+        }
+    }
+
+    /// Returns the rank of a route if its requests are admitted by priority: operators ask for it by
+    /// giving a route the priority 0 and another route a different one. Of the scatter-gather routes,
+    /// those that share the shards of a route with priority 0 take part.
+    fn rank(&self, spec: &RouteSpec) -> Option<u32> {
+        let is_ranked = self.levels.len() > 1 && self.levels.contains(&0);
+        let takes_part = spec
+            .first_shard()
+            .is_none_or(|shard| self.urgent_groups.contains(shard));
+        let rank = self.levels.range(..spec.priority).count();
+        (is_ranked && takes_part).then(|| u32::try_from(rank).unwrap_or(u32::MAX))
+    }
+}
+
 fn resolve_destination(destination: &Destination, names: &mut ServiceNames) -> ResolvedDestination {
     match destination {
         Destination::Service(name) => ResolvedDestination::Service(names.intern(name)),
--- a/src/gateway/shard.rs
+++ b/src/gateway/shard.rs
@@ -23,6 +23,8 @@
     pub(super) reply: Option<Reply>,
     /// Latency of the call that returned the reply.
     pub(super) latency_us: u64,
+    /// Time of the reply, since the arrival of the request.
+    pub(super) replied_us: u64,
     /// Error reply of a leaf, used if no other leaf returns a better reply.
     pub(super) fallback: Option<Reply>,
     pub(super) failed: bool,
@@ -43,6 +45,7 @@
             next_call_us: 0,
             reply: None,
             latency_us: 0,
+            replied_us: 0,
             fallback: None,
             failed: false,
             hedged: false,
