Begin limits by late answers only while many requests are in service

A route without a priority in the configuration counts as priority 0, and would have switched admission on.

Change: limits begin only while more requests are in service than three for each slot of this VM's share, and without late answers from four. Routes are ranked only if scatter-gather routes to the same shards have the priority 0 and another one.

The model of tests/gateway_admission.rs holds its bounds.

--- a/src/gateway/admission/group.rs
+++ b/src/gateway/admission/group.rs
@@ -6,10 +6,13 @@
 use super::limiter::AdmissionRequest;
 use super::queue::WaitQueue;
 
-/// Requests in service per slot of this VM's share from which limits begin before any answer is late. A
-/// request whose answer waits for one paused leaf holds no slots at the other shards, so several times as
-/// many requests as slots may be in service without queues.
-const CROWDED_PER_SLOT: f64 = 3.0;
+/// Requests in service per slot of this VM's share from which late answers begin limits. A request whose
+/// answer waits for one slow or paused leaf holds no slots at the other shards: with fewer requests in
+/// service, answers are late because of such leaves, which limits don't help.
+const LATE_CROWD_PER_SLOT: f64 = 3.0;
+
+/// Requests in service per slot from which limits begin before any answer is late.
+const HELD_CROWD_PER_SLOT: f64 = 4.0;
 
 /// Share of the requests in service at which the limit of a less urgent level begins then. The queues that
 /// have formed before the first late answers delay urgent requests for some hundred milliseconds.
@@ -116,9 +119,11 @@
         let pressed = levels.find(|(_, level)| level.pressure.ratio() > 1.0);
         let pressed = pressed.map(|(rank, _)| *rank);
         match pressed {
-            Some(rank) => self.reduce(rank, now_us),
+            Some(rank) if was_limited || self.is_crowded(LATE_CROWD_PER_SLOT) => {
+                self.reduce(rank, now_us);
+            }
             None if was_limited => return self.grow(now_us),
-            None => self.hold_if_crowded(),
+            _ => self.hold_if_crowded(),
         }
         (self.is_limited() && !was_limited).then(|| {
             self.short_us = now_us;
@@ -126,11 +131,15 @@
         })
     }
 
+    fn is_crowded(&self, per_slot: f64) -> bool {
+        let in_service: usize = self.levels.values().map(Level::in_service).sum();
+        in_service as f64 > self.slots * per_slot
+    }
+
     /// Begins the limits of less urgent levels if more requests are in service than the slots can serve at
     /// a time. A level without others is only kept from growing.
     fn hold_if_crowded(&mut self) {
-        let in_service: usize = self.levels.values().map(Level::in_service).sum();
-        if in_service as f64 <= self.slots * CROWDED_PER_SLOT {
+        if !self.is_crowded(HELD_CROWD_PER_SLOT) {
             return;
         }
         if self.levels.len() == 1 {
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -305,30 +305,35 @@
 /// Priority levels of a configuration, and the groups whose requests are admitted by them.
 struct Ranking {
     levels: BTreeSet<u32>,
-    /// First shard of each scatter-gather route with priority 0.
-    urgent_groups: BTreeSet<Box<str>>,
+    /// First shard of each index that routes with priority 0 and with another one share.
+    contested: BTreeSet<Box<str>>,
 }
 
 impl Ranking {
     fn new(routes: &[Arc<RouteSpec>]) -> Self {
-        let urgent = routes.iter().filter(|spec| spec.priority == 0);
-        let urgent_groups = urgent.filter_map(|spec| spec.first_shard()).map(Box::from);
+        let first_shards = |is_urgent: bool| {
+            let routes = routes.iter();
+            let routes = routes.filter(move |spec| (spec.priority == 0) == is_urgent);
+            routes.filter_map(|spec| spec.first_shard()).map(Box::from)
+        };
+        let less_urgent: BTreeSet<Box<str>> = first_shards(false).collect();
         Self {
             levels: routes.iter().map(|spec| spec.priority).collect(),
-            urgent_groups: urgent_groups.collect(),
+            contested: first_shards(true)
+                .filter(|shard| less_urgent.contains(shard))
+                .collect(),
         }
     }
 
     /// Returns the rank of a route if its requests are admitted by priority: operators ask for it by
-    /// giving a route the priority 0 and another route a different one. Of the scatter-gather routes,
-    /// those that share the shards of a route with priority 0 take part.
+    /// giving a route to the same shards as others the priority 0. Routes to other shards don't take part.
     fn rank(&self, spec: &RouteSpec) -> Option<u32> {
-        let is_ranked = self.levels.len() > 1 && self.levels.contains(&0);
         let takes_part = spec
             .first_shard()
-            .is_none_or(|shard| self.urgent_groups.contains(shard));
+            .is_none_or(|shard| self.contested.contains(shard));
         let rank = self.levels.range(..spec.priority).count();
-        (is_ranked && takes_part).then(|| u32::try_from(rank).unwrap_or(u32::MAX))
+        let is_ranked = !self.contested.is_empty() && takes_part;
+        is_ranked.then(|| u32::try_from(rank).unwrap_or(u32::MAX))
     }
 }
 
--- a/tests/gateway_admission_serving.rs
+++ b/tests/gateway_admission_serving.rs
@@ -21,13 +21,17 @@
 /// Requests that the leaf serves one half after the other: some of them wait.
 const CROWD: usize = 6;
 
-/// Starts a gateway with an urgent scatter-gather route and a less urgent route to one leaf.
+/// Starts a gateway with scatter-gather routes of two priorities and a less urgent route to one leaf.
 async fn spawn(leaf: &Leaf, target_latency_ms: u64) -> TestGateway {
     let gateway = TestGateway::spawn().await;
     let urgent = RouteSpec {
         priority: 0,
         ..gather_route("/u/", &["shard"], 1_000_000)
     };
+    let wide = RouteSpec {
+        priority: 1,
+        ..gather_route("/w/", &["shard"], 1_000_000)
+    };
     let less_urgent = RouteSpec {
         priority: 2,
         target_latency_ms,
@@ -36,7 +40,7 @@
     let shard = Leaf::spawn("shard-1", 1, LeafBehaviour::Answer).await;
     gateway.publish(
         1,
-        vec![urgent, less_urgent],
+        vec![urgent, wide, less_urgent],
         &[("shard", &shard), ("single", leaf)],
     );
     gateway
