Send no hedges that are not needed while a group is saturated

Cause: with budgets of its own for each shard, a group under overload sends more hedges, which lengthen the queues.

Change: while the limit of a group is used up under pressure, only hedges that an answer in time needs are sent, as under admission by priority.

--- a/src/gateway/concurrency_limiter.rs
+++ b/src/gateway/concurrency_limiter.rs
@@ -175,6 +175,15 @@
         }
     }
 
+    /// Returns whether a group is under pressure and uses its limit, so that further calls only lengthen the
+    /// queues of the leaves.
+    pub fn is_saturated(&self, group: ServiceKey) -> bool {
+        self.groups.get(&group).is_some_and(|group| {
+            let in_flight = f64::from(group.in_flight);
+            group.pressure > 1.0 && in_flight >= group.limit * IN_USE_SHARE
+        })
+    }
+
     /// Returns the limit on concurrent requests, and the pressure: the smoothed ratio of the median
     /// call latency to the acceptable one.
     pub fn limit_and_pressure(&self, group: ServiceKey) -> (f64, f64) {
--- a/src/gateway/concurrency_permit.rs
+++ b/src/gateway/concurrency_permit.rs
@@ -11,6 +11,12 @@
 use crate::ids::ServiceKey;
 
 impl Engine {
+    /// Returns whether calls to a group of shards, identified by the first, queue at the leaves.
+    pub fn is_under_pressure(&self, group: ServiceKey) -> bool {
+        let state = &*self.state();
+        state.admission.is_limited(group) || state.concurrency_limiter.is_saturated(group)
+    }
+
     /// Admits a request to a set of shards, identified by the first, or rejects it.
     ///
     /// # Errors
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -319,12 +319,12 @@
         }
     }
 
-    /// Returns whether a hedge may be sent: while the admission of requests is limited, only those that
-    /// an answer in time needs.
+    /// Returns whether a hedge may be sent: while calls queue at the leaves, only those that an answer in
+    /// time needs.
     fn may_hedge(&self, elapsed_us: u64) -> bool {
-        let group = self.plan.services.first().copied();
-        let is_limited = group.is_some_and(|group| self.engine.state().admission.is_limited(group));
-        !is_limited || self.shard_counts(elapsed_us).retries_needed() > 0
+        let group = self.plan.services.first();
+        let is_loaded = group.is_some_and(|group| self.engine.is_under_pressure(*group));
+        !is_loaded || self.shard_counts(elapsed_us).retries_needed() > 0
     }
 
     fn is_hedge_due(&self, shard: &Shard, elapsed_us: u64) -> bool {
