Limit the requests of all VMs to cold leaves

Cause: a leaf whose domain returns from an evacuation, whose address accepts connections again or whose record names a warm-up gets the full load of all VMs at once.

Change: WarmupS and WarmupPerS of a service are read from the configuration. A cold leaf has a RateLimit beside the one that it may name itself; VMs report their calls to cold leaves in the datagrams of leaf reports under a process hash that earlier builds do not know. A VM that has not found out itself that a leaf is cold learns it from these reports and names no rate in its own, so that VMs do not keep a leaf cold among themselves. The status checks of the link check are read for Cloverrack-Warmup-Ms. ServiceSpec keeps its format: the figures reach VMs that do not read the store in the header cloverrack-warmups of the catalog response. Services without WarmupPerS above 0 are served as before.

Ruled out: an extra cost for cold leaves, since the calls of other VMs are not known (docs/design/evacuation.md).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -300,7 +300,7 @@
                 }
             }
             _ if reply.is_some() => {
-                state.leaves.record_reachable(self.leaf);
+                state.leaves.record_reachable(self.leaf, now_us);
                 state
                     .leaves
                     .record_alive(self.leaf, self.started_us, now_us);
--- a/src/gateway/capacity.rs
+++ b/src/gateway/capacity.rs
@@ -51,6 +51,7 @@
     ) -> Result<(), CapacityError> {
         let is_empty = |service: &ServiceKey| self.of_service(*service).is_empty();
         if !self.has_rate_limits
+            && self.cold_leaves() == 0
             && !self.has_retry_after(now_us)
             && !self.has_unreachable()
             && !services.iter().any(is_empty)
--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
+use bincode::Decode;
 use bytes::{Bytes, BytesMut};
 use http::header::HeaderValue;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -22,8 +23,8 @@
 
 use super::catalog::CatalogUpdate;
 use super::engine::Engine;
-use super::evacuation::Evacuation;
 use super::evacuation::message::{decode_header, encode_header};
+use super::evacuation::{Evacuation, WarmupSettings};
 use crate::document::Version;
 use crate::wire::{MAX_FRAME_BYTES, decode_within, encode};
 
@@ -66,6 +67,9 @@
 /// its first leaves, although gossip may be late.
 const EVACUATIONS_HEADER: &str = "cloverrack-evacuations";
 
+/// Header of a response with the limits of cold leaves, if any are configured.
+const WARMUPS_HEADER: &str = "cloverrack-warmups";
+
 /// Response of a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FetchedCatalog {
@@ -73,6 +77,8 @@
     pub update: CatalogUpdate,
     /// Evacuated failure domains that the peer knows of.
     pub evacuations: Vec<Evacuation>,
+    /// Limits on requests to cold leaves.
+    pub warmups: Option<WarmupSettings>,
 }
 
 /// Reason why a catalog update could not be fetched from a peer.
@@ -123,25 +129,26 @@
     let limit = Duration::from_millis(RESPONSE_TIMEOUT_MS);
     let responded = timeout(limit, responding).await;
     let (_driver, response) = responded.map_err(|_| CatalogRpcError::Unreachable)??;
-    let evacuations = read_evacuations(response.headers(), peer);
+    let headers = response.headers();
+    let evacuations = read_header(headers, EVACUATIONS_HEADER, peer);
+    let warmups = read_header(headers, WARMUPS_HEADER, peer);
     let update = read_update(response.into_body()).await?;
     Ok(FetchedCatalog {
         update,
-        evacuations,
+        evacuations: evacuations.unwrap_or_default(),
+        warmups,
     })
 }
 
-/// Reads the evacuated failure domains from the head of a response. If they are malformed, the catalog is still
-/// used, and gossip brings the evacuations.
-fn read_evacuations(headers: &HeaderMap, peer: SocketAddr) -> Vec<Evacuation> {
-    let Some(value) = headers.get(EVACUATIONS_HEADER) else {
-        return Vec::new();
-    };
-    let evacuations = value.to_str().ok().and_then(decode_header);
-    evacuations.unwrap_or_else(|| {
-        warn!(event = "evacuations_malformed", %peer);
-        Vec::new()
-    })
+/// Reads what the store says beside the catalog from a header of a response. If it is malformed, the catalog is
+/// still used: gossip brings evacuations, and without their limits cold leaves are called like others.
+fn read_header<T: Decode<()>>(headers: &HeaderMap, name: &str, peer: SocketAddr) -> Option<T> {
+    let value = headers.get(name)?;
+    let message = value.to_str().ok().and_then(decode_header);
+    if message.is_none() {
+        warn!(event = "catalog_header_malformed", %peer, name);
+    }
+    message
 }
 
 /// Sends the request and returns the response.
@@ -305,7 +312,7 @@
         let mut response = Response::new(());
         *response.status_mut() = status;
         if status == StatusCode::OK {
-            add_evacuations(response.headers_mut(), engine);
+            add_headers(response.headers_mut(), engine);
         }
         let sent = respond.send_response(response, body.is_empty());
         if let Ok(mut stream) = sent
@@ -316,12 +323,28 @@
     }
 }
 
-/// Adds the evacuated failure domains to the head of a response, unless there are none.
-fn add_evacuations(headers: &mut HeaderMap, engine: &Engine) {
-    let text = encode_header(&engine.state().evacuations.active_facts());
-    let value = text.and_then(|text| HeaderValue::try_from(text).ok());
-    if let Some(value) = value {
-        headers.insert(EVACUATIONS_HEADER, value);
+/// Adds what the store says beside the catalog to the head of a response, as far as it is configured.
+fn add_headers(headers: &mut HeaderMap, engine: &Engine) {
+    let state = engine.state();
+    let evacuations = state.evacuations.active_facts();
+    let warmups = &state.warmups;
+    let texts = [
+        (
+            EVACUATIONS_HEADER,
+            !evacuations.is_empty(),
+            encode_header(&evacuations),
+        ),
+        (
+            WARMUPS_HEADER,
+            state.has_had_warmups,
+            encode_header(warmups),
+        ),
+    ];
+    for (name, is_configured, text) in texts {
+        let value = text.and_then(|text| HeaderValue::try_from(text).ok());
+        if let Some(value) = value.filter(|_| is_configured) {
+            headers.insert(name, value);
+        }
     }
 }
 
--- a/src/gateway/catalog_sync.rs
+++ b/src/gateway/catalog_sync.rs
@@ -259,6 +259,7 @@
     let (changed, version) = {
         let state = &mut *engine.state();
         engine.apply_evacuations(state, fetched.evacuations);
+        state.apply_warmups(fetched.warmups);
         let changed = state.catalog.update(fetched.update, boot_ms());
         (changed, state.catalog.version())
     };
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -27,7 +27,7 @@
 use super::connection::Connection;
 use super::connection_limits::ConnectionLimits;
 use super::content_quarantine::ContentQuarantine;
-use super::evacuation::Evacuations;
+use super::evacuation::{Evacuations, WarmupSettings};
 use super::fanout_schedule::CallLatency;
 use super::leaf_reports::ReportQueue;
 use super::leaves::{Leaf, Leaves, NoLeafError};
@@ -68,6 +68,8 @@
     pub rate_limit: HeaderName,
     /// Says that the leaf which sent the reply leaves.
     pub leaving: HeaderName,
+    /// Rest of the warm-up of a leaf in the answer to a status check, in milliseconds.
+    pub warmup_ms: HeaderName,
     /// Signatures of the parts of a merged response.
     pub part_signatures: HeaderName,
     /// Shards that are missing in a merged response.
@@ -105,6 +107,11 @@
     pub content_quarantine: ContentQuarantine,
     /// Failure domains that operators evacuate.
     pub evacuations: Evacuations,
+    /// Limits on requests to cold leaves.
+    pub warmups: WarmupSettings,
+    /// Whether a configuration has limited requests to cold leaves. Other VMs have to learn of its end too.
+    pub(super) has_had_warmups: bool,
+    pub(super) recorded_cold_leaves: usize,
     /// Links between this VM and the leaves.
     pub link_monitor: LinkMonitor,
     /// Times in which this process did not run.
@@ -168,6 +175,9 @@
             concurrency_limiter: ConcurrencyLimiter::default(),
             content_quarantine: ContentQuarantine::default(),
             evacuations: Evacuations::default(),
+            warmups: WarmupSettings::default(),
+            has_had_warmups: false,
+            recorded_cold_leaves: 0,
             link_monitor: LinkMonitor::default(),
             process_delays: ProcessDelays::default(),
             recent_successes: RecentSuccesses::default(),
--- a/src/gateway/engine/reports.rs
+++ b/src/gateway/engine/reports.rs
@@ -42,6 +42,11 @@
         self.state().leaves.rate_reports(boot_us())
     }
 
+    /// Returns the reports for the other VMs on calls to cold leaves.
+    pub fn cold_reports(&self, is_active: bool) -> Vec<RateReport> {
+        self.state().leaves.cold_reports(is_active, boot_us())
+    }
+
     /// Applies the reports of another VM on leaves that have named a limit.
     pub fn apply_rate_reports(&self, peer: IpAddr, rate_reports: &[RateReport], now_us: u64) {
         let state = &mut *self.state();
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -313,6 +313,7 @@
         engine.run_times.record();
         engine.update_active_vms(&membership.live_vms());
         engine.end_due_evacuations();
+        engine.update_cold_leaves();
         let changed = {
             let state = &mut *engine.state();
             state.leaves.close_expired(boot_ms());
--- a/src/gateway/evacuation/message.rs
+++ b/src/gateway/evacuation/message.rs
@@ -1,4 +1,4 @@
-//! Messages between VMs about evacuated failure domains.
+//! Messages between VMs about evacuated failure domains, and the text of headers of the catalog response.
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD_NO_PAD;
@@ -11,8 +11,9 @@
 /// one datagram.
 pub const MAX_DOMAIN_BYTES: usize = 256;
 
-/// Maximum size of the evacuations of a catalog response in memory: those of 64 domains take less than half.
-const MAX_DECODED_BYTES: usize = 65_536;
+/// Maximum size in memory of what a header of a catalog response has: 256 services or 64 domains with names of
+/// the greatest length take less.
+const MAX_DECODED_BYTES: usize = 131_072;
 
 /// Whether a failure domain is evacuated as of a version of the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,12 +56,9 @@
     }
 }
 
-/// Encodes evacuations as the text of a header; `None` if there are none.
-pub fn encode_header(evacuations: &[Evacuation]) -> Option<String> {
-    if evacuations.is_empty() {
-        return None;
-    }
-    let bytes = encode(&evacuations.to_vec()).ok()?;
+/// Encodes a message as the text of a header; `None` if it is too large.
+pub fn encode_header<T: Encode>(message: &T) -> Option<String> {
+    let bytes = encode(message).ok()?;
     Some(BASE64_STANDARD_NO_PAD.encode(bytes))
 }
 
@@ -79,9 +77,9 @@
 /// }];
 /// let text = encode_header(&evacuations).unwrap_or_default();
 /// assert_eq!(decode_header(&text), Some(evacuations));
-/// assert_eq!(decode_header("?"), None);
+/// assert_eq!(decode_header::<Vec<Evacuation>>("?"), None);
 /// ```
-pub fn decode_header(text: &str) -> Option<Vec<Evacuation>> {
+pub fn decode_header<T: Decode<()>>(text: &str) -> Option<T> {
     let bytes = BASE64_STANDARD_NO_PAD.decode(text).ok()?;
     decode_within::<MAX_DECODED_BYTES, _>(&bytes).ok()
 }
--- a/src/gateway/evacuation/source.rs
+++ b/src/gateway/evacuation/source.rs
@@ -1,6 +1,7 @@
 //! What a source of the catalog returns: the catalog, whose format earlier builds read, and the evacuated
-//! failure domains beside it.
+//! failure domains and the limits of cold leaves beside it.
 
+use super::warmups::WarmupSettings;
 use crate::gateway::catalog::{CatalogImage, ChangeSet};
 
 /// Result of a full read.
@@ -10,6 +11,8 @@
     pub catalog: CatalogImage,
     /// All failure domains that are evacuated.
     pub evacuated_domains: Vec<Box<str>>,
+    /// Limits on requests to cold leaves, if a configuration was read.
+    pub warmups: Option<WarmupSettings>,
 }
 
 /// Changes after a version.
@@ -19,6 +22,8 @@
     pub catalog: ChangeSet,
     /// Evacuations that began or ended, in the order of their revisions.
     pub evacuations: Vec<DomainChange>,
+    /// Limits on requests to cold leaves, if a configuration was published.
+    pub warmups: Option<WarmupSettings>,
 }
 
 /// Beginning or end of the evacuation of a failure domain.
@@ -35,6 +40,7 @@
         Self {
             catalog,
             evacuated_domains: Vec::new(),
+            warmups: None,
         }
     }
 }
@@ -44,6 +50,7 @@
         Self {
             catalog,
             evacuations: Vec::new(),
+            warmups: None,
         }
     }
 }
--- a/src/gateway/evacuation/sync.rs
+++ b/src/gateway/evacuation/sync.rs
@@ -1,13 +1,14 @@
 //! Applies what the store and other VMs say about evacuations to the leaves of this VM.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 use tracing::{info, warn};
 
 use super::evacuations::Evacuations;
 use super::message::Evacuation;
 use super::source::{SourceChanges, SourceImage};
-use crate::clock::boot_ms;
+use super::warmups::WarmupSettings;
+use crate::clock::{boot_ms, boot_us};
 use crate::document::Version;
 use crate::gateway::catalog::ChangeSummary;
 use crate::gateway::engine::{Engine, State};
@@ -18,6 +19,7 @@
     pub(in crate::gateway) fn apply_source_image(&self, image: SourceImage) -> ChangeSummary {
         let state = &mut *self.state();
         let version = image.catalog.version();
+        state.apply_warmups(image.warmups);
         self.change_evacuations(state, |evacuations, now_ms| {
             evacuations.read_image(version, image.evacuated_domains, now_ms);
         });
@@ -32,6 +34,7 @@
     ) -> ChangeSummary {
         let state = &mut *self.state();
         let version = changes.catalog.version();
+        state.apply_warmups(changes.warmups);
         self.change_evacuations(state, |evacuations, now_ms| {
             evacuations.read_changes(after, version, changes.evacuations, now_ms);
         });
@@ -78,6 +81,34 @@
             info!(event = "evacuation_ended", %domain);
         }
         self.metrics.record_evacuated_domains(active.len());
-        state.leaves.set_evacuated_domains(active);
+        state.leaves.set_evacuated_domains(active, boot_us());
+    }
+
+    /// Ends the limits of leaves that are no longer cold, and reports how many are.
+    pub fn update_cold_leaves(&self) {
+        let state = &mut *self.state();
+        state.leaves.update_cold(boot_us());
+        let leaves = state.leaves.cold_leaves();
+        if std::mem::replace(&mut state.recorded_cold_leaves, leaves) != leaves {
+            info!(event = "cold_leaves", leaves);
+            self.metrics.record_cold_leaves(leaves);
+        }
+    }
+}
+
+impl State {
+    /// Applies the limits on requests to cold leaves of a newer configuration.
+    pub fn apply_warmups(&mut self, settings: Option<WarmupSettings>) {
+        if !settings.is_some_and(|settings| self.warmups.replace(settings)) {
+            return;
+        }
+        self.has_had_warmups |= !self.warmups.services.is_empty();
+        let mut warmups = HashMap::new();
+        for (service, warmup) in &self.warmups.services {
+            if warmup.rate_milli > 0 {
+                warmups.insert(self.names.intern(service), *warmup);
+            }
+        }
+        self.leaves.set_warmups(warmups, boot_us());
     }
 }
--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -251,7 +251,9 @@
         let rate_interval_us = rate_report_interval_us(active_vms.len());
         if now_us.saturating_sub(rates_reported_us) >= rate_interval_us {
             rates_reported_us = now_us;
-            for chunk in engine.rate_reports().chunks(MAX_RATE_REPORTS_PER_DATAGRAM) {
+            let mut rate_reports = engine.rate_reports();
+            rate_reports.extend(engine.cold_reports(active_vms.contains(&own)));
+            for chunk in rate_reports.chunks(MAX_RATE_REPORTS_PER_DATAGRAM) {
                 datagrams.push((Vec::new(), chunk.to_vec()));
             }
         }
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -4,6 +4,7 @@
 //! Handles leaves that are slow, failing, paused, warming up or replaced, and VMs whose own stalls
 //! would be mistaken for stalls of leaves.
 
+mod cold;
 mod evacuation;
 mod notices;
 mod process_ends;
@@ -22,6 +23,7 @@
 
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
+use super::evacuation::{ColdLeaf, Warmup};
 use super::leaf_reports::{LeafReport, Observation};
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
@@ -74,6 +76,8 @@
     pub is_leaving: bool,
     /// Whether the failure domain of the leaf is evacuated.
     pub is_evacuated: bool,
+    /// Limit on calls while the leaf is cold.
+    pub cold: ColdLeaf,
     /// Time since which the address of the leaf refuses connections, if it does.
     pub unreachable_since_us: Option<u64>,
     /// Times for which the leaf wants no calls.
@@ -100,6 +104,9 @@
     by_service: BTreeMap<ServiceKey, Vec<LeafKey>>,
     own_domain: Box<str>,
     evacuated_domains: BTreeSet<Box<str>>,
+    /// Limits on calls to cold leaves, by service.
+    warmups: HashMap<ServiceKey, Warmup>,
+    cold_leaves: usize,
     pause_period: PausePeriod,
     last_reply_us: u64,
     /// Whether a leaf may have named a limit on the rate of its calls.
@@ -189,6 +196,7 @@
             }
         }
         self.index_services();
+        self.update_cold(now_ms * 1_000);
     }
 
     /// Updates the leaf of a record, or adds one for a new ID or process, and returns its key.
@@ -204,6 +212,9 @@
             && let Some(leaf) = self.arena.get_mut(&key)
             && is_same_process(&leaf.record, record)
         {
+            if leaf.record != *record {
+                leaf.cold.record_named(record.warmup_left_ms, now_ms);
+            }
             leaf.record = record.clone();
             if record.draining {
                 leaf.close_idle();
@@ -213,9 +224,12 @@
         let key = LeafKey::new(self.next_key);
         self.next_key += 1;
         let is_leaving = self.departures_ms.contains_key(&record.process_hash());
+        let mut cold = ColdLeaf::default();
+        cold.record_named(record.warmup_left_ms, now_ms);
         let leaf = Leaf {
             is_leaving,
             is_evacuated: false,
+            cold,
             unreachable_since_us: None,
             retry_after: RetryAfter::default(),
             record: record.clone(),
--- a/src/gateway/leaves/evacuation.rs
+++ b/src/gateway/leaves/evacuation.rs
@@ -11,14 +11,19 @@
     }
 
     /// Replaces the failure domains whose leaves get no calls. Open calls may finish, and idle connections
-    /// stay open, so that the leaves can be used at once when the evacuation ends.
-    pub fn set_evacuated_domains(&mut self, domains: BTreeSet<Box<str>>) {
+    /// stay open, so that the leaves can be used at once when the evacuation ends. They are cold then.
+    pub fn set_evacuated_domains(&mut self, domains: BTreeSet<Box<str>>, now_us: u64) {
         self.evacuated_domains = domains;
         for leaf in self.arena.values_mut() {
-            let domain = &leaf.record.failure_domain;
-            leaf.is_evacuated = self.evacuated_domains.contains(domain);
+            let is_evacuated = self.evacuated_domains.contains(&leaf.record.failure_domain);
+            let was_evacuated = std::mem::replace(&mut leaf.is_evacuated, is_evacuated);
+            let warmup = self.warmups.get(&leaf.service);
+            if let Some(warmup) = warmup.filter(|_| was_evacuated && !is_evacuated) {
+                leaf.cold.record_return(warmup.duration_ms, now_us / 1_000);
+            }
         }
         self.index_services();
+        self.update_cold(now_us);
     }
 
     /// Lists the leaves of each service that may get calls.
--- a/src/gateway/leaves/rates.rs
+++ b/src/gateway/leaves/rates.rs
@@ -12,23 +12,27 @@
 impl Leaves {
     /// Returns how long a call to a leaf has to wait, or `None` if that is too long.
     pub(super) fn rate_limit_wait_us(&self, leaf: &Leaf, now_us: u64) -> Option<u64> {
-        let Some(rate_limit) = &leaf.rate_limit else {
-            return Some(0);
-        };
-        let wait_us = rate_limit.wait_us(now_us, self.sharing_vms.count());
+        let vms = self.sharing_vms.count();
+        let cold_wait_us = leaf.cold.wait_us(now_us, vms)?;
+        let rate_limit = leaf.rate_limit.as_ref();
+        let wait_us = rate_limit.map_or(Some(0), |limit| limit.wait_us(now_us, vms));
+        let wait_us = wait_us.map(|wait_us| wait_us.max(cold_wait_us));
         wait_us.filter(|wait_us| *wait_us <= MAX_WAIT_US)
     }
 
-    /// Deducts a call from the rate that a leaf has named, and returns the time at which the call
-    /// may begin.
+    /// Deducts a call from the rate that a leaf has named and from that of a cold leaf, and returns the time at
+    /// which the call may begin.
     pub fn reserve_call(&mut self, key: LeafKey, now_us: u64) -> u64 {
         let vms = self.sharing_vms.count();
-        let leaf = self.arena.get_mut(&key);
-        let Some(rate_limit) = leaf.and_then(|leaf| leaf.rate_limit.as_mut()) else {
+        let Some(leaf) = self.arena.get_mut(&key) else {
             return now_us;
         };
-        let wait_us = rate_limit.wait_us(now_us, vms).unwrap_or(0);
-        rate_limit.reserve(now_us, vms);
+        let limits = [leaf.rate_limit.as_mut(), leaf.cold.limit_mut()];
+        let mut wait_us = 0;
+        for limit in limits.into_iter().flatten() {
+            wait_us = wait_us.max(limit.wait_us(now_us, vms).unwrap_or(0));
+            limit.reserve(now_us, vms);
+        }
         now_us + wait_us
     }
 
@@ -79,6 +83,9 @@
 
     /// Applies another VM's report on a leaf that has named a limit.
     pub fn apply_rate_report(&mut self, peer: IpAddr, report: &RateReport, now_us: u64) {
+        if self.apply_cold_report(peer, report, now_us) {
+            return;
+        }
         let vms = self.sharing_vms.count();
         let key = self.by_address.get(&report.leaf);
         let Some(leaf) = key.and_then(|key| self.arena.get_mut(key)) else {
--- a/src/gateway/leaves/reachability.rs
+++ b/src/gateway/leaves/reachability.rs
@@ -17,9 +17,11 @@
     }
 
     /// Records that a leaf accepts connections, or does not refuse them.
-    pub fn record_reachable(&mut self, key: LeafKey) {
-        if let Some(leaf) = self.arena.get_mut(&key) {
-            leaf.unreachable_since_us = None;
+    pub fn record_reachable(&mut self, key: LeafKey, now_us: u64) {
+        let leaf = self.arena.get_mut(&key);
+        let since_us = leaf.and_then(|leaf| leaf.unreachable_since_us.take());
+        if since_us.is_some() {
+            self.record_reconnection(key, now_us);
         }
         self.unreachable.remove(&key);
     }
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -25,6 +25,7 @@
 use super::membership::Membership;
 use crate::clock::boot_us;
 use crate::fact::LeafLinks;
+use crate::ids::LeafKey;
 use crate::running_timeout::running_timeout;
 
 /// Interval at which the monitor is asked whether a check is due.
@@ -149,11 +150,14 @@
         });
         let answers = checked
             .iter()
-            .map(|(address, request)| answers(*address, request.clone(), limit));
+            .map(|(_, address, request)| answers(*address, request.clone(), limit));
         let mut result = CheckResult::default();
-        for answer in join_all(answers).await {
+        for ((leaf, ..), answer) in checked.iter().zip(join_all(answers).await) {
             match answer {
-                Ok(Some(_)) => result.answered += 1,
+                Ok(Some(reply)) => {
+                    result.answered += 1;
+                    self.record_warmup(*leaf, &reply);
+                }
                 Ok(None) | Err(CallError::Connect) => result.silent += 1,
                 Err(_) => result.refused += 1,
             }
@@ -189,6 +193,18 @@
     }
 }
 
+impl Engine {
+    /// Applies the rest of its warm-up that a leaf names in the answer to a status check.
+    fn record_warmup(&self, leaf: LeafKey, reply: &Reply) {
+        let named = reply.headers.get(&self.headers.warmup_ms);
+        let left_ms = named.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        if let Some(left_ms) = left_ms.filter(|_| reply.status.is_success()) {
+            let leaves = &mut self.state().leaves;
+            leaves.record_status_warmup(leaf, left_ms, boot_us());
+        }
+    }
+}
+
 impl State {
     fn is_link_check_due(&self) -> bool {
         let now_us = boot_us();
@@ -205,27 +221,27 @@
 
     /// Returns some of the leaves that were alive last, with the requests for their status. Leaves of
     /// services that are down tell nothing of the links, and those of evacuated domains get no requests.
-    fn link_checks(&self) -> Vec<(SocketAddr, Request<Full<Bytes>>)> {
+    fn link_checks(&self) -> Vec<(LeafKey, SocketAddr, Request<Full<Bytes>>)> {
         let mut checked = Vec::new();
         let Some(route_table) = &self.route_table else {
             return checked;
         };
-        let leaves = self.leaves.iter().map(|(_, leaf)| leaf);
-        let is_usable = |leaf: &&Leaf| !leaf.is_departing() && !leaf.is_evacuated;
-        let mut candidates: Vec<&Leaf> = leaves.filter(is_usable).collect();
+        let leaves = self.leaves.iter();
+        let is_usable = |(_, leaf): &(LeafKey, &Leaf)| !leaf.is_departing() && !leaf.is_evacuated;
+        let mut candidates: Vec<(LeafKey, &Leaf)> = leaves.filter(is_usable).collect();
         candidates.shuffle(&mut rand::rng());
-        candidates.sort_by_key(|leaf| Reverse(leaf.alive_us));
+        candidates.sort_by_key(|(_, leaf)| Reverse(leaf.alive_us));
         let count = self.link_monitor.checked_leaves();
         // While the links are lost, some of these leaves may have ended.
         let is_lost = self.link_monitor.is_lost();
         candidates.truncate(if is_lost { 2 * count } else { count });
-        for leaf in candidates.sample(&mut rand::rng(), count) {
+        for (key, leaf) in candidates.sample(&mut rand::rng(), count) {
             let path = route_table.health_path(leaf.service);
             let request = Request::get(path.unwrap_or("/"))
                 .header(http::header::HOST, leaf.address().to_string())
                 .body(Full::default());
             if let Ok(request) = request {
-                checked.push((leaf.address(), request));
+                checked.push((*key, leaf.address(), request));
             }
         }
         checked
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     unanswered: Counter<u64>,
     memory_refusals: Counter<u64>,
     evacuated_domains: Gauge<u64>,
+    cold_leaves: Gauge<u64>,
 }
 
 impl Metrics {
@@ -58,6 +59,7 @@
             evacuated_domains: meter
                 .u64_gauge("cloverrack_gateway_evacuated_domains")
                 .build(),
+            cold_leaves: meter.u64_gauge("cloverrack_gateway_cold_leaves").build(),
             exporter,
         })
     }
@@ -120,6 +122,11 @@
         self.evacuated_domains.record(domains as u64, &[]);
     }
 
+    /// Records the number of leaves to which requests are limited since they are cold.
+    pub fn record_cold_leaves(&self, leaves: usize) {
+        self.cold_leaves.record(leaves as u64, &[]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`usage_window`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`evacuation::evacuations`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`].
+//! [`retry_after`], [`capacity`], [`evacuation::evacuations`], [`evacuation::cold_leaf`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`].
 
 mod attempt;
 pub mod body_memory;
@@ -81,7 +81,10 @@
 pub use content_quarantine::{ContentQuarantine, ContentSuccess, ContentVerdict, CrashedAttempt};
 pub use engine::{Engine, Headers};
 pub use entry::{Gateway, GatewaySettings};
-pub use evacuation::{DomainChange, Evacuation, Evacuations, SourceChanges, SourceImage};
+pub use evacuation::{
+    ColdLeaf, DomainChange, Evacuation, Evacuations, SourceChanges, SourceImage, Warmup,
+    WarmupSettings,
+};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
 pub use forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
--- a/src/gateway/reconnect.rs
+++ b/src/gateway/reconnect.rs
@@ -13,7 +13,7 @@
 
 use super::connection::{CallError, Connection};
 use super::engine::Engine;
-use crate::clock::boot_ms;
+use crate::clock::{boot_ms, boot_us};
 use crate::ids::LeafKey;
 
 /// Range of the interval between two attempts. An address without a process refuses at once, and a
@@ -52,7 +52,7 @@
         if connected.is_ok() {
             state.link_monitor.record_connection();
         }
-        state.leaves.record_reachable(leaf);
+        state.leaves.record_reachable(leaf, boot_us());
         let Some(leaf) = state.leaves.get_mut(leaf) else {
             return;
         };
