--- a/src/gateway/catalog_rpc.rs
+++ b/src/gateway/catalog_rpc.rs
@@ -10,8 +10,10 @@
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 
+use bincode::Decode;
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, StatusCode};
+use http::header::HeaderValue;
+use http::{HeaderMap, Request, Response, StatusCode};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -21,6 +23,8 @@
 
 use super::catalog::CatalogUpdate;
 use super::engine::Engine;
+use super::evacuation::message::{decode_header, encode_header};
+use super::evacuation::{Evacuation, WarmupSettings};
 use crate::document::Version;
 use crate::wire::{MAX_FRAME_BYTES, decode_within, encode};
 
@@ -59,6 +63,24 @@
 /// Header with that version.
 const VERSION_HEADER: &str = "cloverrack-protocol";
 
+/// Header of a response with the evacuated failure domains, if there are any. A VM that starts gets them with
+/// its first leaves, although gossip may be late.
+const EVACUATIONS_HEADER: &str = "cloverrack-evacuations";
+
+/// Header of a response with the limits of cold leaves, if any are configured.
+const WARMUPS_HEADER: &str = "cloverrack-warmups";
+
+/// Response of a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FetchedCatalog {
+    /// Changes of the catalog.
+    pub update: CatalogUpdate,
+    /// Evacuated failure domains that the peer knows of.
+    pub evacuations: Vec<Evacuation>,
+    /// Limits on requests to cold leaves.
+    pub warmups: Option<WarmupSettings>,
+}
+
 /// Reason why a catalog update could not be fetched from a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Error)]
@@ -82,7 +104,7 @@
 pub async fn fetch_update(
     peer: SocketAddr,
     after: Version,
-) -> Result<CatalogUpdate, CatalogRpcError> {
+) -> Result<FetchedCatalog, CatalogRpcError> {
     let limit = Duration::from_millis(EXCHANGE_TIMEOUT_MS);
     let result = timeout(limit, fetch_update_once(peer, after)).await;
     result.map_err(|_| CatalogRpcError::Unreachable)?
@@ -91,7 +113,7 @@
 async fn fetch_update_once(
     peer: SocketAddr,
     after: Version,
-) -> Result<CatalogUpdate, CatalogRpcError> {
+) -> Result<FetchedCatalog, CatalogRpcError> {
     let responding = async {
         let stream = TcpStream::connect(peer).await.map_err(log_unreachable)?;
         let (client, connection) = h2::client::Builder::new()
@@ -101,21 +123,40 @@
             .await
             .map_err(log_unreachable)?;
         let driver = AbortOnDropHandle::new(tokio::spawn(connection));
-        let body = request_update(client, peer, after).await?;
-        Ok((driver, body))
+        let response = request_update(client, peer, after).await?;
+        Ok((driver, response))
     };
     let limit = Duration::from_millis(RESPONSE_TIMEOUT_MS);
     let responded = timeout(limit, responding).await;
-    let (_driver, body) = responded.map_err(|_| CatalogRpcError::Unreachable)??;
-    read_update(body).await
+    let (_driver, response) = responded.map_err(|_| CatalogRpcError::Unreachable)??;
+    let headers = response.headers();
+    let evacuations = read_header(headers, EVACUATIONS_HEADER, peer);
+    let warmups = read_header(headers, WARMUPS_HEADER, peer);
+    let update = read_update(response.into_body()).await?;
+    Ok(FetchedCatalog {
+        update,
+        evacuations: evacuations.unwrap_or_default(),
+        warmups,
+    })
 }
 
-/// Sends the request and returns the body of the response.
+/// Reads what the store says beside the catalog from a header of a response. If it is malformed, the catalog is
+/// still used: gossip brings evacuations, and without their limits cold leaves are called like others.
+fn read_header<T: Decode<()>>(headers: &HeaderMap, name: &str, peer: SocketAddr) -> Option<T> {
+    let value = headers.get(name)?;
+    let message = value.to_str().ok().and_then(decode_header);
+    if message.is_none() {
+        warn!(event = "catalog_header_malformed", %peer, name);
+    }
+    message
+}
+
+/// Sends the request and returns the response.
 async fn request_update(
     client: h2::client::SendRequest<Bytes>,
     peer: SocketAddr,
     after: Version,
-) -> Result<h2::RecvStream, CatalogRpcError> {
+) -> Result<Response<h2::RecvStream>, CatalogRpcError> {
     let mut client = client.ready().await.map_err(log_unreachable)?;
     let request = Request::builder()
         .uri(format!("http://{peer}/catalog"))
@@ -128,7 +169,7 @@
         .map_err(log_unreachable)?;
     let response = response.await.map_err(log_unreachable)?;
     match response.status() {
-        StatusCode::OK => Ok(response.into_body()),
+        StatusCode::OK => Ok(response),
         StatusCode::SERVICE_UNAVAILABLE => Err(CatalogRpcError::Busy),
         _ => Err(CatalogRpcError::Malformed),
     }
@@ -270,6 +311,9 @@
         };
         let mut response = Response::new(());
         *response.status_mut() = status;
+        if status == StatusCode::OK {
+            add_headers(response.headers_mut(), engine);
+        }
         let sent = respond.send_response(response, body.is_empty());
         if let Ok(mut stream) = sent
             && let Err(error) = stream.send_data(body, true)
@@ -279,6 +323,31 @@
     }
 }
 
+/// Adds what the store says beside the catalog to the head of a response, as far as it is configured.
+fn add_headers(headers: &mut HeaderMap, engine: &Engine) {
+    let state = engine.state();
+    let evacuations = state.evacuations.active_facts();
+    let warmups = &state.warmups;
+    let texts = [
+        (
+            EVACUATIONS_HEADER,
+            !evacuations.is_empty(),
+            encode_header(&evacuations),
+        ),
+        (
+            WARMUPS_HEADER,
+            state.has_had_warmups,
+            encode_header(warmups),
+        ),
+    ];
+    for (name, is_configured, text) in texts {
+        let value = text.and_then(|text| HeaderValue::try_from(text).ok());
+        if let Some(value) = value.filter(|_| is_configured) {
+            headers.insert(name, value);
+        }
+    }
+}
+
 fn handle_request<B>(
     request: &Request<B>,
     engine: &Engine,
--- a/src/gateway/engine/reports.rs
+++ b/src/gateway/engine/reports.rs
@@ -20,7 +20,7 @@
         }
         // The reports wait until it is known whether the links of this VM are at fault.
         let links = &state.link_monitor;
-        if links.is_lost() || links.may_be_lost(state.leaves.count()) {
+        if links.is_lost() || links.may_be_lost(state.leaves.usable_count()) {
             return Vec::new();
         }
         for (leaf, silent_us) in state.leaves.unreported_stalls(now_us) {
@@ -42,6 +42,11 @@
         self.state().leaves.rate_reports(boot_us())
     }
 
+    /// Returns the reports for the other VMs on calls to cold leaves.
+    pub fn cold_reports(&self, is_active: bool) -> Vec<RateReport> {
+        self.state().leaves.cold_reports(is_active, boot_us())
+    }
+
     /// Applies the reports of another VM on leaves that have named a limit.
     pub fn apply_rate_reports(&self, peer: IpAddr, rate_reports: &[RateReport], now_us: u64) {
         let state = &mut *self.state();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,8 @@
     unanswered: Counter<u64>,
     memory_refusals: Counter<u64>,
     admissions: Counter<u64>,
+    evacuated_domains: Gauge<u64>,
+    cold_leaves: Gauge<u64>,
 }
 
 impl Metrics {
@@ -56,6 +58,10 @@
                 .u64_counter("cloverrack_gateway_memory_refusals")
                 .build(),
             admissions: meter.u64_counter("cloverrack_gateway_admissions").build(),
+            evacuated_domains: meter
+                .u64_gauge("cloverrack_gateway_evacuated_domains")
+                .build(),
+            cold_leaves: meter.u64_gauge("cloverrack_gateway_cold_leaves").build(),
             exporter,
         })
     }
@@ -120,6 +126,16 @@
             .add(1, &[rank, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the number of failure domains whose leaves get no requests.
+    pub fn record_evacuated_domains(&self, domains: usize) {
+        self.evacuated_domains.record(domains as u64, &[]);
+    }
+
+    /// Records the number of leaves to which requests are limited since they are cold.
+    pub fn record_cold_leaves(&self, leaves: usize) {
+        self.cold_leaves.record(leaves as u64, &[]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,8 +4,7 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`usage_window`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`],
-//! and those of [`admission`].
+//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`], [`admission`], [`evacuation::evacuations`], [`evacuation::cold_leaf`].
 
 pub mod admission;
 mod attempt;
@@ -24,6 +23,7 @@
 pub mod content_quarantine;
 pub mod engine;
 pub mod entry;
+pub mod evacuation;
 pub mod evidence_sync;
 pub mod fanout;
 pub mod fanout_schedule;
@@ -83,6 +83,10 @@
 pub use content_quarantine::{ContentQuarantine, ContentSuccess, ContentVerdict, CrashedAttempt};
 pub use engine::{Engine, Headers};
 pub use entry::{Gateway, GatewaySettings};
+pub use evacuation::{
+    ColdLeaf, DomainChange, Evacuation, Evacuations, SourceChanges, SourceImage, Warmup,
+    WarmupSettings,
+};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
 pub use forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
--- a/tests/message_format.rs
+++ b/tests/message_format.rs
@@ -21,13 +21,14 @@
     DiscardedVersion, Fact, LeafDeparture, LeafLinks, LeafState, Profile, VmState,
 };
 use cloverrack::gateway::catalog_rpc::CATALOG_VERSION;
+use cloverrack::gateway::evacuation::message::{decode_header, encode_header};
 use cloverrack::gateway::leaf_reports::{self, LEAF_REPORTS_VERSION};
 use cloverrack::gateway::vm_client::MESSAGE_VERSION;
 use cloverrack::gateway::{
     CallerLimits, CatalogImage, CatalogUpdate, Change, ChangeSet, Content, ContentSuccess,
-    CrashedAttempt, Destination, ForwardedRequest, LeafAnswer, LeafQuestion, LeafRecord,
-    LeafReport, NotRunReason, Observation, PriorCalls, RateReport, RateUsage, RouteDocument,
-    RouteSpec, ServiceSpec,
+    CrashedAttempt, Destination, Evacuation, ForwardedRequest, LeafAnswer, LeafQuestion,
+    LeafRecord, LeafReport, NotRunReason, Observation, PriorCalls, RateReport, RateUsage,
+    RouteDocument, RouteSpec, ServiceSpec, Warmup, WarmupSettings,
 };
 use cloverrack::gossip::{DIGEST_BUCKETS, Datagram, MessageKind};
 use cloverrack::quarantine::LeafCrash;
@@ -207,6 +208,16 @@
     ]
 }
 
+fn gossip_datagram(kind: MessageKind, facts: Vec<Fact>) -> Datagram {
+    Datagram {
+        protocol_version: PROTOCOL_VERSION,
+        incarnation: Incarnation::new(UNIX_MS, 77),
+        digest: 0x8877_6655_4433_2211,
+        kind,
+        facts,
+    }
+}
+
 fn gossip_samples() -> Vec<Sample> {
     let buckets = std::array::from_fn(|bucket| 0x0100_0000 * (bucket as u32 % 7) + bucket as u32);
     let kinds: [(&str, MessageKind); 7] = [
@@ -238,18 +249,43 @@
     let folder = format!("gossip-{PROTOCOL_VERSION}");
     let samples = kinds.into_iter().map(|(name, kind)| {
         let has_facts = matches!(kind, MessageKind::Push);
-        let datagram = Datagram {
-            protocol_version: PROTOCOL_VERSION,
-            incarnation: Incarnation::new(UNIX_MS, 77),
-            digest: 0x8877_6655_4433_2211,
-            kind,
-            facts: if has_facts { facts() } else { Vec::new() },
-        };
-        Sample::new(&folder, name, datagram)
+        let facts = if has_facts { facts() } else { Vec::new() };
+        Sample::new(&folder, name, gossip_datagram(kind, facts))
     });
     samples.collect()
 }
 
+/// Messages with the facts that builds up to 6f7d9ce do not know. They are not in `push`, whose bytes an
+/// earlier build wrote.
+fn later_gossip_samples() -> Vec<Sample> {
+    let evacuation = |domain: &str, is_active| Evacuation {
+        domain: domain.into(),
+        version: version(3, 70_002),
+        is_active,
+    };
+    let evacuations = vec![evacuation("b", true), evacuation("zone-17", false)];
+    let header = encode_header(&evacuations).unwrap();
+    assert_eq!(decode_header(&header), Some(evacuations.clone()));
+    let warmup = Warmup {
+        duration_ms: 4_000,
+        rate_milli: 12_500,
+    };
+    let warmups = WarmupSettings {
+        version: 20,
+        services: vec![("one".into(), warmup)],
+    };
+    let warmups_header = encode_header(&warmups).unwrap();
+    assert_eq!(decode_header(&warmups_header), Some(warmups));
+    let facts = evacuations.into_iter().map(Fact::Evacuation).collect();
+    let datagram = gossip_datagram(MessageKind::Push, facts);
+    let folder = format!("gossip-{PROTOCOL_VERSION}");
+    vec![
+        Sample::new(&folder, "evacuations", datagram),
+        Sample::new("catalog-heads-1", "evacuations", header),
+        Sample::new("catalog-heads-1", "warmups", warmups_header),
+    ]
+}
+
 fn route_document() -> RouteDocument {
     let route = |name: &str, idempotent, destination| {
         Arc::new(RouteSpec {
@@ -392,6 +428,7 @@
 
 fn samples() -> Vec<Sample> {
     let mut samples = gossip_samples();
+    samples.extend(later_gossip_samples());
     samples.extend(catalog_samples());
     samples.extend(leaf_reports_samples());
     samples.extend(vm_call_samples());
