Treat a response with an impossible status as a failure

Cause: the HTTP libraries accept final statuses up to 999. A leaf that replied with 600 or 999 was relayed to callers. Its headers (leaving, limits, "not run") were believed, also in a late reply. A forwarded request was answered with such a status as well. A target could refuse a call by it, and a peer's response counted as a rejection, by which the message is known not to have been handled. Statuses that can't be parsed (000, 099, 20, 2000, -01) and 101 failed already.

Change: `is_final_status` decides for all paths, before anything else of a response is read: in `Connection::exchange_within` (leaves, store, status checks), `late_reply`, `VmClient::call` (forwarded requests, questions for leaves), `PeerClient` and `LeafConnection` (cloverrackd). Leaf calls fail with a new error, which counts like a broken answer, except that it is no evidence against the links of the VM: the reply has arrived.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -112,7 +112,9 @@
         let run = self.open_runs.swap_remove(index);
         match result {
             Ok(reply) if reply.status.is_success() => self.answered_shards.push(shard),
-            Err(error @ (CallError::Broken | CallError::LeafCrashed)) => {
+            Err(
+                error @ (CallError::Broken | CallError::ImpossibleStatus | CallError::LeafCrashed),
+            ) => {
                 let has_crashed = error == CallError::LeafCrashed;
                 self.crashes += usize::from(has_crashed || self.is_suspect);
                 self.unanswered_runs.push(UnansweredRun {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -98,8 +98,8 @@
     /// Fails if the leaf doesn't send a complete and valid reply to this request, or refuses it.
     pub async fn run(mut self, spec: &CallSpec) -> Result<Reply, CallError> {
         let mut exchange_result = self.send_request(spec).await;
-        if exchange_result.as_ref().err() == Some(&CallError::Broken) {
-            exchange_result = Err(self.reconnect(spec).await);
+        if let Err(error @ (CallError::Broken | CallError::ImpossibleStatus)) = exchange_result {
+            exchange_result = Err(self.reconnect(spec, error).await);
         }
         let result = exchange_result.and_then(|reply| match self.validate_reply(spec, &reply) {
             Some(error) => {
@@ -163,13 +163,13 @@
             .await
     }
 
-    /// Connects again to a leaf that broke off the exchange, and returns whether it crashed or only
-    /// the connection failed. The new connection replaces the broken one.
-    async fn reconnect(&mut self, spec: &CallSpec) -> CallError {
+    /// Connects again to a leaf that ended the exchange with `error`, and returns whether it crashed or only
+    /// the exchange failed. The new connection replaces the earlier one.
+    async fn reconnect(&mut self, spec: &CallSpec, error: CallError) -> CallError {
         self.connection = None;
         sleep(Duration::from_millis(RECONNECT_DELAY_MS)).await;
         let Some(address) = self.address_unless_leaving() else {
-            return CallError::Broken;
+            return error;
         };
         let limit = Duration::from_millis(RECONNECT_TIMEOUT_MS);
         match timeout(limit, Connection::open(address)).await {
@@ -177,13 +177,13 @@
                 self.engine.metrics.count_connection();
                 self.engine.state().link_monitor.record_connection();
                 self.connection = Some(connection);
-                CallError::Broken
+                error
             }
             Ok(Err(CallError::ConnectRefused)) => {
                 self.log_refusal(spec, address);
                 CallError::LeafCrashed
             }
-            _ => CallError::Broken,
+            _ => error,
         }
     }
 
@@ -342,8 +342,10 @@
         let no_headers = HeaderMap::new();
         let reply_headers = match outcome {
             Ok(_) | Err(CallError::Refused) => reply.map(|reply| &reply.headers),
-            // The connection was opened after the broken one, or nothing was sent on it.
-            Err(CallError::Broken | CallError::Withheld) => Some(&no_headers),
+            // The connection was opened after the failed exchange, or nothing was sent on it.
+            Err(CallError::Broken | CallError::ImpossibleStatus | CallError::Withheld) => {
+                Some(&no_headers)
+            }
             Err(_) => None,
         };
         let reusable = connection.zip(reply_headers);
@@ -395,6 +397,7 @@
         | Err(
             CallError::Refused
             | CallError::Broken
+            | CallError::ImpossibleStatus
             | CallError::RecordCut
             | CallError::ReplyTooLarge
             | CallError::LeafCrashed
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -21,6 +21,7 @@
 use super::metered_stream::{MeteredStream, ReadAllowance};
 use super::reply_memory::{ReceiveError, ReplyMemory, ReplyReceiver};
 use super::reply_origin::ReplyHistory;
+use crate::response_status::is_final_status;
 
 /// Timeout for opening a connection: a network round trip and the setup at the leaf, with a margin
 /// for a loaded leaf. A lost SYN is retransmitted only after a second.
@@ -117,6 +118,9 @@
     /// The connection was closed, or the reply was malformed, after the request was sent.
     #[error("answer broke off")]
     Broken,
+    /// The status of the reply is none that a response can have.
+    #[error("answer has an impossible status")]
+    ImpossibleStatus,
     /// A part of a merged answer has no length and ends within a record.
     #[error("answer ends within a record")]
     RecordCut,
@@ -171,6 +175,7 @@
             | Self::WrongLeaf
             | Self::Refused => true,
             Self::Broken
+            | Self::ImpossibleStatus
             | Self::RecordCut
             | Self::ReplyTooLarge
             | Self::NoReplyMemory
@@ -243,7 +248,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection is closed before the reply is complete, or the reply is too large.
+    /// Fails if the connection is closed before the reply is complete, its status is none that a response can
+    /// have, or the reply is too large.
     pub async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Reply, CallError> {
         let memory = Arc::new(ReplyMemory::new(OWN_REPLY_BYTES));
         self.exchange_within(request, &memory, |_, _| {}).await
@@ -275,15 +281,17 @@
                 let unsent = error.take_message().is_some();
                 return Err(if unsent {
                     CallError::Unsent
+                } else if error.error().is_parse_status() {
+                    CallError::ImpossibleStatus
                 } else {
                     self.broken()
                 });
             }
         };
         self.late_reply.set_awaited(false);
-        if response.status().is_informational() {
-            // A switch of protocols, for which no request asks, is no answer.
-            return Err(CallError::Broken);
+        // Checked before `observe_head` and the body, since nothing of such a reply is believed.
+        if !is_final_status(response.status()) {
+            return Err(CallError::ImpossibleStatus);
         }
         self.allowance.set(MAX_BODY_OVERHEAD_BYTES);
         let (head, mut body) = response.into_parts();
--- a/src/gateway/late_reply.rs
+++ b/src/gateway/late_reply.rs
@@ -14,6 +14,8 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
+use crate::response_status::is_final_status;
+
 /// Time for which a late reply is read: a round trip between failure domains, with a margin for a
 /// loaded leaf.
 const READ_LIMIT_MS: u64 = 50;
@@ -95,7 +97,8 @@
     }
 }
 
-/// Parses the first head that is not an interim one; returns `None` if it is not complete.
+/// Parses the first head that is not an interim one; returns `None` if it is not complete. Fails if its
+/// status is none that a response can have.
 fn parse_final_head(mut bytes: &[u8]) -> Result<Option<(StatusCode, HeaderMap)>, httparse::Error> {
     loop {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -107,10 +110,13 @@
             .code
             .and_then(|code| StatusCode::from_u16(code).ok());
         let status = status.ok_or(httparse::Error::Status)?;
-        if status.is_informational() {
+        if status.is_informational() && status != StatusCode::SWITCHING_PROTOCOLS {
             bytes = &bytes[length..];
             continue;
         }
+        if !is_final_status(status) {
+            return Err(httparse::Error::Status);
+        }
         let mut headers = HeaderMap::new();
         for field in response.headers.iter() {
             let name = HeaderName::from_bytes(field.name.as_bytes());
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -153,7 +153,8 @@
         let mut result = CheckResult::default();
         for answer in join_all(answers).await {
             match answer {
-                Ok(Some(_)) => result.answered += 1,
+                // A reply with an impossible status counts against the leaf, but the link to it works.
+                Ok(Some(_)) | Err(CallError::ImpossibleStatus) => result.answered += 1,
                 Ok(None) | Err(CallError::Connect) => result.silent += 1,
                 Err(_) => result.refused += 1,
             }
--- a/src/gateway/vm_client.rs
+++ b/src/gateway/vm_client.rs
@@ -25,6 +25,7 @@
 use super::membership::{LiveVm, Membership};
 use crate::clock::boot_ms;
 use crate::fact::LeafLinks;
+use crate::response_status::is_final_status;
 
 /// Version of the messages between VMs, and the header that carries it.
 pub const MESSAGE_VERSION: u16 = 1;
@@ -48,7 +49,8 @@
     /// The request was not sent, or the VM has refused it without handling it.
     #[error("VM can't be reached")]
     NotSent,
-    /// The connection broke off, and the VM may have handled the request.
+    /// The connection broke off, or the status of the response is none that a response can have; the VM may
+    /// have handled the request.
     #[error("connection to the VM broke off")]
     Broken,
 }
@@ -170,13 +172,17 @@
             .body(Full::new(body))
             .map_err(|_| VmCallError::NotSent)?;
         let response = connection.try_send_request(request).await;
-        response.map_err(|mut error| {
+        let response = response.map_err(|mut error| {
             if error.take_message().is_some() || was_refused(error.error()) {
                 VmCallError::NotSent
             } else {
                 VmCallError::Broken
             }
-        })
+        })?;
+        if !is_final_status(response.status()) {
+            return Err(VmCallError::Broken);
+        }
+        Ok(response)
     }
 
     /// Returns the connection to a VM, and opens one if there is none.
--- a/src/leaf.rs
+++ b/src/leaf.rs
@@ -23,6 +23,7 @@
 use crate::clock::boot_ms;
 use crate::faults::is_link_cut;
 use crate::ids::{CallId, Snapshot};
+use crate::response_status::is_final_status;
 use crate::wire::{LeafResult, NotStartedReason};
 
 /// Bounds of the time limit for setting up a connection to a leaf.
@@ -269,6 +270,9 @@
             .send_request(request)
             .await
             .map_err(|_| status_error)?;
+        if !is_final_status(response.status()) {
+            return Err(status_error);
+        }
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let bytes = body.collect().await.map_err(|_| status_error)?.to_bytes();
         serde_json::from_slice(&bytes).map_err(|_| status_error)
@@ -391,6 +395,10 @@
 }
 
 async fn read_response(response: Response<Incoming>, request: &LeafRequest) -> LeafResult {
+    // Checked before the refusal: a leaf with such a status may have run the call, whatever its headers say.
+    if !is_final_status(response.status()) {
+        return LeafResult::Failed;
+    }
     let headers = response.headers();
     let refusal = header(headers, NOT_STARTED_HEADER);
     if !refusal.is_empty() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod queue;
 pub mod replica_selection;
 pub mod report;
+pub mod response_status;
 pub mod retry_budget;
 pub mod root;
 pub mod running_timeout;
--- a/src/peer_client.rs
+++ b/src/peer_client.rs
@@ -22,6 +22,7 @@
 
 use crate::faults::is_link_cut;
 use crate::ids::Incarnation;
+use crate::response_status::is_final_status;
 use crate::wire::{
     BatchCommand, FrameDecoder, LeafReply, PROTOCOL_VERSION, WireError, encode_frame,
 };
@@ -139,13 +140,7 @@
         let (response, mut stream) = self.open_stream(peer, path).await?;
         stream.send_data(content, true).map_err(interrupted)?;
         let response = response.await.map_err(interrupted)?;
-        let status = response.status();
-        if status != StatusCode::OK {
-            return Err(PeerCallError::Rejected {
-                peer,
-                status: status.as_u16(),
-            });
-        }
+        check_status(peer, response.status())?;
         let mut messages = MessageStream::new(response.into_body());
         messages
             .next()
@@ -171,13 +166,7 @@
         let (response, mut stream) = self.open_stream(peer, "/batch").await?;
         stream.send_data(content, false).map_err(interrupted)?;
         let response = response.await.map_err(interrupted)?;
-        let status = response.status();
-        if status != StatusCode::OK {
-            return Err(PeerCallError::Rejected {
-                peer,
-                status: status.as_u16(),
-            });
-        }
+        check_status(peer, response.status())?;
         let mut messages = MessageStream::new(response.into_body());
         let mut is_sending = true;
         loop {
@@ -207,6 +196,21 @@
     }
 }
 
+/// Checks that a peer has accepted a stream. A status that no response can have doesn't tell whether the peer
+/// has handled the message.
+fn check_status(peer: SocketAddr, status: StatusCode) -> Result<(), PeerCallError> {
+    if status == StatusCode::OK {
+        return Ok(());
+    }
+    if !is_final_status(status) {
+        return Err(PeerCallError::Interrupted { peer });
+    }
+    Err(PeerCallError::Rejected {
+        peer,
+        status: status.as_u16(),
+    })
+}
+
 async fn connect(local_ip: IpAddr, peer: SocketAddr) -> Option<SendRequest<Bytes>> {
     // Peers accept the internal address in a stream's headers only from the same IP address.
     let socket = match local_ip {
--- a/tests/gateway_cut_forwards.rs
+++ b/tests/gateway_cut_forwards.rs
@@ -69,6 +69,7 @@
 /// What a VM does with a forwarded request.
 #[derive(Clone, Copy, Debug)]
 struct Behaviour {
+    status: u16,
     /// Headers of the response besides the signature, or `None` for no head.
     headers: Option<&'static [(&'static str, &'static str)]>,
     sent_bytes: usize,
@@ -95,6 +96,7 @@
         join_all((0..4).map(|_| vm.serves(request("/g/x")))).await;
         sleep(KNOWN).await;
         let behaviour = Behaviour {
+            status: 200,
             headers: HANDLED,
             sent_bytes: BODY.len(),
             ending: Ending::Whole,
@@ -175,7 +177,9 @@
     let is_whole = behaviour.ending == Ending::Whole;
     let mut stream = None;
     if let Some(headers) = behaviour.headers {
-        let mut head = Response::builder().header("x-signature", "signed");
+        let mut head = Response::builder()
+            .status(behaviour.status)
+            .header("x-signature", "signed");
         for (name, value) in headers {
             head = head.header(*name, *value);
         }
@@ -219,6 +223,7 @@
     let forward_test = ForwardTest::start().await;
     for headers in [HANDLED, HANDLED_WITH_LENGTH] {
         let whole = Behaviour {
+            status: 200,
             headers,
             sent_bytes: BODY.len(),
             ending: Ending::Whole,
@@ -232,6 +237,7 @@
         for sent_bytes in [0, 1, 31] {
             for ending in CUT_ENDINGS {
                 let behaviour = Behaviour {
+                    status: 200,
                     headers,
                     sent_bytes,
                     ending,
@@ -252,6 +258,7 @@
     let forward_test = ForwardTest::start().await;
     let send = async |headers| {
         let behaviour = Behaviour {
+            status: 200,
             headers: Some(headers),
             sent_bytes: BODY.len(),
             ending: Ending::Whole,
@@ -266,3 +273,24 @@
         (503, 2)
     );
 }
+
+/// Guards against serving a response with a status that no response can have, and against believing that its
+/// request has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_with_an_impossible_status_are_not_served() {
+    let forward_test = ForwardTest::start().await;
+    let not_run: &[(&str, &str)] = &[("cloverrack-not-run", "busy")];
+    for status in [600, 999] {
+        for headers in [HANDLED, Some(not_run)] {
+            let behaviour = Behaviour {
+                status,
+                headers,
+                sent_bytes: BODY.len(),
+                ending: Ending::Whole,
+            };
+            let (response, received) = forward_test.send(behaviour).await;
+            assert_eq!((response.status, received), (502, 1), "{response:?}");
+            assert!(response.body.is_empty(), "{response:?}");
+        }
+    }
+}
