Let `choose` use a function that judges one leaf

Cause: an explanation of the choice needs the reasons for which each leaf is excluded or costs more. A second copy of these rules would drift from the choice.

Change: `Leaves::verdict` returns an enum for one leaf, with the parts of its cost, and `choose` takes the lowest total. Leaves that have announced their end, which are not listed by service, get a verdict as well.

--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -10,6 +10,7 @@
 mod reachability;
 mod refusals;
 mod selection;
+mod verdict;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 
 pub use refusals::Refusal;
 pub use selection::NoLeafError;
+pub use verdict::{LeafCost, LeafVerdict};
 
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
--- a/src/gateway/leaves/selection.rs
+++ b/src/gateway/leaves/selection.rs
@@ -2,7 +2,7 @@
 //!
 //! Handles leaves that are slow, failing, paused, warming up, at their limits or unreachable.
 
-use super::{Leaf, Leaves};
+use super::{Leaf, LeafCost, LeafVerdict, Leaves};
 use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::retry_after::{Admission, REMOTE_RETRY_AFTER_COST_US};
 use crate::ids::{LeafKey, ServiceKey};
@@ -58,43 +58,23 @@
         let mut retry_at_us: Option<u64> = None;
         let mut unreachable_since_us: Option<u64> = None;
         for key in self.of_service(service) {
-            let Some(leaf) = self.arena.get(key) else {
-                continue;
-            };
-            if tried.contains(key) || now_us / 1_000 < leaf.misdirected_until_ms {
-                continue;
-            }
-            if let Some(since_us) = leaf.unreachable_since_us {
-                unreachable_since_us = unreachable_since_us.max(Some(since_us));
-                continue;
-            }
-            if leaf.idle.is_empty() && leaf.connections >= limits.per_leaf(service) {
-                has_no_connection = true;
-                continue;
-            }
-            let Some(wait_us) = self.rate_limit_wait_us(leaf, now_us) else {
-                is_rate_limited = true;
-                continue;
-            };
-            let mut cost_us = self.cost_us(leaf, now_us) + wait_us;
-            match leaf
-                .retry_after
-                .admission(leaf.leaf_stats.open_calls(), now_us)
-            {
-                Admission::Allowed => {}
-                Admission::LastChoice => cost_us += REMOTE_RETRY_AFTER_COST_US,
-                Admission::Recovering => {
-                    has_no_connection = true;
-                    continue;
+            match self.verdict(*key, tried, limits, now_us) {
+                LeafVerdict::Available(cost) => {
+                    let cost_us = cost.total_us();
+                    if best.is_none_or(|(lowest_us, _)| cost_us < lowest_us) {
+                        best = Some((cost_us, *key));
+                    }
                 }
-                Admission::NotBefore(at_us) => {
+                LeafVerdict::Draining | LeafVerdict::Tried | LeafVerdict::Misdirected { .. } => {}
+                LeafVerdict::Unreachable { since_us } => {
+                    unreachable_since_us = unreachable_since_us.max(Some(since_us));
+                }
+                LeafVerdict::NoConnection | LeafVerdict::Recovering => has_no_connection = true,
+                LeafVerdict::RateLimited => is_rate_limited = true,
+                LeafVerdict::RetryAfter { at_us } => {
                     retry_at_us = Some(retry_at_us.map_or(at_us, |earlier| earlier.min(at_us)));
-                    continue;
                 }
             }
-            if best.is_none_or(|(lowest_us, _)| cost_us < lowest_us) {
-                best = Some((cost_us, *key));
-            }
         }
         best.map(|(_, key)| key).ok_or({
             if has_no_connection {
@@ -111,22 +91,69 @@
         })
     }
 
-    fn cost_us(&self, leaf: &Leaf, now_us: u64) -> u64 {
-        let mut cost_us = leaf.leaf_stats.expected_us(leaf.record.slots, now_us);
+    /// Returns whether a leaf can take a call now that has been sent to the `tried` leaves, and at what cost.
+    ///
+    /// Both [`Self::choose`] and the explanation of a choice use this verdict.
+    pub fn verdict(
+        &self,
+        key: LeafKey,
+        tried: &[LeafKey],
+        limits: &ConnectionLimits,
+        now_us: u64,
+    ) -> LeafVerdict {
+        let leaf = self.arena.get(&key);
+        let Some(leaf) = leaf.filter(|leaf| !leaf.retired && !leaf.is_departing()) else {
+            return LeafVerdict::Draining;
+        };
+        if tried.contains(&key) {
+            return LeafVerdict::Tried;
+        }
+        if now_us / 1_000 < leaf.misdirected_until_ms {
+            let until_ms = leaf.misdirected_until_ms;
+            return LeafVerdict::Misdirected { until_ms };
+        }
+        if let Some(since_us) = leaf.unreachable_since_us {
+            return LeafVerdict::Unreachable { since_us };
+        }
+        if leaf.idle.is_empty() && leaf.connections >= limits.per_leaf(leaf.service) {
+            return LeafVerdict::NoConnection;
+        }
+        let Some(rate_wait_us) = self.rate_limit_wait_us(leaf, now_us) else {
+            return LeafVerdict::RateLimited;
+        };
+        let retry_after = leaf.retry_after;
+        let last_choice_us = match retry_after.admission(leaf.leaf_stats.open_calls(), now_us) {
+            Admission::Allowed => 0,
+            Admission::LastChoice => REMOTE_RETRY_AFTER_COST_US,
+            Admission::Recovering => return LeafVerdict::Recovering,
+            Admission::NotBefore(at_us) => return LeafVerdict::RetryAfter { at_us },
+        };
+        LeafVerdict::Available(LeafCost {
+            rate_wait_us,
+            last_choice_us,
+            ..self.cost(leaf, now_us)
+        })
+    }
+
+    fn cost(&self, leaf: &Leaf, now_us: u64) -> LeafCost {
+        let mut cost = LeafCost {
+            expected_us: leaf.leaf_stats.expected_us(leaf.record.slots, now_us),
+            ..LeafCost::default()
+        };
         if leaf.record.failure_domain != self.own_domain {
-            cost_us += REMOTE_COST_US;
+            cost.distance_us = REMOTE_COST_US;
         }
         if leaf.idle.is_empty() {
-            cost_us += CONNECT_COST_US;
+            cost.connect_us = CONNECT_COST_US;
         }
         if now_us / 1_000 < leaf.warmup_until_ms {
-            cost_us += WARMUP_COST_US;
+            cost.warmup_us = WARMUP_COST_US;
         }
         let call_us = leaf.leaf_stats.average_us();
         let pause_left_us = leaf
             .pause_predictor
             .pause_left_us(now_us, call_us, &self.pause_period);
-        cost_us += pause_left_us.unwrap_or(0);
-        cost_us
+        cost.pause_us = pause_left_us.unwrap_or(0);
+        cost
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -88,7 +88,7 @@
 pub use leaf_notices::LeafNotices;
 pub use leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 pub use leaf_stats::LeafStats;
-pub use leaves::{Leaves, NoLeafError};
+pub use leaves::{LeafCost, LeafVerdict, Leaves, NoLeafError};
 pub use link_monitor::{CheckResult, LinkChange, LinkMonitor, LinkState};
 pub use membership::{LiveVm, Membership};
 pub use memory_limits::MemoryLimits;
