Explain where a request would go, without sending it

Cause: to see why a VM avoids a leaf or refuses a request, operators had logs of what was sent, but nothing on what would be decided now.

Change: `CallerService::explain` returns the route and configuration version, admission, whether the request would be forwarded, and for each service the leaf that would be chosen, the retry budget left and what counts against each leaf. These got variants without effects: `ConcurrencyLimiter::would_admit` shares the limit with `admit`, `VmClient::has_candidate` the condition with `choose`, `State::check_capacity` is the body of the engine's function, and `RetryBudgets::available_calls` is what `allows` compares. `Forwarder::has_candidate` no longer registers peers.

--- a/src/gateway/concurrency_limiter.rs
+++ b/src/gateway/concurrency_limiter.rs
@@ -61,6 +61,15 @@
     adjusted_ms: u64,
 }
 
+impl Group {
+    /// Returns whether a further request with `rank` more urgent priority levels is within the limit.
+    fn has_room(&self, rank: u32) -> bool {
+        let share = PRIORITY_LEVEL_SHARE.powi(i32::try_from(rank).unwrap_or(i32::MAX));
+        let limit = (self.limit * share).max(1.0);
+        f64::from(self.in_flight) < limit
+    }
+}
+
 impl Default for Group {
     fn default() -> Self {
         Self {
@@ -120,9 +129,7 @@
     /// ```
     pub fn admit(&mut self, group: ServiceKey, rank: u32) -> bool {
         let group = self.groups.entry(group).or_default();
-        let share = PRIORITY_LEVEL_SHARE.powi(i32::try_from(rank).unwrap_or(i32::MAX));
-        let limit = (group.limit * share).max(1.0);
-        if f64::from(group.in_flight) >= limit {
+        if !group.has_room(rank) {
             return false;
         }
         group.in_flight += 1;
@@ -130,6 +137,12 @@
         true
     }
 
+    /// Returns whether a request would be admitted now.
+    pub fn would_admit(&self, group: ServiceKey, rank: u32) -> bool {
+        let group = self.groups.get(&group);
+        group.is_none_or(|group| group.has_room(rank))
+    }
+
     /// Releases the permit of an admitted request.
     pub fn release(&mut self, group: ServiceKey) {
         if let Some(group) = self.groups.get_mut(&group) {
--- a/src/gateway/concurrency_permit.rs
+++ b/src/gateway/concurrency_permit.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use super::concurrency_limiter::CompletedRequest;
-use super::engine::Engine;
+use super::engine::{Engine, State};
 use super::fanout::FanoutPlan;
 use crate::clock::boot_ms;
 use crate::ids::ServiceKey;
@@ -21,7 +21,7 @@
         shards: &[ServiceKey],
         rank: u32,
     ) -> Result<ConcurrencyPermit, (f64, f64)> {
-        let group = shards.first().copied().unwrap_or(ServiceKey::new(0));
+        let group = group_of(shards);
         let concurrency_limiter = &mut self.state().concurrency_limiter;
         if !concurrency_limiter.admit(group, rank) {
             return Err(concurrency_limiter.limit_and_pressure(group));
@@ -33,6 +33,27 @@
     }
 }
 
+impl State {
+    /// Checks whether a request to a set of shards would be admitted now, without admitting it. Fails with the
+    /// limit and the pressure.
+    pub(super) fn check_admission(
+        &self,
+        shards: &[ServiceKey],
+        rank: u32,
+    ) -> Result<(), (f64, f64)> {
+        let group = group_of(shards);
+        if self.concurrency_limiter.would_admit(group, rank) {
+            return Ok(());
+        }
+        Err(self.concurrency_limiter.limit_and_pressure(group))
+    }
+}
+
+/// Returns the group of a set of shards, which is identified by the first one.
+fn group_of(shards: &[ServiceKey]) -> ServiceKey {
+    shards.first().copied().unwrap_or(ServiceKey::new(0))
+}
+
 /// Permit of one running scatter-gather request, released on drop.
 #[derive(Debug)]
 pub struct ConcurrencyPermit {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -5,6 +5,7 @@
 //! of leaves that stall or fail with the other active VMs.
 
 mod active_vms;
+mod arrival;
 mod reports;
 mod retries;
 
@@ -21,7 +22,6 @@
 
 use super::body_memory::BodyMemory;
 use super::call::OpenCall;
-use super::capacity::CapacityError;
 use super::catalog::Catalog;
 use super::concurrency_limiter::ConcurrencyLimiter;
 use super::connection::Connection;
@@ -312,27 +312,6 @@
         delays.record_turn(boot_us(), interval_ms * 1_000);
     }
 
-    /// Checks that a request which needs a leaf of at least `min_services` services can be served now.
-    ///
-    /// # Errors
-    ///
-    /// Fails if it can't.
-    pub fn check_capacity(
-        &self,
-        services: &[ServiceKey],
-        min_services: usize,
-    ) -> Result<(), CapacityError> {
-        let state = &*self.state();
-        let now_us = boot_us();
-        if state.link_monitor.is_lost() {
-            let leaves = &state.leaves;
-            return leaves.check_open_connections(services, min_services, now_us / 1_000);
-        }
-        state
-            .leaves
-            .check_capacity(services, min_services, &state.limits, now_us)
-    }
-
     /// Opens a call to a leaf that begins at `started_us`, on an idle connection or on a new one that
     /// the call sets up.
     fn open(
--- a/src/gateway/engine/retries.rs
+++ b/src/gateway/engine/retries.rs
@@ -1,6 +1,6 @@
 //! Charges extra calls to the retry budgets of services.
 
-use super::Engine;
+use super::{Engine, State};
 use crate::clock::boot_ms;
 use crate::ids::ServiceKey;
 
@@ -26,3 +26,10 @@
         self.metrics.count_retry(spent);
     }
 }
+
+impl State {
+    /// Returns the number of extra calls that the retry budget of a service allows now.
+    pub(in crate::gateway) fn available_retries(&self, service: ServiceKey) -> u64 {
+        self.retry_budgets.available_calls(service)
+    }
+}
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -71,7 +71,7 @@
 
     /// Returns whether there is another VM that reaches the leaves.
     pub(super) fn has_candidate(&self) -> bool {
-        self.vm_client.choose(&[]).is_some()
+        self.vm_client.has_candidate()
     }
 
     /// Returns whether there is another VM that reaches the leaves and is not stopping.
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -38,7 +38,7 @@
 const ONCE_TARGET_DIVISOR: u64 = 4;
 
 /// Refusal of a request that this VM has no time for.
-const STOPPING: Refusal = Refusal::Stopping { has_other_vm: true };
+pub(super) const STOPPING: Refusal = Refusal::Stopping { has_other_vm: true };
 
 /// End of a request at the leaves of this VM.
 pub(super) struct RunEnd {
@@ -70,7 +70,7 @@
     started_us: u64,
 ) -> RunEnd {
     // Checked first: another VM can serve what this one has no time for, whatever else stands against it.
-    if !has_time(engine, route, spec) {
+    if !has_time(engine, route, spec.deadline_us) {
         return refused(STOPPING, prior_calls);
     }
     let timeout_us = spec.deadline_us.saturating_sub(started_us);
@@ -126,12 +126,12 @@
 }
 
 /// Returns whether a leaf can answer a request before this VM stops.
-pub(super) fn has_time(engine: &Engine, route: &Route, spec: &CallSpec) -> bool {
+pub(super) fn has_time(engine: &Engine, route: &Route, deadline_us: u64) -> bool {
     let Some(stop) = *engine.stop_schedule().borrow() else {
         return true;
     };
     let expected_us = expected_us(engine, route);
-    stop.allows_call(boot_us(), expected_us, spec.deadline_us)
+    stop.allows_call(boot_us(), expected_us, deadline_us)
 }
 
 /// Returns the time within which a leaf is expected to answer a request.
@@ -158,7 +158,7 @@
 
 /// Returns the end of a request that is refused on arrival. Another VM may have what this one lacks,
 /// unless the leaves refuse requests of all VMs.
-fn refused(refusal: Refusal, prior_calls: PriorCalls) -> RunEnd {
+pub(super) fn refused(refusal: Refusal, prior_calls: PriorCalls) -> RunEnd {
     let is_unreachable = matches!(refusal, Refusal::Unreachable { .. });
     let is_local = matches!(
         refusal,
@@ -180,14 +180,23 @@
 ) -> Result<(), Refusal> {
     let capacity = engine.check_capacity(&plan.services, plan.min_parts);
     let remaining_ms = spec.deadline_us.saturating_sub(started_us) / 1_000;
-    capacity.map_err(|error| match error {
+    capacity.map_err(|error| capacity_refusal(error, remaining_ms, started_us))
+}
+
+/// Returns the refusal of a request that arrived at `started_us` and can't be served.
+pub(super) fn capacity_refusal(
+    error: CapacityError,
+    remaining_ms: u64,
+    started_us: u64,
+) -> Refusal {
+    match error {
         CapacityError::Unreachable => Refusal::Unreachable { remaining_ms },
         CapacityError::LinksLost => Refusal::LinksLost { remaining_ms },
         CapacityError::RateLimited => Refusal::RateLimited { remaining_ms },
         CapacityError::RetryAfter { at_us } => Refusal::RetryAfter {
             wait_ms: at_us.saturating_sub(started_us).div_ceil(1_000),
         },
-    })
+    }
 }
 
 /// Admits a scatter-gather request, or rejects it if the leaves' queues are too long.
@@ -308,7 +317,7 @@
     };
     FanoutPlan {
         route: spec.name.clone(),
-        budget: services.first().copied().unwrap_or(ServiceKey::new(0)),
+        budget: budget_service(&services),
         services,
         min_parts,
         max_attempts: usize::try_from(spec.max_attempts).unwrap_or(1).max(1),
@@ -321,6 +330,11 @@
     }
 }
 
+/// Returns the service whose retry budget the extra calls of a request are charged to.
+pub(super) fn budget_service(services: &[ServiceKey]) -> ServiceKey {
+    services.first().copied().unwrap_or(ServiceKey::new(0))
+}
+
 fn draw_service(cumulative: &[(ServiceKey, u64)]) -> Option<ServiceKey> {
     let total = cumulative.last().map_or(0, |(_, total)| *total);
     if total == 0 {
--- a/src/gateway/retry_budgets.rs
+++ b/src/gateway/retry_budgets.rs
@@ -176,6 +176,12 @@
         service_budget.budget.earn(1, earned_ppm);
     }
 
+    /// Returns the extra calls that the budget of a service has now.
+    pub fn available_calls(&self, service: ServiceKey) -> u64 {
+        let service_budget = self.service_budgets.get(&service);
+        service_budget.map_or(0, |budget| budget.available_calls(&self.limits, self.vms))
+    }
+
     /// Returns whether an extra call is allowed for a request that needs `needed` of them to
     /// succeed.
     ///
@@ -187,7 +193,7 @@
         let Some(service_budget) = self.service_budgets.get(&service) else {
             return false;
         };
-        let available_calls = service_budget.available_calls(&self.limits, self.vms);
+        let available_calls = self.available_calls(service);
         if needed == 0 {
             return available_calls > 0 && service_budget.budget.is_half_full();
         }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -258,6 +258,11 @@
         matching.find(|route| path.starts_with(&*route.spec.prefix))
     }
 
+    /// Returns whether a host has routes. The host has to be in lowercase.
+    pub fn has_host(&self, host: &str) -> bool {
+        self.hosts.contains_key(host)
+    }
+
     /// Returns the maximum number of connections that one leaf of a service accepts from all VMs.
     pub fn max_connections(&self, service: ServiceKey) -> Option<u32> {
         self.max_connections.get(&service).copied()
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -62,8 +62,8 @@
 /// Serves callers' requests with the current routes.
 #[derive(Debug)]
 pub struct CallerService {
-    engine: Arc<Engine>,
-    forwarder: Option<Arc<Forwarder>>,
+    pub(super) engine: Arc<Engine>,
+    pub(super) forwarder: Option<Arc<Forwarder>>,
 }
 
 impl CallerService {
@@ -95,7 +95,7 @@
         let mut prior_calls = PriorCalls::default();
         let forward = async |prior_calls| {
             let forwarder = self.forwarder.as_ref()?;
-            if !request_run::has_time(&self.engine, route, &spec) {
+            if !request_run::has_time(&self.engine, route, spec.deadline_us) {
                 return None;
             }
             let name = &route.spec.name;
@@ -160,7 +160,7 @@
         self.forwarder.is_some() && self.engine.links_are_lost(limit.min(LINK_CHECK_WAIT)).await
     }
 
-    fn may_reach_elsewhere(&self, route: &str) -> bool {
+    pub(super) fn may_reach_elsewhere(&self, route: &str) -> bool {
         let forwarder = self.forwarder.as_ref();
         forwarder.is_some_and(|forwarder| forwarder.may_reach(route))
     }
@@ -349,7 +349,11 @@
 
 fn request_host(request: &Request<Incoming>) -> Box<str> {
     let host = request.headers().get(http::header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+    host_name(host.and_then(|host| host.to_str().ok()).unwrap_or(""))
+}
+
+/// Returns the name of a host without its port, in lowercase.
+pub(super) fn host_name(host: &str) -> Box<str> {
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     name.to_ascii_lowercase().into_boxed_str()
 }
--- a/src/gateway/vm_client.rs
+++ b/src/gateway/vm_client.rs
@@ -131,6 +131,16 @@
             .or_else(|| self.choose_of(&live_vms, excluded))
     }
 
+    /// Returns whether [`Self::choose`] would find a VM, without choosing one.
+    pub fn has_candidate(&self) -> bool {
+        let (own, now_ms) = (self.membership.address(), boot_ms());
+        let live_vms = self.membership.live_vms();
+        let leaving_vms = self.membership.leaving_vms(self.drain_ms);
+        let peers = self.peers();
+        let mut vms = live_vms.iter().chain(leaving_vms.iter());
+        vms.any(|vm| is_candidate(vm, own, &peers, now_ms))
+    }
+
     /// Chooses the VM with fewer requests in flight of two random ones that reach the leaves.
     fn choose_of(&self, vms: &[LiveVm], excluded: &[SocketAddr]) -> Option<ChosenVm> {
         let now_ms = boot_ms();
@@ -138,16 +148,11 @@
         let mut peers = self.peers();
         let mut candidates = Vec::new();
         for vm in vms {
-            if vm.address == own
-                || vm.leaf_links != LeafLinks::Connected
-                || excluded.contains(&vm.address)
-            {
+            if excluded.contains(&vm.address) || !is_candidate(vm, own, &peers, now_ms) {
                 continue;
             }
             let peer = peers.entry(vm.address).or_default();
-            if now_ms >= peer.avoided_until_ms.load(Ordering::Relaxed) {
-                candidates.push((vm.address, Arc::clone(peer)));
-            }
+            candidates.push((vm.address, Arc::clone(peer)));
         }
         let two = candidates.sample(&mut rand::rng(), 2);
         let (address, peer) = two.min_by_key(|(_, peer)| peer.in_flight.load(Ordering::Relaxed))?;
@@ -213,6 +218,19 @@
     }
 }
 
+/// Returns whether a VM is another one than `own`, reaches the leaves and need not be avoided.
+fn is_candidate(
+    vm: &LiveVm,
+    own: SocketAddr,
+    peers: &HashMap<SocketAddr, Arc<Peer>>,
+    now_ms: u64,
+) -> bool {
+    let avoided_until_ms = peers
+        .get(&vm.address)
+        .map_or(0, |peer| peer.avoided_until_ms.load(Ordering::Relaxed));
+    vm.address != own && vm.leaf_links == LeafLinks::Connected && now_ms >= avoided_until_ms
+}
+
 /// Returns whether the VM has refused the stream without handling it.
 fn was_refused(error: &hyper::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod quarantine;
 mod query;
 mod query_context;
+pub mod query_string;
 pub mod queue;
 pub mod replica_selection;
 pub mod report;
--- a/tests/gateway_cut_forwards.rs
+++ b/tests/gateway_cut_forwards.rs
@@ -22,7 +22,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cloverrack::gateway::{CallerService, Forwarder, VmClient};
+use cloverrack::gateway::explain::Forwarding;
+use cloverrack::gateway::{CallerService, ExplainRequest, Forwarder, VmClient};
 use cloverrack::http_server::{ShutdownSignals, serve};
 use fleet::{Cut, TestFleet};
 use futures_util::future::join_all;
@@ -84,6 +85,7 @@
 struct ForwardTest {
     _fleet: TestFleet,
     address: SocketAddr,
+    service: Arc<CallerService>,
     behaviour: Arc<Mutex<Behaviour>>,
     received: Arc<AtomicUsize>,
 }
@@ -115,16 +117,18 @@
         let client = VmClient::new(Arc::clone(&engine), membership, FORWARD_PORT, grace_ms);
         let forwarder = Forwarder::new(Arc::clone(&engine), Arc::new(client));
         let service = CallerService::new(engine).with_forwarder(Arc::new(forwarder));
+        let service = Arc::new(service);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         tokio::spawn(serve(
             listener,
-            Arc::new(service),
+            Arc::clone(&service),
             ShutdownSignals::default(),
         ));
         Self {
             _fleet: fleet,
             address,
+            service,
             behaviour,
             received,
         }
@@ -294,3 +298,13 @@
         }
     }
 }
+
+/// Guards against an explanation that leaves out that the request would be forwarded, or that forwards it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_without_links_explains_that_it_forwards() {
+    let forward_test = ForwardTest::start().await;
+    let request = ExplainRequest::new("desk.example", "/o/x", "POST").unwrap();
+    let explanation = forward_test.service.explain(&request).unwrap();
+    assert_eq!(explanation.forwarding, Forwarding::All);
+    assert_eq!(forward_test.received.load(Ordering::SeqCst), 0);
+}
