Add `cloverrack explain`

Missing or malformed arguments, an unknown host or path, a VM without configuration, one that does not answer and an address of another listener give one line on standard error and exit code 2, as in the other commands.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,5 @@
-//! Commands of `cloverrack`: queries, entry addresses, status and service reports of nodes, and
-//! validation of configuration files.
+//! Commands of `cloverrack`: queries, entry addresses, status and service reports of nodes, explanations of
+//! requests by gateway VMs, and validation of configuration files.
 
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -11,6 +11,7 @@
 use thiserror::Error;
 
 mod client;
+mod explain;
 mod query;
 mod services;
 mod status;
@@ -37,6 +38,9 @@
       Exits 1 if nodes have different configuration in force or one gives no answer.
   services --operator IP:PORT [--operator IP:PORT ...] [--json]
       Shows tail latency, coverage and extra load of each service over the last minutes.
+  explain --vm IP:PORT --host HOST --path PATH [--method METHOD] [--json]
+      Shows where a gateway VM would send a request now, and why; sends no request. --vm is the
+      operator address of the VM.
   check FILE [FILE ...]
       Checks configuration files and changes nothing; exits 2 if one is invalid.
 
@@ -65,6 +69,8 @@
     Malformed(SocketAddr),
     #[error("{0}: no ticket available")]
     NoTicket(SocketAddr),
+    #[error("{0}")]
+    Unexplained(Box<str>),
 }
 
 /// Runs a command and returns the exit code.
@@ -100,6 +106,7 @@
         Some("entries") => query::entries(arguments).await,
         Some("status") => status::status(arguments).await,
         Some("services") => services::services(arguments).await,
+        Some("explain") => explain::explain(arguments).await,
         Some("check") => check(arguments),
         Some(other) => Err(CliError::UnknownCommand(other.into())),
         None => Err(CliError::NoCommand),
