Test that impossible statuses are no loss of links

A status check whose reply has an impossible status counts as answered: the link has carried the reply.

--- a/tests/impossible_status.rs
+++ b/tests/impossible_status.rs
@@ -135,6 +135,39 @@
     }
 }
 
+/// Guards against leaves whose status checks fail by an impossible status, and that are taken for a loss of the
+/// VM's links: their failures would be forgotten.
+#[tokio::test]
+async fn replies_with_an_impossible_status_are_no_loss_of_links() {
+    for status in STATUSES {
+        // Status checks carry no ID of a request.
+        let script: Script = Arc::new(move |request| {
+            let reply = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 0\r\n\r\n");
+            match &*request.id {
+                "" => vec![Action::Send(reply.into())],
+                _ => vec![Action::Close],
+            }
+        });
+        let leaf = RawLeaf::spawn(false, Arc::clone(&script)).await;
+        let test_gateway = spawn_gateway(leaf.record("one", "s")).await;
+        for (revision, id) in [(3, "two"), (4, "three")] {
+            let leaf = RawLeaf::spawn(false, Arc::clone(&script)).await;
+            apply_change(&test_gateway, Change::Leaf(leaf.record(id, "s")), revision);
+        }
+        for _ in 0..3 {
+            send_raw(test_gateway.address, "GET", "/a/x", "first", b"").await;
+        }
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        test_gateway.engine.check_links_if_due().await;
+        let metrics = String::from_utf8(test_gateway.engine.metrics.text().unwrap()).unwrap();
+        assert!(metrics.contains("link_checks_total{answered=\"true\""));
+        assert!(
+            !test_gateway.engine.state().link_monitor.is_lost(),
+            "{status}"
+        );
+    }
+}
+
 /// Starts an HTTP/2 server that responds to each request with a status, a refusal and a valid body.
 async fn spawn_http2(status: u16) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
