Merge the rejection of impossible statuses, and cloverrack explain

Reviewed; adapted to the budgets of shards, to admission by priority and to evacuated failure domains: the explanation names an evacuated domain, and asks the limiter of ranked routes without changing it.

--- a/src/gateway/admission/group.rs
+++ b/src/gateway/admission/group.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::level::{InService, Level};
-use super::limiter::AdmissionRequest;
+use super::limiter::{AdmissionRequest, MAX_WAITING};
 use super::queue::WaitQueue;
 
 /// Requests in service per slot of this VM's share from which late answers begin limits. A request whose
@@ -87,7 +87,13 @@
         spare_us.min(request.target_us / divisor)
     }
 
-    pub(super) fn expected_wait_us(&self, rank: u32, is_returning: bool) -> u64 {
+    /// Returns whether a request without a place may wait for one: it would still be answered in time.
+    pub(super) fn lets_wait(&self, request: &AdmissionRequest) -> bool {
+        let expected_us = self.expected_wait_us(request.rank, request.is_returning);
+        expected_us <= self.max_wait_us(request) && self.waiting_due_us.len() < MAX_WAITING
+    }
+
+    fn expected_wait_us(&self, rank: u32, is_returning: bool) -> u64 {
         let ahead = self.queue.ahead_of(rank, is_returning);
         let level = self.levels.get(&rank);
         level.map_or(0, |level| level.expected_wait_us(ahead))
--- a/src/gateway/admission/limiter.rs
+++ b/src/gateway/admission/limiter.rs
@@ -10,6 +10,7 @@
 
 use super::group::{Group, LimitChange};
 use super::level::InService;
+use super::level::Level;
 use super::pressure::{LowestLatency, ReplyTimes};
 use crate::ids::ServiceKey;
 
@@ -18,7 +19,7 @@
 const ADJUST_INTERVAL_US: u64 = 100_000;
 
 /// Maximum number of requests of a group that wait. They hold their bodies in memory.
-const MAX_WAITING: usize = 64;
+pub(super) const MAX_WAITING: usize = 64;
 
 /// A request that asks for a place.
 #[derive(Clone, Copy, Debug)]
@@ -119,20 +120,28 @@
         }
         level.is_short = true;
         group.short_us = now_us;
-        let wait_us = group.max_wait_us(&request);
-        if group.expected_wait_us(rank, request.is_returning) > wait_us
-            || group.waiting_due_us.len() >= MAX_WAITING
-        {
+        if !group.lets_wait(&request) {
             return AdmissionDecision::Refused {
                 limit: group.limit(rank),
                 pressure: group.pressure(rank),
             };
         }
+        let wait_us = group.max_wait_us(&request);
         group.queue.push(rank, request.is_returning, place.id);
         group.waiting_due_us.insert(place.id, request.due_us);
         AdmissionDecision::Waiting(place, now_us + wait_us)
     }
 
+    /// Returns the limit and the pressure with which a request would be refused if it arrived now, or `None` if
+    /// it would get a place or wait for one.
+    pub fn refusal(&self, request: &AdmissionRequest) -> Option<(f64, f64)> {
+        let rank = request.rank;
+        let group = self.groups.get(&request.group)?;
+        let has_place = group.levels.get(&rank).is_none_or(Level::has_place);
+        let is_refused = !has_place && !group.lets_wait(request);
+        is_refused.then(|| (group.limit(rank), group.pressure(rank)))
+    }
+
     /// Records the latency of a request that has ended. Its place is released separately.
     pub fn record_end(&mut self, ended: &EndedRequest<'_>) {
         let lowest = match self.lowest.get_mut(ended.route) {
--- a/src/gateway/admission/permit.rs
+++ b/src/gateway/admission/permit.rs
@@ -27,7 +27,7 @@
 /// Admission of the requests of ranked routes on this VM.
 #[derive(Debug, Default)]
 pub struct Admission {
-    limiter: AdmissionLimiter,
+    pub(in crate::gateway) limiter: AdmissionLimiter,
     returning_callers: ReturningCallers,
     /// Requests that wait for a place, by ID.
     waiting: HashMap<u64, oneshot::Sender<()>>,
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -12,6 +12,7 @@
 mod reachability;
 mod refusals;
 mod selection;
+mod verdict;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 
 pub use refusals::Refusal;
 pub use selection::NoLeafError;
+pub use verdict::{LeafCost, LeafVerdict};
 
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
--- a/src/gateway/link_check.rs
+++ b/src/gateway/link_check.rs
@@ -158,6 +158,8 @@
                     result.answered += 1;
                     self.record_warmup(*leaf, &reply);
                 }
+                // The link works, although the reply counts against the leaf.
+                Err(CallError::ImpossibleStatus) => result.answered += 1,
                 Ok(None) | Err(CallError::Connect) => result.silent += 1,
                 Err(_) => result.refused += 1,
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod entry;
 pub mod evacuation;
 pub mod evidence_sync;
+pub mod explain;
 pub mod fanout;
 pub mod fanout_schedule;
 pub mod follower;
@@ -87,6 +88,7 @@
     ColdLeaf, DomainChange, Evacuation, Evacuations, SourceChanges, SourceImage, Warmup,
     WarmupSettings,
 };
+pub use explain::{ExplainError, ExplainRequest, Explanation};
 pub use fanout_schedule::{CallLatency, FanoutDecision, FanoutSchedule, ShardCounts};
 pub use follower::{CatalogSource, CatalogSourceError, Follower};
 pub use forwarded_request::{ForwardedRequest, NotRunReason, PriorCalls};
@@ -95,7 +97,7 @@
 pub use leaf_notices::LeafNotices;
 pub use leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 pub use leaf_stats::LeafStats;
-pub use leaves::{Leaves, NoLeafError};
+pub use leaves::{LeafCost, LeafVerdict, Leaves, NoLeafError};
 pub use link_monitor::{CheckResult, LinkChange, LinkMonitor, LinkState};
 pub use membership::{LiveVm, Membership};
 pub use memory_limits::MemoryLimits;
--- a/src/gateway/vm_client.rs
+++ b/src/gateway/vm_client.rs
@@ -25,6 +25,7 @@
 use super::membership::{LiveVm, Membership};
 use crate::clock::boot_ms;
 use crate::fact::LeafLinks;
+use crate::response_status::is_final_status;
 
 /// Version of the messages between VMs, and the header that carries it.
 pub const MESSAGE_VERSION: u16 = 1;
@@ -48,7 +49,8 @@
     /// The request was not sent, or the VM has refused it without handling it.
     #[error("VM can't be reached")]
     NotSent,
-    /// The connection broke off, and the VM may have handled the request.
+    /// The connection broke off, or the status of the response is none that a response can have; the VM may
+    /// have handled the request.
     #[error("connection to the VM broke off")]
     Broken,
 }
@@ -129,6 +131,16 @@
             .or_else(|| self.choose_of(&live_vms, excluded))
     }
 
+    /// Returns whether [`Self::choose`] would find a VM, without choosing one.
+    pub fn has_candidate(&self) -> bool {
+        let (own, now_ms) = (self.membership.address(), boot_ms());
+        let live_vms = self.membership.live_vms();
+        let leaving_vms = self.membership.leaving_vms(self.drain_ms);
+        let peers = self.peers();
+        let mut vms = live_vms.iter().chain(leaving_vms.iter());
+        vms.any(|vm| is_candidate(vm, own, &peers, now_ms))
+    }
+
     /// Chooses the VM with fewer requests in flight of two random ones that reach the leaves.
     fn choose_of(&self, vms: &[LiveVm], excluded: &[SocketAddr]) -> Option<ChosenVm> {
         let now_ms = boot_ms();
@@ -136,16 +148,11 @@
         let mut peers = self.peers();
         let mut candidates = Vec::new();
         for vm in vms {
-            if vm.address == own
-                || vm.leaf_links != LeafLinks::Connected
-                || excluded.contains(&vm.address)
-            {
+            if excluded.contains(&vm.address) || !is_candidate(vm, own, &peers, now_ms) {
                 continue;
             }
             let peer = peers.entry(vm.address).or_default();
-            if now_ms >= peer.avoided_until_ms.load(Ordering::Relaxed) {
-                candidates.push((vm.address, Arc::clone(peer)));
-            }
+            candidates.push((vm.address, Arc::clone(peer)));
         }
         let two = candidates.sample(&mut rand::rng(), 2);
         let (address, peer) = two.min_by_key(|(_, peer)| peer.in_flight.load(Ordering::Relaxed))?;
@@ -170,13 +177,17 @@
             .body(Full::new(body))
             .map_err(|_| VmCallError::NotSent)?;
         let response = connection.try_send_request(request).await;
-        response.map_err(|mut error| {
+        let response = response.map_err(|mut error| {
             if error.take_message().is_some() || was_refused(error.error()) {
                 VmCallError::NotSent
             } else {
                 VmCallError::Broken
             }
-        })
+        })?;
+        if !is_final_status(response.status()) {
+            return Err(VmCallError::Broken);
+        }
+        Ok(response)
     }
 
     /// Returns the connection to a VM, and opens one if there is none.
@@ -207,6 +218,19 @@
     }
 }
 
+/// Returns whether a VM is another one than `own`, reaches the leaves and need not be avoided.
+fn is_candidate(
+    vm: &LiveVm,
+    own: SocketAddr,
+    peers: &HashMap<SocketAddr, Arc<Peer>>,
+    now_ms: u64,
+) -> bool {
+    let avoided_until_ms = peers
+        .get(&vm.address)
+        .map_or(0, |peer| peer.avoided_until_ms.load(Ordering::Relaxed));
+    vm.address != own && vm.leaf_links == LeafLinks::Connected && now_ms >= avoided_until_ms
+}
+
 /// Returns whether the VM has refused the stream without handling it.
 fn was_refused(error: &hyper::Error) -> bool {
     let source = std::error::Error::source(error);
--- a/tests/gateway_cut_forwards.rs
+++ b/tests/gateway_cut_forwards.rs
@@ -22,7 +22,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cloverrack::gateway::{CallerService, Forwarder, VmClient};
+use cloverrack::gateway::explain::Forwarding;
+use cloverrack::gateway::{CallerService, ExplainRequest, Forwarder, VmClient};
 use cloverrack::http_server::{ShutdownSignals, serve};
 use fleet::{Cut, TestFleet};
 use futures_util::future::join_all;
@@ -69,6 +70,7 @@
 /// What a VM does with a forwarded request.
 #[derive(Clone, Copy, Debug)]
 struct Behaviour {
+    status: u16,
     /// Headers of the response besides the signature, or `None` for no head.
     headers: Option<&'static [(&'static str, &'static str)]>,
     sent_bytes: usize,
@@ -83,6 +85,7 @@
 struct ForwardTest {
     _fleet: TestFleet,
     address: SocketAddr,
+    service: Arc<CallerService>,
     behaviour: Arc<Mutex<Behaviour>>,
     received: Arc<AtomicUsize>,
 }
@@ -95,6 +98,7 @@
         join_all((0..4).map(|_| vm.serves(request("/g/x")))).await;
         sleep(KNOWN).await;
         let behaviour = Behaviour {
+            status: 200,
             headers: HANDLED,
             sent_bytes: BODY.len(),
             ending: Ending::Whole,
@@ -113,16 +117,18 @@
         let client = VmClient::new(Arc::clone(&engine), membership, FORWARD_PORT, grace_ms);
         let forwarder = Forwarder::new(Arc::clone(&engine), Arc::new(client));
         let service = CallerService::new(engine).with_forwarder(Arc::new(forwarder));
+        let service = Arc::new(service);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         tokio::spawn(serve(
             listener,
-            Arc::new(service),
+            Arc::clone(&service),
             ShutdownSignals::default(),
         ));
         Self {
             _fleet: fleet,
             address,
+            service,
             behaviour,
             received,
         }
@@ -175,7 +181,9 @@
     let is_whole = behaviour.ending == Ending::Whole;
     let mut stream = None;
     if let Some(headers) = behaviour.headers {
-        let mut head = Response::builder().header("x-signature", "signed");
+        let mut head = Response::builder()
+            .status(behaviour.status)
+            .header("x-signature", "signed");
         for (name, value) in headers {
             head = head.header(*name, *value);
         }
@@ -219,6 +227,7 @@
     let forward_test = ForwardTest::start().await;
     for headers in [HANDLED, HANDLED_WITH_LENGTH] {
         let whole = Behaviour {
+            status: 200,
             headers,
             sent_bytes: BODY.len(),
             ending: Ending::Whole,
@@ -232,6 +241,7 @@
         for sent_bytes in [0, 1, 31] {
             for ending in CUT_ENDINGS {
                 let behaviour = Behaviour {
+                    status: 200,
                     headers,
                     sent_bytes,
                     ending,
@@ -252,6 +262,7 @@
     let forward_test = ForwardTest::start().await;
     let send = async |headers| {
         let behaviour = Behaviour {
+            status: 200,
             headers: Some(headers),
             sent_bytes: BODY.len(),
             ending: Ending::Whole,
@@ -266,3 +277,34 @@
         (503, 2)
     );
 }
+
+/// Guards against serving a response with a status that no response can have, and against believing that its
+/// request has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_with_an_impossible_status_are_not_served() {
+    let forward_test = ForwardTest::start().await;
+    let not_run: &[(&str, &str)] = &[("cloverrack-not-run", "busy")];
+    for status in [600, 999] {
+        for headers in [HANDLED, Some(not_run)] {
+            let behaviour = Behaviour {
+                status,
+                headers,
+                sent_bytes: BODY.len(),
+                ending: Ending::Whole,
+            };
+            let (response, received) = forward_test.send(behaviour).await;
+            assert_eq!((response.status, received), (502, 1), "{response:?}");
+            assert!(response.body.is_empty(), "{response:?}");
+        }
+    }
+}
+
+/// Guards against an explanation that leaves out that the request would be forwarded, or that forwards it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_without_links_explains_that_it_forwards() {
+    let forward_test = ForwardTest::start().await;
+    let request = ExplainRequest::new("desk.example", "/o/x", "POST").unwrap();
+    let explanation = forward_test.service.explain(&request).unwrap();
+    assert_eq!(explanation.forwarding, Forwarding::All);
+    assert_eq!(forward_test.received.load(Ordering::SeqCst), 0);
+}
