--- a/src/gateway/evacuation/sync.rs
+++ b/src/gateway/evacuation/sync.rs
@@ -16,7 +16,7 @@
 impl Engine {
     /// Applies a full read of the store. Evacuations come first, so that no new leaf of an evacuated domain
     /// is used.
-    pub(in crate::gateway) fn apply_source_image(&self, image: SourceImage) -> ChangeSummary {
+    pub fn apply_source_image(&self, image: SourceImage) -> ChangeSummary {
         let state = &mut *self.state();
         let version = image.catalog.version();
         state.apply_warmups(image.warmups);
--- a/src/gossip/fact_table.rs
+++ b/src/gossip/fact_table.rs
@@ -152,6 +152,16 @@
         Some(oldest)
     }
 
+    /// Removes the oldest fact of the kind of an inserted one if there are too many; returns its key.
+    fn drop_excess(&mut self, inserted: &FactKey) -> Option<FactKey> {
+        let fact = &self.facts.get(inserted)?.fact;
+        if matches!(fact, Fact::Evacuation(_)) {
+            return self.drop_oldest_evacuation();
+        }
+        fact.evidence_unix_ms()?;
+        self.drop_oldest_evidence()
+    }
+
     /// Returns the number of changes to facts about VMs and their profiles so far.
     pub(super) fn vm_changes(&self) -> u64 {
         self.vm_changes
@@ -205,8 +215,6 @@
         let (bucket, hash) = bucket_and_hash(&key, &precedence);
         self.buckets[usize::from(bucket)] ^= hash;
         self.vm_changes += u64::from(describes_vm(&key));
-        let is_evidence = fact.evidence_unix_ms().is_some();
-        let is_evacuation = matches!(fact, Fact::Evacuation(_));
         let entry = StoredFact {
             encoded_bytes: encoded_bytes(&fact),
             fact,
@@ -217,10 +225,7 @@
             queue_position: None,
         };
         self.facts.insert(key.clone(), entry);
-        if is_evidence && self.drop_oldest_evidence().as_ref() == Some(&key) {
-            return false;
-        }
-        if is_evacuation && self.drop_oldest_evacuation().as_ref() == Some(&key) {
+        if self.drop_excess(&key).as_ref() == Some(&key) {
             return false;
         }
         if dissemination == Dissemination::Enqueue {
--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -12,7 +12,7 @@
 use cloverrack::fact::Profile;
 use cloverrack::gateway::catalog_sync::bootstrap_catalog;
 use cloverrack::gateway::{
-    CallError, Change, Engine, LeafRecord, Membership, catalog_rpc, evidence_sync,
+    CallError, Change, Engine, LeafRecord, Membership, SourceImage, catalog_rpc, evidence_sync,
 };
 use gateway::{
     Leaf, LeafBehaviour, TestGateway, apply_change, call_spec, engine, evacuation, gather_route,
@@ -109,6 +109,14 @@
     Membership::bind(address, seeds, profile).await.unwrap()
 }
 
+/// Applies a full read of the store that lists these domains.
+fn read_store(engine: &Engine, revision: u64, domains: &[&str]) {
+    let mut image = SourceImage::from(engine.state().catalog.image());
+    image.catalog.revision = revision;
+    image.evacuated_domains = domains.iter().map(|domain| (*domain).into()).collect();
+    engine.apply_source_image(image);
+}
+
 async fn learns(engine: &Engine, expected: usize) {
     let learned = async {
         while engine.state().leaves.evacuated_domains().len() != expected {
@@ -129,8 +137,8 @@
     let membership = bind_membership(&listener, None).await;
     tokio::spawn(Arc::clone(&membership).run());
     tokio::spawn(catalog_rpc::serve(listener, Arc::clone(&earlier)));
-    earlier.apply_evidence(vec![evacuation("b", 3, true)]);
-    membership.publish(evacuation("b", 3, true));
+    tokio::spawn(evidence_sync::run(Arc::clone(&earlier), membership));
+    read_store(&earlier, 3, &["b"]);
     let (by_gossip, by_catalog) = (engine(), engine());
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let joining = bind_membership(&listener, Some(address)).await;
@@ -147,13 +155,11 @@
     gossip.abort();
     sleep(Duration::from_millis(500)).await;
     by_gossip.state().leaves.forget_failures();
-    membership.publish(evacuation("c", 4, true));
+    read_store(&earlier, 4, &["b", "c"]);
     sleep(Duration::from_millis(1_500)).await;
     learns(&by_gossip, 1).await;
     tokio::spawn(Arc::clone(&joining).run());
     learns(&by_gossip, 2).await;
-    for domain in ["b", "c"] {
-        membership.publish(evacuation(domain, 5, false));
-    }
+    read_store(&earlier, 5, &[]);
     learns(&by_gossip, 0).await;
 }
