Bound the responses that callers of the gateway don't read

A response kept its bytes until its caller had read it, outside of any count: merged ones in no share of the memory, and relayed ones in that of the replies, so that slow callers took the room of replies. On HTTP/2 nothing ended a response whose stream got no window while its connection answered pings. On HTTP/1.1, the write timeout of 5 s cut off callers that read steadily: the kernel grows a send buffer to 4 MB and reports free space only when a third of it is free.

Responses of the callers' listener now count until their last part is written. One without progress for 5 s is cut off with its connection. Beyond 1/32 of the memory, those without progress for at least 2 s are cut off, longest first, and requests are refused on arrival. The send buffer of these connections is 64 KiB, so that progress is seen. Merged responses stay in the memory of the replies.

The size of the buffer has to be set on the connection: with that of the listener, the connection kept 4 MB.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -45,6 +45,7 @@
 use crate::clock::{boot_ms, boot_us};
 use crate::fact::Fact;
 use crate::head_memory::RequestHeadMemory;
+use crate::http_server::ResponseMemory;
 use crate::ids::{LeafKey, ServiceKey};
 
 /// Memory of a VM, unless it is set.
@@ -126,6 +127,8 @@
     pub reply_memory: Arc<ReplyMemory>,
     /// Memory that the bodies of requests share.
     pub body_memory: BodyMemory,
+    /// Memory that the responses to callers share while they are sent.
+    pub response_memory: ResponseMemory,
     /// Memory that the heads of requests share which exceed a read buffer.
     pub request_heads: RequestHeadMemory,
     /// Requests in progress on this VM.
@@ -178,6 +181,7 @@
             memory_limits,
             reply_memory: Arc::new(ReplyMemory::new(memory_limits.large_reply_bytes)),
             body_memory: BodyMemory::new(memory_limits.body_bytes),
+            response_memory: ResponseMemory::new(memory_limits.response_bytes),
             request_heads: RequestHeadMemory::new(memory_limits.request_head_bytes),
             open_requests: OpenRequests::default(),
             active_addresses: Mutex::new(Arc::from([])),
@@ -203,6 +207,7 @@
         self.memory_limits = memory_limits;
         self.reply_memory = Arc::new(ReplyMemory::new(memory_limits.large_reply_bytes));
         self.body_memory = BodyMemory::new(memory_limits.body_bytes);
+        self.response_memory = ResponseMemory::new(memory_limits.response_bytes);
         self.request_heads = RequestHeadMemory::new(memory_limits.request_head_bytes);
         self
     }
@@ -213,6 +218,12 @@
         self
     }
 
+    /// Sets the size of the memory that the responses to callers share.
+    pub fn with_response_memory(mut self, bytes: usize) -> Self {
+        self.response_memory = ResponseMemory::new(bytes);
+        self
+    }
+
     /// Changes the limits of the retry budgets.
     pub fn set_retry_budget_limits(&self, limits: RetryBudgetLimits) {
         self.state().retry_budgets.set_limits(limits);
--- a/src/gateway/memory_limits.rs
+++ b/src/gateway/memory_limits.rs
@@ -21,6 +21,9 @@
 const REQUEST_HEAD_DIVISOR: usize = 32;
 const CATALOG_UPDATE_DIVISOR: usize = 32;
 
+/// Half of the memory of a size class of small replies, so that callers that don't read leave room for replies.
+const RESPONSE_DIVISOR: usize = 32;
+
 /// Limits on what a VM holds in memory, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryLimits {
@@ -34,6 +37,8 @@
     pub caller_connections: usize,
     /// Heads of requests that exceed a read buffer.
     pub request_head_bytes: usize,
+    /// Responses that are being sent to callers. They stay in the memory of the replies.
+    pub response_bytes: usize,
     /// Encoded updates of the catalog that are being sent.
     pub catalog_update_bytes: usize,
 }
@@ -58,6 +63,7 @@
             large_reply_bytes: memory_bytes / LARGE_REPLY_DIVISOR,
             caller_connections: connections.clamp(1, MAX_CALLER_CONNECTIONS),
             request_head_bytes: memory_bytes / REQUEST_HEAD_DIVISOR,
+            response_bytes: memory_bytes / RESPONSE_DIVISOR,
             // A VM without room for one update of the largest size could help no other.
             catalog_update_bytes: (memory_bytes / CATALOG_UPDATE_DIVISOR).max(MAX_FRAME_BYTES),
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::connection::CallError;
+use crate::http_server::CutOffCause;
 use crate::telemetry::{Exporter, TelemetryError};
 
 /// Metrics of one process.
@@ -23,6 +24,7 @@
     links_lost: Gauge<u64>,
     unanswered: Counter<u64>,
     memory_refusals: Counter<u64>,
+    cut_off_responses: Counter<u64>,
 }
 
 impl Metrics {
@@ -54,6 +56,9 @@
             memory_refusals: meter
                 .u64_counter("cloverrack_gateway_memory_refusals")
                 .build(),
+            cut_off_responses: meter
+                .u64_counter("cloverrack_gateway_cut_off_responses")
+                .build(),
             exporter,
         })
     }
@@ -111,6 +116,16 @@
             .add(1, &[KeyValue::new("purpose", purpose)]);
     }
 
+    /// Counts a response that was cut off, by cause.
+    pub fn count_cut_off(&self, cause: CutOffCause) {
+        let cause = match cause {
+            CutOffCause::Stalled => "stalled",
+            CutOffCause::NoMemory => "no memory",
+        };
+        self.cut_off_responses
+            .add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -49,6 +49,8 @@
     BodyIncomplete,
     #[error("{}", BodyReadError::NoMemory)]
     NoBodyMemory { remaining_ms: u64 },
+    #[error("callers have not read the responses that take the memory")]
+    NoResponseMemory { remaining_ms: u64 },
     #[error("content is quarantined, since it crashed leaves")]
     Quarantined { until_unix_ms: u64 },
     #[error("{}", CapacityError::RateLimited)]
@@ -81,6 +83,7 @@
             | Self::RateLimited { .. }
             | Self::RetryAfter { .. }
             | Self::NoBodyMemory { .. }
+            | Self::NoResponseMemory { .. }
             | Self::LinksLost { .. }
             | Self::Unreachable { .. }
             | Self::Stopping { .. }
@@ -101,6 +104,7 @@
             Self::Overloaded { remaining_ms, .. }
             | Self::RateLimited { remaining_ms }
             | Self::NoBodyMemory { remaining_ms }
+            | Self::NoResponseMemory { remaining_ms }
             | Self::LinksLost { remaining_ms }
             | Self::Unreachable { remaining_ms } => {
                 let max_wait_ms = remaining_ms / RETRY_WAIT_DIVISOR;
--- a/src/gateway/reply_memory.rs
+++ b/src/gateway/reply_memory.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use thiserror::Error;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
@@ -74,6 +75,13 @@
     reserved_bytes: usize,
 }
 
+/// Body that was built from replies.
+struct HeldBody {
+    body: Bytes,
+    memory: Arc<ReplyMemory>,
+    size_class: usize,
+}
+
 /// Receives the parts of one reply.
 #[derive(Debug)]
 pub struct ReplyReceiver {
@@ -119,6 +127,32 @@
         self.available_bytes[LARGE_CLASS].load(Ordering::Relaxed)
     }
 
+    /// Returns a body that was built from replies, which keeps a share of the memory until it is dropped. It
+    /// is returned without room as well, since its work has been done.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use cloverrack::gateway::ReplyMemory;
+    /// let memory = Arc::new(ReplyMemory::new(200_000));
+    /// let body = memory.hold(bytes::Bytes::from(vec![1; 70_000]));
+    /// assert_eq!((body.len(), memory.available_bytes()), (70_000, 130_000));
+    /// drop(body);
+    /// assert_eq!(memory.available_bytes(), 200_000);
+    /// ```
+    pub fn hold(self: &Arc<Self>, body: Bytes) -> Bytes {
+        let (size_class, length_bytes) = (size_class(body.len()), body.len());
+        if body.is_empty() || !self.reserve(size_class, length_bytes) {
+            return body;
+        }
+        Bytes::from_owner(HeldBody {
+            body,
+            memory: Arc::clone(self),
+            size_class,
+        })
+    }
+
     fn reserve(&self, size_class: usize, bytes: usize) -> bool {
         let take = |available: usize| available.checked_sub(bytes);
         let order = Ordering::Relaxed;
@@ -241,6 +275,18 @@
     }
 }
 
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        self.memory.release(self.size_class, self.body.len());
+    }
+}
+
 impl Drop for ReplyBuffer {
     fn drop(&mut self) {
         self.memory.release(self.size_class, self.reserved_bytes);
--- a/src/gateway/request_run.rs
+++ b/src/gateway/request_run.rs
@@ -228,7 +228,10 @@
         signatures.extend_from_slice(signature.as_bytes());
         bodies.push(reply.body);
     }
-    let mut response = Response::new(Full::new(merge_records(&bodies, *top_records)));
+    let parts = bodies.len();
+    let merged = merge_records(&bodies, *top_records);
+    drop(bodies);
+    let mut response = Response::new(Full::new(engine.reply_memory.hold(merged)));
     let Ok(signatures) = HeaderValue::from_bytes(&signatures) else {
         return empty_response(StatusCode::BAD_GATEWAY);
     };
@@ -236,7 +239,7 @@
     fields.insert(&headers.part_signatures, signatures);
     fields.insert(
         &headers.missing_parts,
-        HeaderValue::from(shard_count - bodies.len()),
+        HeaderValue::from(shard_count - parts),
     );
     response
 }
--- a/src/gateway/service.rs
+++ b/src/gateway/service.rs
@@ -30,7 +30,7 @@
 use super::routes::{CallerLimits, Route};
 use crate::clock::boot_us;
 use crate::head_memory::RequestHeadMemory;
-use crate::http_server::{CallerAddress, Handler, HttpResponse};
+use crate::http_server::{CallerAddress, CutOffCause, Handler, HttpResponse, ResponseMemory};
 use crate::wire::{MAX_FRAME_BYTES, encode};
 
 /// Time reserved for sending the response before the caller's deadline.
@@ -260,6 +260,10 @@
         let remaining_ms = requested_ms.unwrap_or(route.spec.timeout_ms);
         let remaining_ms = remaining_ms.min(route.spec.timeout_ms);
         let remaining_ms = remaining_ms.saturating_sub(END_MARGIN_MS.min(remaining_ms / 8));
+        if !self.engine.response_memory.has_room() {
+            self.engine.metrics.count_memory_refusal("response");
+            return Err(Refusal::NoResponseMemory { remaining_ms });
+        }
         let limit_bytes = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
         let body = tokio::select! {
             biased;
@@ -307,6 +311,14 @@
         self.engine.metrics.count_memory_refusal("request_head");
     }
 
+    fn response_memory(&self) -> Option<ResponseMemory> {
+        Some(self.engine.response_memory.clone())
+    }
+
+    fn record_cut_off(&self, cause: CutOffCause) {
+        self.engine.metrics.count_cut_off(cause);
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
         let started_us = boot_us();
         let request_id = request.headers().get(&self.engine.headers.request_id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod fact;
 pub mod faults;
 pub mod fleet;
+mod full_body;
 pub mod gateway;
 pub mod gossip;
 pub mod head_memory;
