Bound the request bodies in flight to a leaf, and the time to read them

A leaf that answered before it had read a long body kept it in the memory of the VM for as long as it left the connection open: dropping the sender of a `hyper` connection does not end it while a body is being written. And a VM sent as many bodies to a leaf at a time as connections allowed, whatever the leaf can hold.

A connection that still holds the body of a call that has ended is closed after 0.5 s, at the latest at the deadline of the request. Bodies above 1/64 of the largest allowed size count as in flight to their leaf until the call ends. All VMs together may have the largest size for each slot of the leaf in flight, in equal shares; a body passes in any case if its VM has no other in flight there. A leaf without room is passed over, and a call that finds none waits like one without a free connection.

Ruled out: that a call which is given up at its deadline keeps its body. Its reply has not begun then, and `hyper` ends the connection.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,6 +17,7 @@
 use super::connection::{CallError, Connection, Reply};
 use super::content::Content;
 use super::engine::{Engine, Headers, State};
+use super::leaf_bodies::{HeldLeafBody, SendBy};
 use super::leaf_notices::NoticeReader;
 use super::leaf_reports::Observation;
 use super::rate_limit::parse_rate;
@@ -65,6 +66,8 @@
     pub leaf_may_have_ended: bool,
     call_number: u64,
     connection: Option<Connection>,
+    /// Body that counts as in flight to the leaf.
+    pub(super) body: Option<HeldLeafBody>,
     finished: bool,
 }
 
@@ -87,6 +90,7 @@
             leaf_may_have_ended,
             call_number,
             connection,
+            body: None,
             finished: false,
         }
     }
@@ -156,7 +160,14 @@
         connection.observe_late_head(Box::new(move |status, headers| {
             late_reader.read(status, headers);
         }));
-        let request = build_request(&self.engine.headers, spec, id);
+        let mut request = build_request(&self.engine.headers, spec, id);
+        if !spec.body.is_empty() {
+            request.extensions_mut().insert(SendBy {
+                engine: Arc::downgrade(&self.engine),
+                leaf: self.leaf,
+                deadline_us: spec.deadline_us,
+            });
+        }
         let observe_head = |status: StatusCode, headers: &HeaderMap| reader.read(status, headers);
         connection
             .exchange_within(request, &self.engine.reply_memory, observe_head)
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use super::late_reply::{HeadObserver, LateReply};
+use super::leaf_bodies::{Sending, StopSignal};
 use super::metered_stream::{MeteredStream, ReadAllowance};
 use super::reply_memory::{ReceiveError, ReplyMemory, ReplyReceiver};
 use super::reply_origin::ReplyHistory;
@@ -59,10 +60,7 @@
 /// An idle connection that can be reused for another call.
 #[derive(Debug)]
 pub struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
-    allowance: ReadAllowance,
-    late_reply: Arc<LateReply>,
-    reply_history: ReplyHistory,
+    connection: Connection,
     usable_until_ms: u64,
 }
 
@@ -72,6 +70,7 @@
     sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
     late_reply: Arc<LateReply>,
+    stop: StopSignal,
     pub(super) reply_history: ReplyHistory,
 }
 
@@ -217,8 +216,14 @@
         let (sender, connection) = handshake.map_err(|_| CallError::Connect)?;
         let late_reply = Arc::new(LateReply::default());
         let ended = Arc::clone(&late_reply);
+        let stop = StopSignal::new();
+        let stopped = stop.clone().cancelled_owned();
         tokio::spawn(async move {
-            match connection.without_shutdown().await {
+            let end = tokio::select! {
+                end = connection.without_shutdown() => end,
+                () = stopped => return,
+            };
+            match end {
                 Ok(parts) => ended.read(parts.io.into_inner(), &parts.read_buf).await,
                 Err(error) => tracing::trace!(event = "leaf_connection_ended", %error),
             }
@@ -227,6 +232,7 @@
             sender,
             allowance,
             late_reply,
+            stop,
             reply_history: ReplyHistory::default(),
         })
     }
@@ -267,6 +273,7 @@
         if !matches!(timeout(limit, self.sender.ready()).await, Ok(Ok(()))) {
             return Err(CallError::Unsent);
         }
+        let (request, _sending) = Sending::watch(request, &self.stop);
         self.allowance.set(MAX_HEAD_READ_BYTES);
         self.late_reply.set_awaited(true);
         let response = match self.sender.try_send_request(request).await {
@@ -322,10 +329,7 @@
     /// Returns a connection on which nothing was sent, for use by a call.
     pub fn into_unused(self, now_ms: u64) -> IdleConnection {
         IdleConnection {
-            sender: self.sender,
-            allowance: self.allowance,
-            late_reply: self.late_reply,
-            reply_history: self.reply_history,
+            connection: self,
             usable_until_ms: now_ms + DEFAULT_IDLE_TIMEOUT_MS,
         }
     }
@@ -341,10 +345,7 @@
                 timeout_ms * IDLE_TIMEOUT_REUSE_PERCENT / 100
             });
         Some(IdleConnection {
-            sender: self.sender,
-            allowance: self.allowance,
-            late_reply: self.late_reply,
-            reply_history: self.reply_history,
+            connection: self,
             usable_until_ms: now_ms + idle_timeout_ms,
         })
     }
@@ -353,17 +354,12 @@
 impl IdleConnection {
     /// Returns whether the connection can be used for another call.
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        now_ms < self.usable_until_ms && !self.sender.is_closed()
+        now_ms < self.usable_until_ms && !self.connection.sender.is_closed()
     }
 
     /// Returns the connection for use by a call.
     pub fn into_connection(self) -> Connection {
-        Connection {
-            sender: self.sender,
-            allowance: self.allowance,
-            late_reply: self.late_reply,
-            reply_history: self.reply_history,
-        }
+        self.connection
     }
 }
 
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -28,6 +28,7 @@
 use super::connection_limits::ConnectionLimits;
 use super::content_quarantine::ContentQuarantine;
 use super::fanout_schedule::CallLatency;
+use super::leaf_bodies::BodiesInFlight;
 use super::leaf_reports::ReportQueue;
 use super::leaves::{Leaf, Leaves, NoLeafError};
 use super::link_monitor::LinkMonitor;
@@ -95,6 +96,8 @@
     pub route_table: Option<Arc<RouteTable>>,
     /// Leaves with their statistics and connections.
     pub leaves: Leaves,
+    /// Request bodies that this VM has in flight to each leaf.
+    pub leaf_bodies: BodiesInFlight,
     /// Limits on the connections that this VM opens to leaves.
     pub limits: ConnectionLimits,
     /// Number of VMs among which connections and retry budgets are divided.
@@ -163,6 +166,7 @@
             catalog: Catalog::default(),
             route_table: None,
             leaves: Leaves::new(own_domain),
+            leaf_bodies: BodiesInFlight::default(),
             limits: ConnectionLimits::default(),
             vms: 1,
             concurrency_limiter: ConcurrencyLimiter::default(),
@@ -380,9 +384,17 @@
         self: &Arc<Self>,
         service: ServiceKey,
         tried: &[LeafKey],
+    ) -> Result<OpenCall, NoLeafError> {
+        self.open_chosen(&mut self.state(), service, tried)
+    }
+
+    pub(super) fn open_chosen(
+        self: &Arc<Self>,
+        state: &mut State,
+        service: ServiceKey,
+        tried: &[LeafKey],
     ) -> Result<OpenCall, NoLeafError> {
         let now_us = boot_us();
-        let state = &mut *self.state();
         let leaf = state.leaves.choose(service, tried, &state.limits, now_us)?;
         let started_us = state.leaves.reserve_call(leaf, now_us);
         state.link_monitor.record_call(now_us);
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -36,7 +36,10 @@
 
 /// Time for which calls in flight continue after the response is complete, so that their
 /// connections stay open and a pause of a leaf is observed to its end.
-const LINGER_MS: u64 = 300;
+const LINGER_US: u64 = 300_000;
+
+/// Size of a body that such calls may hold beyond the deadline of the request.
+const MAX_LINGERING_BODY_BYTES: usize = 16 * 1_024;
 
 /// Plan of the calls that a request sends to leaves.
 #[derive(Clone, Debug)]
@@ -332,7 +335,10 @@
             }
         }
         let shard = &self.shards[index];
-        let opened = self.engine.open_call(shard.service, &shard.tried);
+        let body_bytes = self.spec.body.len();
+        let opened = self
+            .engine
+            .open_call_with_body(shard.service, &shard.tried, body_bytes);
         let call = match opened {
             Ok(call) => call,
             Err(NoLeafError::NoConnection) => return,
@@ -546,7 +552,12 @@
         let movable = (!complete && self.is_movable()).then_some(prior_calls);
         if complete && !self.calls.is_empty() {
             let remaining_calls = finish_calls(self.calls, self.attempt);
-            let limit = Duration::from_millis(LINGER_MS);
+            let left_us = self.plan.schedule.timeout_us.saturating_sub(elapsed_us);
+            let limit_us = match self.spec.body.len() {
+                0..=MAX_LINGERING_BODY_BYTES => LINGER_US,
+                _ => LINGER_US.min(left_us),
+            };
+            let limit = Duration::from_micros(limit_us);
             tokio::spawn(timeout(limit, remaining_calls));
         }
         let any_open = self.shards.iter().any(|shard| shard.open_calls > 0);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,8 @@
     unanswered: Counter<u64>,
     memory_refusals: Counter<u64>,
     cut_off_responses: Counter<u64>,
+    leaf_body_waits: Counter<u64>,
+    unread_bodies: Counter<u64>,
 }
 
 impl Metrics {
@@ -59,6 +61,12 @@
             cut_off_responses: meter
                 .u64_counter("cloverrack_gateway_cut_off_responses")
                 .build(),
+            leaf_body_waits: meter
+                .u64_counter("cloverrack_gateway_leaf_body_waits")
+                .build(),
+            unread_bodies: meter
+                .u64_counter("cloverrack_gateway_unread_bodies")
+                .build(),
             exporter,
         })
     }
@@ -126,6 +134,16 @@
             .add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a call that found no leaf with room for its body; it is tried again.
+    pub fn count_leaf_body_wait(&self) {
+        self.leaf_body_waits.add(1, &[]);
+    }
+
+    /// Counts a connection that was closed because its leaf did not read the body of a request.
+    pub fn count_unread_body(&self) {
+        self.unread_bodies.add(1, &[]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
