--- a/src/http_server/open_responses.rs
+++ b/src/http_server/open_responses.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Records that the process did not run for some time, in which no progress could be seen.
+    pub fn record_delay(&mut self, delay_ms: u64) {
+        for response in self.responses.values_mut() {
+            response.progress_ms += delay_ms;
+        }
+    }
+
     /// Removes a response that is no longer held, unless it has been cut off.
     pub fn remove(&mut self, number: u64) {
         self.take(number);
--- a/src/http_server/response_memory.rs
+++ b/src/http_server/response_memory.rs
@@ -12,6 +12,9 @@
 /// Interval between checks for responses without progress.
 const CHECK_INTERVAL_MS: u64 = 250;
 
+/// Delay of a check from which the process counts as not having run.
+const MIN_DELAY_MS: u64 = 250;
+
 /// Tells a connection that one of its responses is cut off, which ends it.
 pub(super) type CutOffSender = watch::Sender<Option<CutOff>>;
 
@@ -73,9 +76,18 @@
 
     /// Cuts off responses without progress until it is dropped.
     pub(super) async fn check(self) {
+        let mut checked_ms = boot_ms();
         loop {
             tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-            let cut_off = self.responses().take_cut_off(boot_ms());
+            let now_ms = boot_ms();
+            let delay_ms = now_ms.saturating_sub(checked_ms + CHECK_INTERVAL_MS);
+            checked_ms = now_ms;
+            let mut responses = self.responses();
+            if delay_ms >= MIN_DELAY_MS {
+                responses.record_delay(delay_ms);
+            }
+            let cut_off = responses.take_cut_off(now_ms);
+            drop(responses);
             notify(cut_off);
         }
     }
--- a/tests/open_responses.rs
+++ b/tests/open_responses.rs
@@ -33,7 +33,8 @@
 }
 
 /// Guards against a response that stays although nothing of it is read while there is room, against one that is
-/// counted twice or not released, and against a single large response that keeps out all requests.
+/// counted twice or not released, against a single large response that keeps out all requests, and against cutting off
+/// callers after a suspension of the process.
 #[test]
 fn stalled_responses_are_cut_off_once() {
     let mut responses = OpenResponses::new(LIMIT_BYTES);
@@ -44,6 +45,10 @@
     assert_eq!(taken.len(), 1);
     assert_eq!(taken[0].1.cause, CutOffCause::Stalled);
     responses.remove(large);
+    let delayed = responses.add("delayed", 250, 5_000);
+    responses.record_delay(60_000);
+    assert!(responses.take_cut_off(69_999).is_empty());
+    responses.remove(delayed);
     responses.record_progress(large, 5_000);
     assert!(responses.take_cut_off(20_000).is_empty());
     for _ in 0..4 {
