--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -162,6 +162,7 @@
         }));
         let mut request = build_request(&self.engine.headers, spec, id);
         if !spec.body.is_empty() {
+            // Read by the connection if the leaf does not read the body.
             request.extensions_mut().insert(SendBy {
                 engine: Arc::downgrade(&self.engine),
                 leaf: self.leaf,
--- a/src/gateway/leaf_bodies/sending.rs
+++ b/src/gateway/leaf_bodies/sending.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use hyper::body::Body;
 use tokio::runtime::Handle;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
@@ -23,6 +24,10 @@
 /// the rest of the body. One that answers early and reads on does so within a few round trips.
 const MAX_SENDING_US: u64 = 500_000;
 
+/// Size up to which a body is not watched: the send buffer of a connection that is ready for a request takes it at
+/// once, and the memory of a connection to a leaf counts with a buffer of this size.
+const SMALL_BODY_BYTES: usize = 4 * 1_024;
+
 /// Ends a connection.
 pub(in crate::gateway) type StopSignal = CancellationToken;
 
@@ -68,16 +73,17 @@
 }
 
 impl Sending {
-    /// Watches the body of a request, if it has one.
+    /// Watches the body of a request, unless it is small.
     pub(in crate::gateway) fn watch(
         request: Request<Full<Bytes>>,
         stop: &StopSignal,
     ) -> (Request<Full<Bytes>>, Option<Self>) {
+        let body_bytes = request.body().size_hint().exact().unwrap_or(0);
+        if body_bytes <= SMALL_BODY_BYTES as u64 {
+            return (request, None);
+        }
         let (head, body) = request.into_parts();
         let bytes = full_body::into_bytes(body);
-        if bytes.is_empty() {
-            return (Request::from_parts(head, Full::new(bytes)), None);
-        }
         let held = Arc::new(());
         let sending = Self {
             stop: stop.clone(),
--- a/src/http_server/connection.rs
+++ b/src/http_server/connection.rs
@@ -30,8 +30,8 @@
 /// response is closed.
 const WRITE_TIMEOUT_MS: u64 = 5_000;
 
-/// The same if responses are counted, which are cut off, logged and counted first. It remains for a client that
-/// reads no frames of HTTP/2.
+/// The same if responses are counted, which are cut off, logged and counted first. It remains for
+/// responses that are too small to be counted, and for a client that reads no frames of HTTP/2.
 const COUNTED_WRITE_TIMEOUT_MS: u64 = 7_000;
 
 /// Interval between HTTP/2 keep-alive pings, and time limit for each reply.
@@ -96,7 +96,12 @@
             }
             drop(open_head);
             let memory = requests.response_memory.as_ref();
-            Ok(sent_body::hold(response, memory, &requests.cut_off))
+            Ok(sent_body::hold(
+                response,
+                version,
+                memory,
+                &requests.cut_off,
+            ))
         }
     }
 }
