--- a/src/gateway/leaf_bodies/calls.rs
+++ b/src/gateway/leaf_bodies/calls.rs
@@ -85,12 +85,7 @@
         excluded.extend_from_slice(tried);
         match self.open_chosen(state, service, &excluded) {
             Ok(mut call) => {
-                state.leaf_bodies.add(call.leaf, body_bytes);
-                call.body = Some(HeldLeafBody {
-                    engine: Arc::clone(self),
-                    leaf: call.leaf,
-                    body_bytes,
-                });
+                call.body = Some(self.hold_leaf_body(state, call.leaf, body_bytes));
                 Ok(call)
             }
             Err(_) if waits_for_room => {
@@ -108,4 +103,18 @@
             Err(error) => Err(error),
         }
     }
+
+    fn hold_leaf_body(
+        self: &Arc<Self>,
+        state: &mut State,
+        leaf: LeafKey,
+        body_bytes: u64,
+    ) -> HeldLeafBody {
+        state.leaf_bodies.add(leaf, body_bytes);
+        HeldLeafBody {
+            engine: Arc::clone(self),
+            leaf,
+            body_bytes,
+        }
+    }
 }
--- a/src/http_server/connection.rs
+++ b/src/http_server/connection.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use rustix::net::sockopt::set_socket_send_buffer_size;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -163,32 +164,10 @@
     stream.set_write_timeout(Some(Duration::from_millis(write_timeout_ms)));
     let (stream, closing_stream) = LingeringStream::new(Box::pin(stream));
     let stream = HeadMeteredStream::new(stream, Arc::clone(&meter));
-    let builder = connection_builder(handler.idle_timeout());
-    let cut_off = {
-        let service = service_fn(move |request| requests.begin(request));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
-        let serving = async {
-            tokio::select! {
-                // A request that has arrived is read before the connection is closed.
-                biased;
-                result = connection.as_mut() => result,
-                () = close_signal => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            }
-        };
-        tokio::select! {
-            biased;
-            cut_off = cut_off_signal => Some(cut_off),
-            result = serving => {
-                if let Err(error) = result {
-                    debug!(event = "connection_ended", %error);
-                }
-                None
-            }
-        }
+    let cut_off = tokio::select! {
+        biased;
+        cut_off = cut_off_signal => Some(cut_off),
+        () = serve_http(stream, requests, close_signal) => None,
     };
     if let Some(cut_off) = cut_off {
         log_cut_off(caller, cut_off);
@@ -201,6 +180,33 @@
     closing_stream.wait_for_client().await;
 }
 
+/// Serves the requests of a connection until it ends, gracefully once it should be closed.
+async fn serve_http<H, S>(
+    stream: S,
+    requests: Arc<Requests<H>>,
+    close_signal: impl Future<Output = ()>,
+) where
+    H: Handler,
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let builder = connection_builder(requests.handler.idle_timeout());
+    let service = service_fn(move |request| requests.begin(request));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        // A request that has arrived is read before the connection is closed.
+        biased;
+        result = connection.as_mut() => result,
+        () = close_signal => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        debug!(event = "connection_ended", %error);
+    }
+}
+
 /// Waits until a response of a connection is cut off. The connection ends with it, so that the response does
 /// not look complete.
 async fn wait_for_cut_off(mut receiver: watch::Receiver<Option<CutOff>>) -> CutOff {
