Correct the rates from which slow callers are served

A part of 64 KiB ends within two reports of free space by the kernel, so 86 KB may pass between two signs of progress.

--- a/src/http_server/open_responses.rs
+++ b/src/http_server/open_responses.rs
@@ -7,8 +7,8 @@
 /// Time without progress after which a response is cut off.
 pub const MAX_STALL_MS: u64 = 5_000;
 
-/// Time without progress after which a response is cut off if the memory is used up. A caller that reads 33 KB/s
-/// makes progress more often, since progress is seen in steps of up to 64 KiB.
+/// Time without progress after which a response is cut off if the memory is used up. A caller that reads 44 KB/s
+/// makes progress more often: a part of 64 KiB ends within two reports of the kernel of 43 KB of free space each.
 pub const MAX_STALL_WITHOUT_ROOM_MS: u64 = 2_000;
 
 /// Largest share of the limit that one response counts with, as a divisor. A VM that relays one reply of the
