--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -30,6 +30,7 @@
 use super::content_quarantine::ContentQuarantine;
 use super::evacuation::{Evacuations, WarmupSettings};
 use super::fanout_schedule::CallLatency;
+use super::leaf_bodies::BodiesInFlight;
 use super::leaf_reports::ReportQueue;
 use super::leaves::{Leaf, Leaves, NoLeafError};
 use super::link_monitor::LinkMonitor;
@@ -47,6 +48,7 @@
 use crate::clock::{boot_ms, boot_us};
 use crate::fact::Fact;
 use crate::head_memory::RequestHeadMemory;
+use crate::http_server::ResponseMemory;
 use crate::ids::{LeafKey, ServiceKey};
 
 /// Memory of a VM, unless it is set.
@@ -98,6 +100,8 @@
     pub route_table: Option<Arc<RouteTable>>,
     /// Leaves with their statistics and connections.
     pub leaves: Leaves,
+    /// Request bodies that this VM has in flight to each leaf.
+    pub leaf_bodies: BodiesInFlight,
     /// Limits on the connections that this VM opens to leaves.
     pub limits: ConnectionLimits,
     /// Number of VMs among which connections and retry budgets are divided.
@@ -139,6 +143,8 @@
     pub reply_memory: Arc<ReplyMemory>,
     /// Memory that the bodies of requests share.
     pub body_memory: BodyMemory,
+    /// Memory that the responses to callers share while they are sent.
+    pub response_memory: ResponseMemory,
     /// Memory that the heads of requests share which exceed a read buffer.
     pub request_heads: RequestHeadMemory,
     /// Requests in progress on this VM.
@@ -173,6 +179,7 @@
             catalog: Catalog::default(),
             route_table: None,
             leaves: Leaves::new(own_domain),
+            leaf_bodies: BodiesInFlight::default(),
             limits: ConnectionLimits::default(),
             vms: 1,
             concurrency_limiter: ConcurrencyLimiter::default(),
@@ -196,6 +203,7 @@
             memory_limits,
             reply_memory: Arc::new(ReplyMemory::new(memory_limits.large_reply_bytes)),
             body_memory: BodyMemory::new(memory_limits.body_bytes),
+            response_memory: ResponseMemory::new(memory_limits.response_bytes),
             request_heads: RequestHeadMemory::new(memory_limits.request_head_bytes),
             open_requests: OpenRequests::default(),
             active_addresses: Mutex::new(Arc::from([])),
@@ -221,6 +229,7 @@
         self.memory_limits = memory_limits;
         self.reply_memory = Arc::new(ReplyMemory::new(memory_limits.large_reply_bytes));
         self.body_memory = BodyMemory::new(memory_limits.body_bytes);
+        self.response_memory = ResponseMemory::new(memory_limits.response_bytes);
         self.request_heads = RequestHeadMemory::new(memory_limits.request_head_bytes);
         self
     }
@@ -231,6 +240,12 @@
         self
     }
 
+    /// Sets the size of the memory that the responses to callers share.
+    pub fn with_response_memory(mut self, bytes: usize) -> Self {
+        self.response_memory = ResponseMemory::new(bytes);
+        self
+    }
+
     /// Changes the limits of the retry budgets.
     pub fn set_retry_budget_limits(&self, limits: RetryBudgetLimits) {
         self.state().retry_budgets.set_limits(limits);
@@ -366,9 +381,17 @@
         self: &Arc<Self>,
         service: ServiceKey,
         tried: &[LeafKey],
+    ) -> Result<OpenCall, NoLeafError> {
+        self.open_chosen(&mut self.state(), service, tried)
+    }
+
+    pub(super) fn open_chosen(
+        self: &Arc<Self>,
+        state: &mut State,
+        service: ServiceKey,
+        tried: &[LeafKey],
     ) -> Result<OpenCall, NoLeafError> {
         let now_us = boot_us();
-        let state = &mut *self.state();
         let leaf = state.leaves.choose(service, tried, &state.limits, now_us)?;
         let started_us = state.leaves.reserve_call(leaf, now_us);
         state.link_monitor.record_call(now_us);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use super::connection::CallError;
+use crate::http_server::CutOffCause;
 use crate::telemetry::{Exporter, TelemetryError};
 
 /// Metrics of one process.
@@ -26,6 +27,9 @@
     admissions: Counter<u64>,
     evacuated_domains: Gauge<u64>,
     cold_leaves: Gauge<u64>,
+    cut_off_responses: Counter<u64>,
+    leaf_body_waits: Counter<u64>,
+    unread_bodies: Counter<u64>,
 }
 
 impl Metrics {
@@ -62,6 +66,15 @@
                 .u64_gauge("cloverrack_gateway_evacuated_domains")
                 .build(),
             cold_leaves: meter.u64_gauge("cloverrack_gateway_cold_leaves").build(),
+            cut_off_responses: meter
+                .u64_counter("cloverrack_gateway_cut_off_responses")
+                .build(),
+            leaf_body_waits: meter
+                .u64_counter("cloverrack_gateway_leaf_body_waits")
+                .build(),
+            unread_bodies: meter
+                .u64_counter("cloverrack_gateway_unread_bodies")
+                .build(),
             exporter,
         })
     }
@@ -136,6 +149,26 @@
         self.cold_leaves.record(leaves as u64, &[]);
     }
 
+    /// Counts a response that was cut off, by cause.
+    pub fn count_cut_off(&self, cause: CutOffCause) {
+        let cause = match cause {
+            CutOffCause::Stalled => "stalled",
+            CutOffCause::NoMemory => "no memory",
+        };
+        self.cut_off_responses
+            .add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a call that found no leaf with room for its body; it is tried again.
+    pub fn count_leaf_body_wait(&self) {
+        self.leaf_body_waits.add(1, &[]);
+    }
+
+    /// Counts a connection that was closed because its leaf did not read the body of a request.
+    pub fn count_unread_body(&self) {
+        self.unread_bodies.add(1, &[]);
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
