Estimate what each leaf takes well and choose leaves by it

Cause: a VM knew a leaf by the average latency of its own calls and by its own open calls only. Leaves that differ in speed, or slow down before they are full, were filled by all VMs together beyond what they take well.

The selection takes the expected latency from the estimate in place of the average and own queue of `LeafStats`; the other costs stay. A call now has the kind of its work. Without the setting, nothing is observed or sent.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -17,6 +17,7 @@
 use super::connection::{CallError, Connection, Reply};
 use super::content::Content;
 use super::engine::{Engine, Headers, State};
+use super::leaf_capacity::{EndedCall, WorkKind};
 use super::leaf_notices::NoticeReader;
 use super::leaf_reports::Observation;
 use super::rate_limit::parse_rate;
@@ -63,6 +64,12 @@
     pub started_us: u64,
     /// Whether the leaf may have ended before the call began.
     pub leaf_may_have_ended: bool,
+    /// Kind of the work.
+    pub kind: WorkKind,
+    /// Calls of all VMs to the leaf in flight when the call was opened, or 0 if they are not counted.
+    pub(super) in_flight: f64,
+    /// Time that it took to connect.
+    connect_us: u64,
     call_number: u64,
     connection: Option<Connection>,
     finished: bool,
@@ -85,6 +92,9 @@
             leaf,
             started_us,
             leaf_may_have_ended,
+            kind: WorkKind::default(),
+            in_flight: 0.0,
+            connect_us: 0,
             call_number,
             connection,
             finished: false,
@@ -134,7 +144,9 @@
         }
         // Closed first, since it counts towards the connections that the leaf accepts.
         self.connection = None;
+        let connect_started_us = boot_us();
         self.connection = Some(Connection::open(address).await?);
+        self.connect_us = boot_us().saturating_sub(connect_started_us);
         self.engine.state().link_monitor.record_connection();
         self.exchange(spec, &id).await
     }
@@ -261,6 +273,27 @@
         (reply.status.is_success() && is_unsigned).then_some(CallError::Unsigned)
     }
 
+    /// Adds what the end of the call shows of the leaf's capacity, with the calls of all VMs in flight
+    /// before it ended. Calls during which this process did not run show nothing.
+    fn observe_capacity(&self, state: &mut State, in_flight: f64, is_answered: bool, now_us: u64) {
+        let elapsed_us = now_us.saturating_sub(self.started_us);
+        let running_us = state.process_delays.running_us(self.started_us, now_us);
+        if !state.leaves.estimates_capacity() || running_us < elapsed_us {
+            return;
+        }
+        // A leaf that is rarely called has no open connection, which does not make it slow.
+        let started_us = self.started_us + self.connect_us;
+        let ended_call = EndedCall {
+            kind: self.kind,
+            in_flight: (self.in_flight + in_flight) / 2.0,
+            started_us,
+            ended_us: now_us,
+            paused_us: state.leaves.paused_us(self.leaf, started_us, now_us),
+            is_answered,
+        };
+        state.leaves.observe_ended_call(self.leaf, &ended_call);
+    }
+
     fn finish(&mut self, outcome: Result<StatusCode, CallError>, reply: Option<&Reply>) {
         self.finished = true;
         if outcome == Err(CallError::NoReplyMemory) {
@@ -309,6 +342,7 @@
         }
         let is_distorted = state.link_monitor.distorts_call(self.started_us);
         let paused_us = state.leaves.paused_us(self.leaf, self.started_us, now_us);
+        let in_flight = state.leaves.calls_in_flight(self.leaf, now_us);
         let Some(leaf) = state.leaves.get_mut(self.leaf) else {
             return;
         };
@@ -353,6 +387,9 @@
             _ => leaf.connections = leaf.connections.saturating_sub(1),
         }
         state.record_stall(self.leaf, stall);
+        if outcome.is_ok_and(|status| status.is_success()) && !is_distorted {
+            self.observe_capacity(state, in_flight, true, now_us);
+        }
         if let Some(observation) = observation_of(outcome) {
             state.report_outcome(self.leaf, observation, now_us);
         }
@@ -372,9 +409,14 @@
         let state = &mut *self.engine.state();
         let is_distorted = state.link_monitor.distorts_call(self.started_us);
         let age_us = state.process_delays.running_us(self.started_us, now_us);
+        let counts_as_failure = age_us >= UNANSWERED_FAILURE_AGE_US && !is_distorted;
+        if !counts_as_failure && !is_distorted {
+            let in_flight = state.leaves.calls_in_flight(self.leaf, now_us);
+            self.observe_capacity(state, in_flight, false, now_us);
+        }
         if let Some(leaf) = state.leaves.get_mut(self.leaf) {
             leaf.connections = leaf.connections.saturating_sub(1);
-            if age_us >= UNANSWERED_FAILURE_AGE_US && !is_distorted {
+            if counts_as_failure {
                 leaf.leaf_stats.record_failure(self.call_number, now_us);
                 leaf.record_failed_call(now_us);
             } else {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -28,6 +28,7 @@
 use super::connection_limits::ConnectionLimits;
 use super::content_quarantine::ContentQuarantine;
 use super::fanout_schedule::CallLatency;
+use super::leaf_capacity::WorkKind;
 use super::leaf_reports::ReportQueue;
 use super::leaves::{Leaf, Leaves, NoLeafError};
 use super::link_monitor::LinkMonitor;
@@ -367,19 +368,26 @@
     /// Fails if no leaf can take the call now.
     pub fn open_call(
         self: &Arc<Self>,
+        kind: WorkKind,
         service: ServiceKey,
         tried: &[LeafKey],
     ) -> Result<OpenCall, NoLeafError> {
         let now_us = boot_us();
         let state = &mut *self.state();
-        let leaf = state.leaves.choose(service, tried, &state.limits, now_us)?;
+        let limits = &state.limits;
+        let leaf = state
+            .leaves
+            .choose_for(kind, service, tried, limits, now_us)?;
+        let in_flight = state.leaves.begin_call(leaf, now_us);
         let started_us = state.leaves.reserve_call(leaf, now_us);
         state.link_monitor.record_call(now_us);
         let leaf_entry = state
             .leaves
             .get_mut(leaf)
             .ok_or(NoLeafError::NoneAvailable)?;
-        Ok(self.open(leaf, leaf_entry, now_us, started_us))
+        let mut call = self.open(leaf, leaf_entry, now_us, started_us);
+        (call.kind, call.in_flight) = (kind, in_flight);
+        Ok(call)
     }
 }
 
--- a/src/gateway/engine/reports.rs
+++ b/src/gateway/engine/reports.rs
@@ -1,11 +1,13 @@
 //! Queues reports on leaves for the other active VMs, and applies theirs.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use tracing::info;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Engine, State};
 use crate::clock::boot_us;
+use crate::gateway::leaf_capacity::CapacityDatagram;
 use crate::gateway::leaf_reports::{LeafReport, Observation, RateReport, ReportQueue};
 use crate::gateway::pause_predictor::Stall;
 use crate::ids::LeafKey;
@@ -50,6 +52,38 @@
         }
     }
 
+    /// Enables the estimates of what each leaf takes well.
+    pub fn estimate_leaf_capacity(&self, own: SocketAddr) {
+        let vm_seed = xxh3_64(own.to_string().as_bytes());
+        self.state().leaves.estimate_capacity(vm_seed);
+    }
+
+    /// Returns the datagrams for the other VMs on what leaves take well, if they are due. A VM whose links
+    /// to the leaves are lost sends none.
+    pub fn capacity_datagrams(&self, active_vms: usize) -> Vec<CapacityDatagram> {
+        let state = &mut *self.state();
+        let reports = state.leaves.capacity_reports(active_vms, boot_us());
+        if state.link_monitor.is_lost() {
+            return Vec::new();
+        }
+        self.metrics.count_capacity_reports("sent", reports.len());
+        CapacityDatagram::of_reports(&reports)
+    }
+
+    /// Applies the datagram of another VM on what leaves take well, unless the estimates are not enabled.
+    pub fn apply_capacity_datagram(&self, peer: IpAddr, datagram: &CapacityDatagram) {
+        let now_us = boot_us();
+        let state = &mut *self.state();
+        if !state.leaves.estimates_capacity() {
+            return;
+        }
+        let received = datagram.reports.len();
+        self.metrics.count_capacity_reports("received", received);
+        for report in &datagram.reports {
+            state.leaves.apply_capacity_report(peer, report, now_us);
+        }
+    }
+
     /// Applies the leaf reports of another active VM.
     pub fn apply_reports(&self, leaf_reports: &[LeafReport], now_us: u64) {
         let state = &mut *self.state();
@@ -105,6 +139,7 @@
             stall_us: u32::try_from(stall_us).unwrap_or(u32::MAX),
         };
         self.report_queue.add(address, stall.end_us, observation);
+        self.leaves.observe_held_up_calls(leaf, stall);
         self.leaves.observe_stall(leaf, stall);
     }
 }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -69,6 +69,8 @@
     pub retry_budget: RetryBudgetLimits,
     /// Maximum time from a stop signal to the end of the process.
     pub stop_grace_ms: u64,
+    /// Whether this VM learns from calls how fast each leaf is and how many calls it takes well.
+    pub estimates_leaf_capacity: bool,
     /// Header names.
     pub headers: Headers,
 }
@@ -156,6 +158,9 @@
         let is_listed = listed.contains(&settings.internal_address);
         engine.set_listed_vms(listed.len() + usize::from(!is_listed));
         engine.set_stop_grace_ms(settings.stop_grace_ms);
+        if settings.estimates_leaf_capacity {
+            engine.estimate_leaf_capacity(settings.internal_address);
+        }
         let component_registry = Arc::new(ComponentRegistry::default());
         component_registry.register(CONTROL, Arc::clone(&membership));
         component_registry.register(ROOT, Arc::clone(&engine));
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -20,6 +20,7 @@
 use super::engine::Engine;
 use super::fanout_schedule::{FanoutDecision, FanoutSchedule, ShardCounts};
 use super::forwarded_request::PriorCalls;
+use super::leaf_capacity::WorkKind;
 use super::leaves::NoLeafError;
 use super::merge::RECORD_BYTES;
 use super::shard::Shard;
@@ -332,7 +333,8 @@
             }
         }
         let shard = &self.shards[index];
-        let opened = self.engine.open_call(shard.service, &shard.tried);
+        let kind = WorkKind::of_route(&self.plan.route);
+        let opened = self.engine.open_call(kind, shard.service, &shard.tried);
         let call = match opened {
             Ok(call) => call,
             Err(NoLeafError::NoConnection) => return,
--- a/src/gateway/leaf_reports.rs
+++ b/src/gateway/leaf_reports.rs
@@ -19,6 +19,7 @@
 use tracing::{debug, info, warn};
 
 use super::engine::Engine;
+use super::leaf_capacity::CapacityDatagram;
 use super::rate_limit::RateUsage;
 use crate::clock::boot_us;
 use crate::wire::{decode, encode};
@@ -235,7 +236,6 @@
 /// Sends the reports of the VM with internal address `own` to the other active VMs until the task
 /// is dropped.
 pub async fn send(socket: Arc<UdpSocket>, engine: Arc<Engine>, own: SocketAddr) {
-    let port = socket.local_addr().map_or(0, |address| address.port());
     let mut rates_reported_us = 0;
     loop {
         let active_vms = engine.active_vm_addresses();
@@ -261,19 +261,33 @@
                 leaf_reports,
                 rate_reports,
             };
-            let bytes = match encode(&datagram) {
-                Ok(bytes) => bytes,
-                Err(error) => {
-                    warn!(event = "leaf_reports_not_encoded", %error);
-                    continue;
-                }
-            };
-            for active_vm in active_vms.iter().filter(|active_vm| **active_vm != own) {
-                let to = SocketAddr::new(active_vm.ip(), port);
-                if let Err(error) = socket.send_to(&bytes, to).await {
-                    debug!(event = "leaf_reports_not_sent", %to, %error);
-                }
-            }
+            send_to_others(&socket, &datagram, &active_vms, own).await;
+        }
+        for datagram in engine.capacity_datagrams(active_vms.len()) {
+            send_to_others(&socket, &datagram, &active_vms, own).await;
+        }
+    }
+}
+
+/// Sends a datagram to the active VMs other than this one.
+async fn send_to_others<T: Encode + Sync>(
+    socket: &UdpSocket,
+    datagram: &T,
+    active_vms: &[SocketAddr],
+    own: SocketAddr,
+) {
+    let port = socket.local_addr().map_or(0, |address| address.port());
+    let bytes = match encode(datagram) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            warn!(event = "leaf_reports_not_encoded", %error);
+            return;
+        }
+    };
+    for active_vm in active_vms.iter().filter(|active_vm| **active_vm != own) {
+        let to = SocketAddr::new(active_vm.ip(), port);
+        if let Err(error) = socket.send_to(&bytes, to).await {
+            debug!(event = "leaf_reports_not_sent", %to, %error);
         }
     }
 }
@@ -291,7 +305,15 @@
                 continue;
             }
         };
-        match Datagram::read(&buffer[..length]) {
+        let bytes = &buffer[..length];
+        if CapacityDatagram::is_meant(bytes) {
+            match CapacityDatagram::read(bytes) {
+                Ok(datagram) => engine.apply_capacity_datagram(from.ip(), &datagram),
+                Err(error) => warn!(event = "leaf_reports_malformed", %from, %error),
+            }
+            continue;
+        }
+        match Datagram::read(bytes) {
             Ok(datagram) => {
                 engine.apply_reports(&datagram.leaf_reports, boot_us());
                 engine.apply_rate_reports(from.ip(), &datagram.rate_reports, boot_us());
--- a/src/gateway/leaf_stats.rs
+++ b/src/gateway/leaf_stats.rs
@@ -279,16 +279,20 @@
         let excess_us = self.average_us.saturating_sub(INITIAL_LATENCY_US) >> halvings;
         let average_us = self.average_us.min(INITIAL_LATENCY_US) + excess_us;
         let queue_us = self.open_started_us.len() as u64 * average_us / u64::from(slots.max(1));
-        let mut expected_us = average_us + queue_us;
+        average_us + queue_us + self.added_costs_us(now_us)
+    }
+
+    /// Returns the costs for failures and stalls, which are added to the latency of a further call.
+    pub fn added_costs_us(&self, now_us: u64) -> u64 {
         let failure_rate_ppm = self.failure_rate_ppm(now_us / 1_000);
-        expected_us += failure_rate_ppm * FAILURE_RATE_COST_US / PPM;
+        let mut added_us = failure_rate_ppm * FAILURE_RATE_COST_US / PPM;
         if self.is_stalled_anywhere(now_us) {
-            expected_us += STALL_COST_US;
+            added_us += STALL_COST_US;
         }
         if self.is_failing(now_us) {
-            expected_us += FAILURE_COST_US;
+            added_us += FAILURE_COST_US;
         }
-        expected_us
+        added_us
     }
 }
 
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -4,6 +4,7 @@
 //! Handles leaves that are slow, failing, paused, warming up or replaced, and VMs whose own stalls
 //! would be mistaken for stalls of leaves.
 
+mod capacity;
 mod notices;
 mod process_ends;
 mod rates;
@@ -21,6 +22,7 @@
 
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
+use super::leaf_capacity::LeafCapacities;
 use super::leaf_reports::{LeafReport, Observation};
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
@@ -114,6 +116,8 @@
     confirms_refusals: bool,
     /// Latest end of the times for which leaves want no calls from this VM.
     retry_after_until_us: u64,
+    /// Estimates of what leaves take well, if they are enabled.
+    capacities: Option<LeafCapacities>,
 }
 
 impl Leaves {
@@ -249,6 +253,7 @@
                 || now_ms < leaf.retired_ms + RETIRED_RETENTION_MS
         });
         self.forget_unreachable();
+        self.forget_capacities();
     }
 
     /// Applies another VM's report of a leaf.
--- a/src/gateway/leaves/selection.rs
+++ b/src/gateway/leaves/selection.rs
@@ -4,6 +4,7 @@
 
 use super::{Leaf, Leaves};
 use crate::gateway::connection_limits::ConnectionLimits;
+use crate::gateway::leaf_capacity::WorkKind;
 use crate::gateway::retry_after::{Admission, REMOTE_RETRY_AFTER_COST_US};
 use crate::ids::{LeafKey, ServiceKey};
 
@@ -51,6 +52,22 @@
         tried: &[LeafKey],
         limits: &ConnectionLimits,
         now_us: u64,
+    ) -> Result<LeafKey, NoLeafError> {
+        self.choose_for(WorkKind::default(), service, tried, limits, now_us)
+    }
+
+    /// Chooses the leaf with the lowest expected latency of a kind of work, as [`Self::choose`].
+    ///
+    /// # Errors
+    ///
+    /// Fails for the same reasons.
+    pub fn choose_for(
+        &self,
+        kind: WorkKind,
+        service: ServiceKey,
+        tried: &[LeafKey],
+        limits: &ConnectionLimits,
+        now_us: u64,
     ) -> Result<LeafKey, NoLeafError> {
         let mut best: Option<(u64, LeafKey)> = None;
         let mut has_no_connection = false;
@@ -76,7 +93,7 @@
                 is_rate_limited = true;
                 continue;
             };
-            let mut cost_us = self.cost_us(leaf, now_us) + wait_us;
+            let mut cost_us = self.cost_us(kind, *key, leaf, now_us) + wait_us;
             match leaf
                 .retry_after
                 .admission(leaf.leaf_stats.open_calls(), now_us)
@@ -111,8 +128,8 @@
         })
     }
 
-    fn cost_us(&self, leaf: &Leaf, now_us: u64) -> u64 {
-        let mut cost_us = leaf.leaf_stats.expected_us(leaf.record.slots, now_us);
+    fn cost_us(&self, kind: WorkKind, key: LeafKey, leaf: &Leaf, now_us: u64) -> u64 {
+        let mut cost_us = self.expected_us(kind, key, leaf, now_us);
         if leaf.record.failure_domain != self.own_domain {
             cost_us += REMOTE_COST_US;
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,7 @@
     links_lost: Gauge<u64>,
     unanswered: Counter<u64>,
     memory_refusals: Counter<u64>,
+    capacity_reports: Counter<u64>,
 }
 
 impl Metrics {
@@ -54,6 +55,9 @@
             memory_refusals: meter
                 .u64_counter("cloverrack_gateway_memory_refusals")
                 .build(),
+            capacity_reports: meter
+                .u64_counter("cloverrack_gateway_capacity_reports")
+                .build(),
             exporter,
         })
     }
@@ -111,6 +115,14 @@
             .add(1, &[KeyValue::new("purpose", purpose)]);
     }
 
+    /// Counts reports on what leaves take well, sent or received.
+    pub fn count_capacity_reports(&self, direction: &'static str, reports: usize) {
+        if reports > 0 {
+            self.capacity_reports
+                .add(reports as u64, &[KeyValue::new("direction", direction)]);
+        }
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! Modules without I/O contain the decisions: [`routes`], [`catalog`], [`leaf_stats`],
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`usage_window`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
-//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`].
+//! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`],
+//! [`leaf_capacity`].
 
 mod attempt;
 pub mod body_memory;
@@ -29,6 +30,7 @@
 pub mod forwarded_request;
 pub mod forwarder;
 mod late_reply;
+pub mod leaf_capacity;
 mod leaf_end_check;
 pub mod leaf_notices;
 pub mod leaf_reports;
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -310,6 +310,7 @@
                 window_ms: 10_000,
             },
             stop_grace_ms: STOP_GRACE_MS,
+            estimates_leaf_capacity: false,
             headers: headers(),
         };
         let gateway = Gateway::spawn(settings, FixedSource(image)).await.unwrap();
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cloverrack::gateway::leaf_capacity::WorkKind;
 use cloverrack::gateway::{
     CallSpec, CallerLimits, CallerService, Change, ChangeSet, Connection, Content, Destination,
     Engine, Headers, LeafRecord, Metrics, OpenCall, Reply, RetryBudgetLimits, RouteDocument,
@@ -472,7 +473,10 @@
 /// Opens a call to a leaf of a service, which is sent when it is run.
 pub fn open_call(gateway: &TestGateway, service: &str) -> OpenCall {
     let service = gateway.engine.state().names.intern(service);
-    gateway.engine.open_call(service, &[]).unwrap()
+    gateway
+        .engine
+        .open_call(WorkKind::default(), service, &[])
+        .unwrap()
 }
 
 /// Returns the request of a call.
