--- a/tests/later_builds.rs
+++ b/tests/later_builds.rs
@@ -10,6 +10,9 @@
 use cloverrack::clock::unix_ms;
 use cloverrack::fact::{Fact, LeafLinks, Profile, VmState};
 use cloverrack::gateway::Membership;
+use cloverrack::gateway::leaf_capacity::{
+    CapacityDatagram, CapacityReport, LEAF_CAPACITY_VERSION, MAX_REPORTS_PER_DATAGRAM,
+};
 use cloverrack::gateway::leaf_reports::{self, LEAF_REPORTS_VERSION, LeafReportsError};
 use cloverrack::gossip::{Datagram, DatagramError, MessageKind};
 use cloverrack::wire::{PROTOCOL_VERSION, decode, encode};
@@ -140,6 +143,37 @@
     assert_eq!(read(&[]), malformed);
 }
 
+/// Guards against a datagram on leaf capacity that a build of 6f7d9ce, which reads leaf reports in the
+/// same way, takes for a malformed one, or for reports of its own version.
+#[test]
+fn leaf_capacity_is_another_version_for_builds_without_it() {
+    let report = CapacityReport {
+        leaf: ([127, 0, 0, 1], 9_000).into(),
+        in_flight_centi: 100,
+        ended_calls: 1,
+        during_in_flight_centi: 100,
+        ratio_milli: 1_000,
+    };
+    let datagrams = CapacityDatagram::of_reports(&[report; MAX_REPORTS_PER_DATAGRAM + 1]);
+    assert_eq!(datagrams.len(), 2);
+    for datagram in datagrams {
+        let bytes = encode(&datagram).unwrap();
+        let read = leaf_reports::Datagram::read(&bytes);
+        let other = Err(LeafReportsError::OtherVersion(LEAF_CAPACITY_VERSION));
+        assert_eq!(read, other);
+        assert_eq!(CapacityDatagram::read(&bytes), Ok(datagram));
+    }
+    let mut largest = report;
+    largest.leaf = SocketAddr::new(std::net::Ipv6Addr::LOCALHOST.into(), u16::MAX);
+    (largest.in_flight_centi, largest.ended_calls) = (u32::MAX, u16::MAX);
+    (largest.during_in_flight_centi, largest.ratio_milli) = (u32::MAX, u32::MAX);
+    let datagrams = CapacityDatagram::of_reports(&[largest; MAX_REPORTS_PER_DATAGRAM]);
+    assert!(
+        encode(&datagrams[0]).unwrap().len() <= 1_472,
+        "exceeds a frame"
+    );
+}
+
 /// Guards against a datagram in which the kinds that earlier builds do not know come before others.
 #[test]
 fn facts_are_sent_in_the_order_of_their_kinds() {
--- a/tests/message_format.rs
+++ b/tests/message_format.rs
@@ -21,6 +21,7 @@
     DiscardedVersion, Fact, LeafDeparture, LeafLinks, LeafState, Profile, VmState,
 };
 use cloverrack::gateway::catalog_rpc::CATALOG_VERSION;
+use cloverrack::gateway::leaf_capacity::{CapacityDatagram, CapacityReport, LEAF_CAPACITY_VERSION};
 use cloverrack::gateway::leaf_reports::{self, LEAF_REPORTS_VERSION};
 use cloverrack::gateway::vm_client::MESSAGE_VERSION;
 use cloverrack::gateway::{
@@ -360,6 +361,22 @@
     vec![Sample::new(&folder, "reports", datagram)]
 }
 
+fn leaf_capacity_samples() -> Vec<Sample> {
+    let report = |leaf, in_flight_centi| CapacityReport {
+        leaf,
+        in_flight_centi,
+        ended_calls: 300,
+        during_in_flight_centi: 1_250,
+        ratio_milli: 70_000,
+    };
+    let datagram = CapacityDatagram {
+        version: LEAF_CAPACITY_VERSION,
+        reports: vec![report(v4(20, 9_000), 0), report(v6(9_001), 433)],
+    };
+    let folder = format!("leaf-capacity-{LEAF_CAPACITY_VERSION}");
+    vec![Sample::new(&folder, "reports", datagram)]
+}
+
 fn vm_call_samples() -> Vec<Sample> {
     let mut spec = gateway::call_spec();
     spec.headers
@@ -394,6 +411,7 @@
     let mut samples = gossip_samples();
     samples.extend(catalog_samples());
     samples.extend(leaf_reports_samples());
+    samples.extend(leaf_capacity_samples());
     samples.extend(vm_call_samples());
     samples
 }
