--- a/src/gateway/explain.rs
+++ b/src/gateway/explain.rs
@@ -21,6 +21,7 @@
 use super::admission::AdmissionRequest;
 use super::engine::State;
 use super::forwarded_request::PriorCalls;
+use super::leaf_capacity::WorkKind;
 use super::refusal::Refusal;
 use super::request_run::{self, STOPPING, capacity_refusal};
 use super::routes::{ResolvedDestination, Route};
@@ -235,11 +236,12 @@
     }
 
     fn explain_shards(&self, needs: &Needs<'_>) -> Vec<ShardExplanation> {
+        let kind = WorkKind::of_route(&needs.route.spec.name);
         let mut shards = Vec::with_capacity(needs.services.len());
         for (index, service) in needs.services.iter().enumerate() {
             let choice = self
                 .leaves
-                .explain_choice(*service, &self.limits, needs.now_us);
+                .explain_choice(kind, *service, &self.limits, needs.now_us);
             let weight = needs
                 .weights
                 .as_ref()
--- a/src/gateway/explain/leaves.rs
+++ b/src/gateway/explain/leaves.rs
@@ -2,6 +2,7 @@
 
 use super::report::{LeafExplanation, LeafReason, NoLeafReason};
 use crate::gateway::connection_limits::ConnectionLimits;
+use crate::gateway::leaf_capacity::WorkKind;
 use crate::gateway::leaves::{Leaf, LeafCost, LeafVerdict, Leaves, NoLeafError};
 use crate::ids::ServiceKey;
 
@@ -20,14 +21,15 @@
     /// Explains which leaf of a service [`Self::choose`] returns for a first call.
     pub fn explain_choice(
         &self,
+        kind: WorkKind,
         service: ServiceKey,
         limits: &ConnectionLimits,
         now_us: u64,
     ) -> ChoiceExplanation {
-        let choice = self.choose(service, &[], limits, now_us);
+        let choice = self.choose_for(kind, service, &[], limits, now_us);
         let of_service = self.iter().filter(|(_, leaf)| leaf.service == service);
         let mut judged: Vec<_> = of_service
-            .map(|(key, leaf)| (key, leaf, self.verdict(key, &[], limits, now_us)))
+            .map(|(key, leaf)| (key, leaf, self.verdict(kind, key, &[], limits, now_us)))
             .collect();
         judged.sort_by_key(|(_, leaf, _)| &leaf.record.id);
         let costs = judged.iter().filter_map(|(_, _, verdict)| cost(*verdict));
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -20,6 +20,7 @@
 use super::engine::Engine;
 use super::fanout_schedule::{FanoutDecision, FanoutSchedule, ShardCounts};
 use super::forwarded_request::PriorCalls;
+use super::leaf_capacity::WorkKind;
 use super::leaves::NoLeafError;
 use super::merge::RECORD_BYTES;
 use super::shard::Shard;
@@ -350,8 +351,11 @@
                 return;
             }
         }
+        let kind = WorkKind::of_route(&self.plan.route);
         let (tried, body_bytes) = (&self.shards[index].tried, self.spec.body.len());
-        let opened = self.engine.open_call_with_body(service, tried, body_bytes);
+        let opened = self
+            .engine
+            .open_call_with_body(kind, service, tried, body_bytes);
         let call = match opened {
             Ok(call) => call,
             Err(NoLeafError::NoConnection) => return,
--- a/src/gateway/leaf_bodies/calls.rs
+++ b/src/gateway/leaf_bodies/calls.rs
@@ -8,6 +8,7 @@
 use crate::clock::boot_ms;
 use crate::gateway::call::OpenCall;
 use crate::gateway::engine::{Engine, State};
+use crate::gateway::leaf_capacity::WorkKind;
 use crate::gateway::leaves::NoLeafError;
 use crate::ids::{LeafKey, ServiceKey};
 
@@ -67,23 +68,24 @@
     /// left: they are worth waiting for.
     pub fn open_call_with_body(
         self: &Arc<Self>,
+        kind: WorkKind,
         service: ServiceKey,
         tried: &[LeafKey],
         body_bytes: usize,
     ) -> Result<OpenCall, NoLeafError> {
         if body_bytes == 0 {
-            return self.open_call(service, tried);
+            return self.open_call(kind, service, tried);
         }
         let body_bytes = u64::try_from(body_bytes).unwrap_or(u64::MAX);
         let state = &mut *self.state();
         let Some(bound) = state.body_bound(body_bytes) else {
-            return self.open_chosen(state, service, tried);
+            return self.open_chosen(state, kind, service, tried);
         };
         let mut excluded = state.leaves_without_room(service, &bound, body_bytes);
         excluded.retain(|key| !tried.contains(key));
         let waits_for_room = !excluded.is_empty();
         excluded.extend_from_slice(tried);
-        match self.open_chosen(state, service, &excluded) {
+        match self.open_chosen(state, kind, service, &excluded) {
             Ok(mut call) => {
                 call.body = Some(self.hold_leaf_body(state, call.leaf, body_bytes));
                 Ok(call)
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -4,6 +4,7 @@
 //! Handles leaves that are slow, failing, paused, warming up or replaced, and VMs whose own stalls
 //! would be mistaken for stalls of leaves.
 
+mod capacity;
 mod cold;
 mod evacuation;
 mod notices;
@@ -26,6 +27,7 @@
 use super::catalog::LeafRecord;
 use super::connection::IdleConnection;
 use super::evacuation::{ColdLeaf, Warmup};
+use super::leaf_capacity::LeafCapacities;
 use super::leaf_reports::{LeafReport, Observation};
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
@@ -127,6 +129,8 @@
     confirms_refusals: bool,
     /// Latest end of the times for which leaves want no calls from this VM.
     retry_after_until_us: u64,
+    /// Estimates of what leaves take well, if they are enabled.
+    capacities: Option<LeafCapacities>,
 }
 
 impl Leaves {
@@ -266,6 +270,7 @@
                 || now_ms < leaf.retired_ms + RETIRED_RETENTION_MS
         });
         self.forget_unreachable();
+        self.forget_capacities();
     }
 
     /// Applies another VM's report of a leaf.
--- a/src/gateway/leaves/selection.rs
+++ b/src/gateway/leaves/selection.rs
@@ -4,6 +4,7 @@
 
 use super::{Leaf, LeafCost, LeafVerdict, Leaves};
 use crate::gateway::connection_limits::ConnectionLimits;
+use crate::gateway::leaf_capacity::WorkKind;
 use crate::gateway::retry_after::{Admission, REMOTE_RETRY_AFTER_COST_US};
 use crate::ids::{LeafKey, ServiceKey};
 
@@ -51,6 +52,22 @@
         tried: &[LeafKey],
         limits: &ConnectionLimits,
         now_us: u64,
+    ) -> Result<LeafKey, NoLeafError> {
+        self.choose_for(WorkKind::default(), service, tried, limits, now_us)
+    }
+
+    /// Chooses the leaf with the lowest expected latency of a kind of work, as [`Self::choose`].
+    ///
+    /// # Errors
+    ///
+    /// Fails for the same reasons.
+    pub fn choose_for(
+        &self,
+        kind: WorkKind,
+        service: ServiceKey,
+        tried: &[LeafKey],
+        limits: &ConnectionLimits,
+        now_us: u64,
     ) -> Result<LeafKey, NoLeafError> {
         let mut best: Option<(u64, LeafKey)> = None;
         let mut has_no_connection = false;
@@ -58,7 +75,7 @@
         let mut retry_at_us: Option<u64> = None;
         let mut unreachable_since_us: Option<u64> = None;
         for key in self.of_service(service) {
-            match self.verdict(*key, tried, limits, now_us) {
+            match self.verdict(kind, *key, tried, limits, now_us) {
                 LeafVerdict::Available(cost) => {
                     let cost_us = cost.total_us();
                     if best.is_none_or(|(lowest_us, _)| cost_us < lowest_us) {
@@ -99,6 +116,7 @@
     /// Both [`Self::choose`] and the explanation of a choice use this verdict.
     pub fn verdict(
         &self,
+        kind: WorkKind,
         key: LeafKey,
         tried: &[LeafKey],
         limits: &ConnectionLimits,
@@ -137,13 +155,13 @@
         LeafVerdict::Available(LeafCost {
             rate_wait_us,
             last_choice_us,
-            ..self.cost(leaf, now_us)
+            ..self.cost(kind, key, leaf, now_us)
         })
     }
 
-    fn cost(&self, leaf: &Leaf, now_us: u64) -> LeafCost {
+    fn cost(&self, kind: WorkKind, key: LeafKey, leaf: &Leaf, now_us: u64) -> LeafCost {
         let mut cost = LeafCost {
-            expected_us: leaf.leaf_stats.expected_us(leaf.record.slots, now_us),
+            expected_us: self.expected_us(kind, key, leaf, now_us),
             ..LeafCost::default()
         };
         if leaf.record.failure_domain != self.own_domain {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     cut_off_responses: Counter<u64>,
     leaf_body_waits: Counter<u64>,
     unread_bodies: Counter<u64>,
+    capacity_reports: Counter<u64>,
 }
 
 impl Metrics {
@@ -75,6 +76,9 @@
             unread_bodies: meter
                 .u64_counter("cloverrack_gateway_unread_bodies")
                 .build(),
+            capacity_reports: meter
+                .u64_counter("cloverrack_gateway_capacity_reports")
+                .build(),
             exporter,
         })
     }
@@ -169,6 +173,14 @@
         self.unread_bodies.add(1, &[]);
     }
 
+    /// Counts reports on what leaves take well, sent or received.
+    pub fn count_capacity_reports(&self, direction: &'static str, reports: usize) {
+        if reports > 0 {
+            self.capacity_reports
+                .add(reports as u64, &[KeyValue::new("direction", direction)]);
+        }
+    }
+
     /// Returns all metrics as Prometheus text.
     ///
     /// # Errors
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! [`pause_predictor`], [`fanout_schedule`], [`merge`], [`vm_selection`], [`concurrency_limiter`],
 //! [`retry_budgets`], [`usage_window`], [`content_quarantine`], [`unanswered_runs`], [`rate_limit`], [`leaf_notices`],
 //! [`retry_after`], [`capacity`], [`link_monitor`], [`stop_schedule`], [`catalog_sources`], [`memory_limits`], [`process_delays`],
-//! [`admission`], [`evacuation::evacuations`], [`evacuation::cold_leaf`]; of [`leaf_bodies`] the bound and the count.
+//! [`admission`], [`evacuation::evacuations`], [`evacuation::cold_leaf`], [`leaf_capacity`]; of [`leaf_bodies`] the bound and the count.
 
 pub mod admission;
 mod attempt;
@@ -34,6 +34,7 @@
 pub mod forwarder;
 mod late_reply;
 pub mod leaf_bodies;
+pub mod leaf_capacity;
 mod leaf_end_check;
 pub mod leaf_notices;
 pub mod leaf_reports;
--- a/tests/message_format.rs
+++ b/tests/message_format.rs
@@ -22,6 +22,7 @@
 };
 use cloverrack::gateway::catalog_rpc::CATALOG_VERSION;
 use cloverrack::gateway::evacuation::message::{decode_header, encode_header};
+use cloverrack::gateway::leaf_capacity::{CapacityDatagram, CapacityReport, LEAF_CAPACITY_VERSION};
 use cloverrack::gateway::leaf_reports::{self, LEAF_REPORTS_VERSION};
 use cloverrack::gateway::vm_client::MESSAGE_VERSION;
 use cloverrack::gateway::{
@@ -396,6 +397,22 @@
     vec![Sample::new(&folder, "reports", datagram)]
 }
 
+fn leaf_capacity_samples() -> Vec<Sample> {
+    let report = |leaf, in_flight_centi| CapacityReport {
+        leaf,
+        in_flight_centi,
+        ended_calls: 300,
+        during_in_flight_centi: 1_250,
+        ratio_milli: 70_000,
+    };
+    let datagram = CapacityDatagram {
+        version: LEAF_CAPACITY_VERSION,
+        reports: vec![report(v4(20, 9_000), 0), report(v6(9_001), 433)],
+    };
+    let folder = format!("leaf-capacity-{LEAF_CAPACITY_VERSION}");
+    vec![Sample::new(&folder, "reports", datagram)]
+}
+
 fn vm_call_samples() -> Vec<Sample> {
     let mut spec = gateway::call_spec();
     spec.headers
@@ -431,6 +448,7 @@
     samples.extend(later_gossip_samples());
     samples.extend(catalog_samples());
     samples.extend(leaf_reports_samples());
+    samples.extend(leaf_capacity_samples());
     samples.extend(vm_call_samples());
     samples
 }
