--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -3,6 +3,10 @@
 //! Handles leaves that fail, refuse requests or are slow: failed calls are retried and slow calls
 //! are hedged on other leaves, within the retry budget.
 
+mod completion;
+mod plan;
+mod retries;
+
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,7 +15,9 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
-use tokio::time::{Instant, Sleep, sleep_until, timeout};
+use tokio::time::{Instant, Sleep, sleep_until};
+
+pub use plan::{FanoutPlan, FanoutResult};
 
 use super::attempt::Attempt;
 use super::call::{CallSpec, OpenCall};
@@ -19,92 +25,17 @@
 use super::connection::{CallError, Reply};
 use super::engine::Engine;
 use super::fanout_schedule::{FanoutDecision, FanoutSchedule, ShardCounts};
-use super::forwarded_request::PriorCalls;
 use super::leaf_capacity::WorkKind;
 use super::leaves::NoLeafError;
 use super::merge::RECORD_BYTES;
 use super::shard::Shard;
 use super::stop_schedule::StopSchedule;
 use crate::clock::boot_us;
-use crate::ids::{LeafKey, ServiceKey};
+use crate::ids::LeafKey;
 
 /// Interval between attempts to get a free connection or an extra call from the retry budget.
 const POLL_INTERVAL_US: u64 = 4_000;
 
-/// Delay before a failed call is retried in requests over several shards. Refusals arrive within
-/// this time, so that the number of extra calls that the request needs is known by then.
-const RETRY_DELAY_US: u64 = 4_000;
-
-/// Share of the target latency for which a request waits for the retry budget, as a divisor. A call that is
-/// sent later hardly ends in time.
-const BUDGET_WAIT_DIVISOR: u64 = 2;
-
-/// Time for which calls in flight continue after the response is complete, so that their
-/// connections stay open and a pause of a leaf is observed to its end.
-const LINGER_US: u64 = 300_000;
-
-/// Size of a body that such calls may hold beyond the deadline of the request.
-const MAX_LINGERING_BODY_BYTES: usize = 16 * 1_024;
-
-/// Plan of the calls that a request sends to leaves.
-#[derive(Clone, Debug)]
-pub struct FanoutPlan {
-    /// Name of the route.
-    pub route: Box<str>,
-    /// Service of each shard; a request to a single leaf has one.
-    pub services: Vec<ServiceKey>,
-    /// Minimum number of shards in a response.
-    pub min_parts: usize,
-    /// Maximum number of leaves of a shard that the request is sent to.
-    pub max_attempts: usize,
-    /// Whether the request may run more than once.
-    pub idempotent: bool,
-    /// Whether an error response of a leaf may be relayed to the caller.
-    pub relays_errors: bool,
-    /// Target latency of the route.
-    pub target_us: u64,
-    /// Time within which a leaf is expected to answer.
-    pub expected_us: u64,
-    /// Deadlines of the request.
-    pub schedule: FanoutSchedule,
-    /// What other VMs have done with the request.
-    pub prior_calls: PriorCalls,
-}
-
-/// Result of a request.
-#[derive(Debug)]
-pub struct FanoutResult {
-    /// Reply of each shard, if it has one.
-    pub parts: Vec<Option<Reply>>,
-    /// Whether enough shards replied.
-    pub complete: bool,
-    /// Whether a leaf may have run the request.
-    pub may_have_run: bool,
-    /// Number of calls that were sent.
-    pub sent_calls: usize,
-    /// Calls after which another VM may run the request, or `None` if it must not.
-    pub movable: Option<PriorCalls>,
-    /// Whether a shard has no reply because its leaves refuse connections.
-    pub is_unreachable: bool,
-    /// Number of shards for which an extra call was denied.
-    pub denied_retries: usize,
-    /// Whether a call was not sent because the leaves had named a limit on their rate.
-    pub is_rate_limited: bool,
-    /// Whether a call was not sent because this VM stops before a leaf would answer.
-    pub is_stopping: bool,
-    /// Time at which the shards without a reply whose leaves want no calls may be called again.
-    pub retry_at_us: Option<u64>,
-    /// Error of the call that failed last.
-    pub last_error: Option<CallError>,
-    /// Whether the deadline of the request had passed.
-    pub timed_out: bool,
-    /// Median over the shards of the latency of the reply, or of the age of the latest call if it
-    /// is still in flight.
-    pub median_call_us: Option<u64>,
-    /// Times at which the shards replied, since the request arrived, in ascending order.
-    pub replied_us: Vec<u64>,
-}
-
 /// Shard index, leaf, start time on the boot clock and result of a call that has ended.
 type CallEnd = (usize, LeafKey, u64, Result<Reply, CallError>);
 type CallFuture = Pin<Box<dyn Future<Output = CallEnd> + Send>>;
@@ -323,21 +254,6 @@
         }
     }
 
-    /// Returns whether a hedge may be sent: while calls queue at the leaves, only those that an answer in
-    /// time needs.
-    fn may_hedge(&self, elapsed_us: u64) -> bool {
-        let group = self.plan.services.first();
-        let is_loaded = group.is_some_and(|group| self.engine.is_under_pressure(*group));
-        !is_loaded || self.shard_counts(elapsed_us).retries_needed() > 0
-    }
-
-    fn is_hedge_due(&self, shard: &Shard, elapsed_us: u64) -> bool {
-        let age_us = elapsed_us.saturating_sub(shard.last_sent_us);
-        !shard.hedged
-            && shard.sent < self.plan.max_attempts
-            && age_us >= self.plan.schedule.early_hedge_us
-    }
-
     /// Starts a call to a shard, if a leaf, a connection and the budget allow it.
     fn try_call(&mut self, index: usize, elapsed_us: u64) {
         let shard = &self.shards[index];
@@ -397,74 +313,6 @@
             .push(run_call(index, call, Arc::clone(&self.spec)));
     }
 
-    /// Returns how many extra calls have to succeed for an answer in time, or 0 if the call to a shard is an
-    /// early hedge: the open call is still expected in time.
-    fn extra_calls_needed(&self, index: usize, elapsed_us: u64) -> usize {
-        let shard = &self.shards[index];
-        let hedge_us = self.plan.schedule.hedge_us;
-        if !shard.needs_call && shard.is_on_time(elapsed_us, hedge_us) {
-            return 0;
-        }
-        self.shard_counts(elapsed_us).retries_needed()
-    }
-
-    /// Returns whether the retry budgets allow an extra call to a service. A call that is needed together
-    /// with others is wasted unless the budgets of enough late shards allow one too.
-    fn allows_extra_call(&self, service: ServiceKey, needed: usize, elapsed_us: u64) -> bool {
-        if !self.engine.allows_retry(service, needed > 0) {
-            return false;
-        }
-        if needed <= 1 {
-            return true;
-        }
-        let hedge_us = self.plan.schedule.hedge_us;
-        let shards = self.shards.iter();
-        let late = shards.filter(|s| s.is_pending() && !s.is_on_time(elapsed_us, hedge_us));
-        self.engine.affordable_retries(late.map(|s| s.service)) >= needed
-    }
-
-    /// Handles a denied extra call.
-    ///
-    /// A shard with an error reply completes with it. A request that fails without this shard waits for
-    /// the budget while an answer may still arrive in time. Later it fails, since the caller is
-    /// better served by its own next attempt.
-    fn handle_budget_exhausted(&mut self, index: usize, is_required: bool, elapsed_us: u64) {
-        let may_wait = elapsed_us < self.plan.target_us / BUDGET_WAIT_DIVISOR;
-        let shard = &mut self.shards[index];
-        let fails_request = shard.open_calls == 0 && is_required && !may_wait;
-        if shard.fallback.is_some() || fails_request {
-            shard.finish();
-            self.denied_retries += 1;
-        }
-    }
-
-    /// Handles a shard that has no leaf, or whose leaves were all tried.
-    fn handle_leaves_exhausted(&mut self, index: usize) {
-        let shard = &mut self.shards[index];
-        if shard.open_calls > 0 {
-            shard.hedged = true;
-            return;
-        }
-        if shard.sent == 0 && !shard.tried.is_empty() {
-            // Only connections failed and nothing was sent, so the same leaves may be tried again.
-            shard.tried.clear();
-            return;
-        }
-        shard.finish();
-    }
-
-    /// Handles a shard whose leaves take no further calls for now, or refuse connections. It is not
-    /// worth waiting for them: other requests wait as well, and the caller may be told to come back.
-    fn handle_calls_unwanted(&mut self, index: usize) {
-        let shard = &mut self.shards[index];
-        if shard.open_calls > 0 {
-            shard.needs_call = false;
-            shard.hedged = true;
-            return;
-        }
-        shard.finish();
-    }
-
     fn handle_call_end(&mut self, (index, leaf, started_us, result): CallEnd) {
         let merges = !self.plan.relays_errors;
         let result = result.and_then(|reply| match reply {
@@ -517,31 +365,6 @@
         }
     }
 
-    fn handle_failure(&mut self, index: usize, error: CallError) {
-        let shard = &mut self.shards[index];
-        if !error.was_sent() {
-            shard.sent -= 1;
-        }
-        if shard.reply.is_some() {
-            return;
-        }
-        let may_retry = self.plan.idempotent || error.has_not_run();
-        if may_retry && shard.sent < self.plan.max_attempts {
-            self.schedule_retry(index);
-        } else if shard.open_calls == 0 {
-            shard.finish();
-        }
-    }
-
-    fn schedule_retry(&mut self, index: usize) {
-        let is_single_shard = self.shards.len() == 1;
-        let delay_us = if is_single_shard { 0 } else { RETRY_DELAY_US };
-        let retry_at_us = self.elapsed_us() + delay_us;
-        let shard = &mut self.shards[index];
-        shard.needs_call = true;
-        shard.next_call_us = retry_at_us;
-    }
-
     /// Returns when the next action is due even if no call ends, as time since the request arrived.
     fn next_wake_us(&self, schedule: &FanoutSchedule, elapsed_us: u64) -> u64 {
         let mut next_us = schedule.timeout_us;
@@ -571,75 +394,6 @@
         }
         next_us.max(elapsed_us + 1)
     }
-
-    fn median_call_us(&self, elapsed_us: u64) -> Option<u64> {
-        let mut times_us = Vec::with_capacity(self.shards.len());
-        for shard in &self.shards {
-            if shard.reply.is_some() {
-                times_us.push(shard.latency_us);
-            } else if shard.open_calls > 0 {
-                times_us.push(elapsed_us.saturating_sub(shard.last_sent_us));
-            }
-        }
-        times_us.sort_unstable();
-        times_us.get(times_us.len() / 2).copied()
-    }
-
-    fn finish(mut self, complete: bool) -> FanoutResult {
-        if self.shards.iter().all(|shard| shard.reply.is_some()) {
-            self.attempt.record_complete();
-        }
-        let elapsed_us = self.elapsed_us();
-        let timed_out = elapsed_us >= self.plan.schedule.timeout_us;
-        let median_call_us = self.median_call_us(elapsed_us);
-        let prior_calls = PriorCalls {
-            sent: u32::try_from(self.sent()).unwrap_or(u32::MAX),
-            is_credited: true,
-        };
-        let movable = (!complete && self.is_movable()).then_some(prior_calls);
-        if complete && !self.calls.is_empty() {
-            let remaining_calls = finish_calls(self.calls, self.attempt);
-            let left_us = self.plan.schedule.timeout_us.saturating_sub(elapsed_us);
-            let limit_us = match self.spec.body.len() {
-                0..=MAX_LINGERING_BODY_BYTES => LINGER_US,
-                _ => LINGER_US.min(left_us),
-            };
-            let limit = Duration::from_micros(limit_us);
-            tokio::spawn(timeout(limit, remaining_calls));
-        }
-        let any_open = self.shards.iter().any(|shard| shard.open_calls > 0);
-        FanoutResult {
-            complete,
-            may_have_run: self.may_have_run || any_open,
-            sent_calls: self.sent_calls,
-            movable,
-            is_unreachable: self.is_unreachable,
-            is_stopping: self.is_stopping,
-            denied_retries: self.denied_retries,
-            is_rate_limited: self.is_rate_limited,
-            retry_at_us: self.retry_at_us,
-            last_error: self.last_error,
-            timed_out,
-            median_call_us,
-            replied_us: replied_us(&self.shards),
-            parts: self.shards.into_iter().map(|shard| shard.reply).collect(),
-        }
-    }
-}
-
-/// Returns the times at which shards replied, in ascending order.
-fn replied_us(shards: &[Shard]) -> Vec<u64> {
-    let replied = shards.iter().filter(|shard| shard.reply.is_some());
-    let mut replied_us: Vec<u64> = replied.map(|shard| shard.replied_us).collect();
-    replied_us.sort_unstable();
-    replied_us
-}
-
-/// Waits for the calls that remain after the response, under which leaves may still crash.
-async fn finish_calls(mut calls: FuturesUnordered<CallFuture>, mut attempt: Attempt) {
-    while let Some((index, leaf, _, result)) = calls.next().await {
-        attempt.record_end(index, leaf, result.as_ref().map_err(|error| *error));
-    }
 }
 
 /// Returns whether the end of the connection has cut a record of a part that is to be merged.
--- a/src/gateway/leaves.rs
+++ b/src/gateway/leaves.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod cold;
 mod evacuation;
+mod leaf;
 mod notices;
 mod process_ends;
 mod rates;
@@ -20,18 +21,18 @@
 
 use tracing::info;
 
+pub use leaf::Leaf;
 pub use refusals::Refusal;
 pub use selection::NoLeafError;
 pub use verdict::{LeafCost, LeafVerdict};
 
 use super::catalog::LeafRecord;
-use super::connection::IdleConnection;
 use super::evacuation::{ColdLeaf, Warmup};
 use super::leaf_capacity::LeafCapacities;
 use super::leaf_reports::{LeafReport, Observation};
 use super::leaf_stats::LeafStats;
 use super::pause_predictor::{PausePeriod, PausePredictor, Stall};
-use super::rate_limit::{RateLimit, SharingVms};
+use super::rate_limit::SharingVms;
 use super::retry_after::RetryAfter;
 use super::routes::ServiceNames;
 use super::unanswered_runs::{UnansweredRun, UnansweredRuns};
@@ -54,50 +55,6 @@
 /// are then found to be unanswered can be attributed to its process.
 const RETIRED_RETENTION_MS: u64 = 2_000;
 
-/// A leaf with its statistics and connections on this VM.
-#[derive(Debug)]
-pub struct Leaf {
-    /// Record that the leaf published.
-    pub record: LeafRecord,
-    /// Service of the leaf.
-    pub service: ServiceKey,
-    /// Latency and failure statistics.
-    pub leaf_stats: LeafStats,
-    /// Prediction of its regular pauses.
-    pub pause_predictor: PausePredictor,
-    /// Number of open connections, idle and in use.
-    pub connections: u32,
-    /// Idle connections.
-    pub idle: Vec<IdleConnection>,
-    /// End of the warm-up, as time since boot.
-    pub warmup_until_ms: u64,
-    /// Whether the leaf is no longer listed; its open calls may finish.
-    pub retired: bool,
-    /// Latest time at which it was known to live: its last reply, or the appearance of its record
-    /// in a change of the list. 0 if it is not known.
-    pub alive_us: u64,
-    /// Whether the process has said in an answer, to this VM or another one, that it leaves.
-    pub is_leaving: bool,
-    /// Whether the failure domain of the leaf is evacuated.
-    pub is_evacuated: bool,
-    /// Limit on calls while the leaf is cold.
-    pub cold: ColdLeaf,
-    /// Time since which the address of the leaf refuses connections, if it does.
-    pub unreachable_since_us: Option<u64>,
-    /// Times for which the leaf wants no calls.
-    pub retry_after: RetryAfter,
-    /// Limit on the rate of calls that the leaf has named.
-    pub rate_limit: Option<RateLimit>,
-    /// Time of the first failed call since the leaf last replied, to this VM or another one.
-    failed_us: Option<u64>,
-    /// Runs without an answer since the leaf last answered.
-    pub unanswered_runs: UnansweredRuns,
-    /// Time at which the leaf was found to be no longer listed.
-    retired_ms: u64,
-    /// End of the exclusion after another process replied at its address.
-    pub misdirected_until_ms: u64,
-}
-
 /// Arena of leaves. Keys are never reused.
 #[derive(Debug, Default)]
 pub struct Leaves {
@@ -420,47 +377,3 @@
         && current.service == new.service
         && current.started_unix_ms == new.started_unix_ms
 }
-
-impl Leaf {
-    /// Closes idle connections that have ended or expired.
-    pub fn close_expired(&mut self, now_ms: u64) {
-        let idle_before = self.idle.len();
-        self.idle.retain(|idle| idle.is_usable(now_ms));
-        let closed = u32::try_from(idle_before - self.idle.len()).unwrap_or(u32::MAX);
-        self.connections = self.connections.saturating_sub(closed);
-    }
-
-    /// Returns whether an idle connection can be used.
-    pub fn has_idle(&self, now_ms: u64) -> bool {
-        self.idle.iter().any(|idle| idle.is_usable(now_ms))
-    }
-
-    /// Closes all idle connections.
-    fn close_idle(&mut self) {
-        let closed = u32::try_from(self.idle.len()).unwrap_or(u32::MAX);
-        self.connections = self.connections.saturating_sub(closed);
-        self.idle.clear();
-    }
-
-    /// Records that a call got no reply.
-    pub fn record_failed_call(&mut self, now_us: u64) {
-        self.failed_us.get_or_insert(now_us);
-    }
-
-    /// Returns whether the leaf may have ended already: a call failed since its last reply, or it
-    /// does not reply. Such an end can't be attributed to a call that begins now.
-    pub fn may_have_ended(&self, now_us: u64) -> bool {
-        self.failed_us.is_some() || self.leaf_stats.is_stalled_anywhere(now_us)
-    }
-
-    /// Returns whether the leaf has announced its end, in its record or in an answer: it finishes its
-    /// requests and must get no others.
-    pub fn is_departing(&self) -> bool {
-        self.record.draining || self.is_leaving
-    }
-
-    /// Returns the address on which the leaf listens.
-    pub fn address(&self) -> SocketAddr {
-        self.record.address
-    }
-}
--- a/src/http_server/open_responses.rs
+++ b/src/http_server/open_responses.rs
@@ -18,7 +18,7 @@
 /// Reason why a response is cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CutOffCause {
-    /// The caller has read nothing for [`MAX_STALL_MS`].
+    /// The caller has read nothing for `MAX_STALL_MS`.
     Stalled,
     /// The memory is used up, and no response has made no progress for longer.
     NoMemory,
@@ -126,7 +126,7 @@
     }
 
     /// Removes and returns the responses that are to be cut off now: all that have made no progress for
-    /// [`MAX_STALL_MS`], and beyond the limit those that have made none for longest.
+    /// `MAX_STALL_MS`, and beyond the limit those that have made none for longest.
     pub fn take_cut_off(&mut self, now_ms: u64) -> Vec<(C, CutOff)> {
         let mut stalled = Vec::new();
         for (number, response) in &self.responses {
