Send a request that no shard answers to no second leaf of each shard

Cause: each shard has budget for a retry, so a request that crashes its leaves was sent to a second leaf of all shards before the first crashes were known, if the addresses of crashed leaves reset connections instead of refusing them.

Change: after calls to three shards have broken off, extra calls wait until any shard has answered; without one, the request fails.

Evidence: a_request_that_no_shard_answers_is_not_sent_on fails without it (two calls to each shard); lost answers of three of four shards are still asked for again. Ruled out: a limit on retries of an attempt, since lost answers need one for each of several shards.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 //! Handles requests that crash each leaf which runs them. Before their content is quarantined they
 //! would reach all replicas by retries, and a leaf of each shard by the first calls.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -22,6 +23,11 @@
 /// Number of leaves that may crash under an attempt at a suspect content.
 const MAX_SUSPECT_CRASHES: usize = 1;
 
+/// Number of shards whose calls broke off from which an attempt without any answer is not sent on. A leaf that
+/// crashes may leave its address resetting connections, which looks like a lost answer; lost answers
+/// hardly ever take those of all other shards along.
+const MAX_BROKEN_SHARDS: usize = 3;
+
 /// Run of the request at a leaf.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Run {
@@ -145,6 +151,17 @@
             && unanswered.any(|unanswered| unanswered.run.shard == shard)
     }
 
+    /// Returns whether extra calls have to wait for an answer of any shard, since the request may have crashed
+    /// the leaves of several shards.
+    pub(super) fn awaits_answer(&self) -> bool {
+        if !self.answered_shards.is_empty() {
+            return false;
+        }
+        let broken = self.unanswered_runs.iter();
+        let shards: BTreeSet<usize> = broken.map(|unanswered| unanswered.run.shard).collect();
+        shards.len() >= MAX_BROKEN_SHARDS
+    }
+
     /// Returns whether the request must not be sent to further leaves.
     pub(super) fn is_stopped(&self) -> bool {
         if !self.answered_shards.is_empty() {
--- a/src/gateway/fanout.rs
+++ b/src/gateway/fanout.rs
@@ -241,11 +241,13 @@
         (self.calls.is_empty() || allows_concurrent_calls)
             && !self.attempt.is_shard_stopped(index)
             && !self.attempt.is_stopped()
+            && !self.attempt.awaits_answer()
     }
 
     /// Fails the shards that wait for a call if the content may be sent to no further leaf.
     fn stop_pending_shards(&mut self) {
-        let is_stopped = self.calls.is_empty() && self.attempt.is_stopped();
+        let is_stopped =
+            self.calls.is_empty() && (self.attempt.is_stopped() || self.attempt.awaits_answer());
         for (index, shard) in self.shards.iter_mut().enumerate() {
             let is_shard_stopped = shard.open_calls == 0 && self.attempt.is_shard_stopped(index);
             if shard.is_pending() && (is_stopped || is_shard_stopped) {
--- a/tests/gateway_serving.rs
+++ b/tests/gateway_serving.rs
@@ -403,17 +403,23 @@
         }
     }
 
-    /// Lets the leaves of some shards fail and those of the others answer.
-    fn fail(&self, shards: std::ops::Range<usize>) {
+    /// Lets the leaves of some shards behave in a way and those of the others answer.
+    fn set(&self, shards: std::ops::Range<usize>, behaviour: LeafBehaviour) {
         for (index, leaf) in self.leaves.iter().enumerate() {
-            let is_failing = shards.contains(&(index / 2));
-            leaf.set(match is_failing {
-                true => LeafBehaviour::Fail,
-                false => LeafBehaviour::Answer,
+            let is_set = shards.contains(&(index / 2));
+            leaf.set(if is_set {
+                behaviour
+            } else {
+                LeafBehaviour::Answer
             });
         }
     }
 
+    /// Lets the leaves of some shards fail and those of the others answer.
+    fn fail(&self, shards: std::ops::Range<usize>) {
+        self.set(shards, LeafBehaviour::Fail);
+    }
+
     /// Sends a request, and returns its status and the number of calls to each shard.
     async fn send(&self) -> (StatusCode, Vec<usize>) {
         let executed = |pair: &[Leaf]| pair.iter().map(Leaf::executed).sum::<usize>();
@@ -461,3 +467,18 @@
         "the extra call is still available to the next request"
     );
 }
+
+/// Guards against a request that crashes its leaves being sent to another leaf of each shard, since each shard
+/// has budget for it. A crashed leaf whose address resets connections looks like one that lost its answer.
+#[tokio::test]
+async fn a_request_that_no_shard_answers_is_not_sent_on() {
+    let replicas = Replicas::spawn().await;
+    replicas.set(0..4, LeafBehaviour::Break);
+    let (status, calls) = replicas.send().await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(calls.iter().max(), Some(&1), "{calls:?}");
+    let replicas = Replicas::spawn().await;
+    replicas.set(0..3, LeafBehaviour::Break);
+    let (_, calls) = replicas.send().await;
+    assert_eq!(calls, [2, 2, 2, 1], "lost answers are asked for again");
+}
