--- a/src/gateway/reply_memory.rs
+++ b/src/gateway/reply_memory.rs
@@ -193,13 +193,13 @@
     /// use std::sync::Arc;
     /// use cloverrack::gateway::{ReceiveError, ReplyMemory, ReplyReceiver};
     /// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
-    /// let memory = Arc::new(ReplyMemory::new(100_000));
+    /// let memory = Arc::new(ReplyMemory::new(200_000));
     /// let mut receiver = ReplyReceiver::new(Arc::clone(&memory));
     /// assert_eq!(runtime.block_on(receiver.append(&[0; 60_000])), Ok(()));
     /// let too_large = Err(ReceiveError::TooLarge);
     /// assert_eq!(runtime.block_on(receiver.append(&[0; 160_000])), too_large);
     /// drop(receiver);
-    /// assert_eq!(memory.available_bytes(), 100_000);
+    /// assert_eq!(memory.available_bytes(), 200_000);
     /// ```
     pub async fn append(&mut self, part: &[u8]) -> Result<(), ReceiveError> {
         let reply_buffer = &mut self.reply_buffer;
--- a/src/gateway/usage_window.rs
+++ b/src/gateway/usage_window.rs
@@ -30,7 +30,7 @@
     /// let mut window = UsageWindow::new(10_000);
     /// window.record_request(500);
     /// window.record_extra_call(600);
-    /// window.advance(10_400);
+    /// window.advance(10_600);
     /// assert_eq!((window.requests(), window.extra_calls()), (0, 1));
     /// window.advance(11_000);
     /// assert_eq!((window.requests(), window.extra_calls()), (0, 0));
