Begin limits by late answers from six requests for each slot

Cause: slow leaves of many shards keep three requests for each slot of a VM's share in service at the usual load.

Change: late answers begin limits from six requests for each slot. From four, less urgent requests are held at half of those in service, as before.

Evidence: late_answers_of_a_few_requests_begin_no_limits fails with three ([inf, 1.0]); the model of a burst holds its bounds.

--- a/src/gateway/admission/group.rs
+++ b/src/gateway/admission/group.rs
@@ -6,14 +6,14 @@
 use super::limiter::{AdmissionRequest, MAX_WAITING};
 use super::queue::WaitQueue;
 
-/// Requests in service per slot of this VM's share from which late answers begin limits. A request whose
-/// answer waits for one slow or paused leaf holds no slots at the other shards: with fewer requests in
-/// service, answers are late because of such leaves, which limits don't help.
-const LATE_CROWD_PER_SLOT: f64 = 3.0;
-
-/// Requests in service per slot from which limits begin before any answer is late.
+/// Requests in service per slot of this VM's share from which less urgent levels are held at a share of
+/// theirs, before any answer is late. A request whose answer waits for one slow or paused leaf holds no slots at
+/// the other shards: with fewer in service, answers are late because of such leaves, which limits don't help.
 const HELD_CROWD_PER_SLOT: f64 = 4.0;
 
+/// Requests in service per slot from which late answers reduce limits at once.
+const LATE_CROWD_PER_SLOT: f64 = 6.0;
+
 /// Share of the requests in service at which the limit of a less urgent level begins then. The queues that
 /// have formed before the first late answers delay urgent requests for some hundred milliseconds.
 const HELD_SHARE: f64 = 0.5;
--- a/tests/gateway_admission.rs
+++ b/tests/gateway_admission.rs
@@ -534,3 +534,56 @@
         );
     }
 }
+
+/// Guards against limits under a few requests whose answers are late because of slow leaves: no limit makes
+/// these leaves faster, and refused requests would have been answered.
+#[test]
+fn late_answers_of_a_few_requests_begin_no_limits() {
+    const IN_SERVICE: usize = 8;
+    const SLOTS: u32 = 2;
+    let group = ServiceKey::new(0);
+    let mut limiter = AdmissionLimiter::default();
+    let mut open: Vec<(Place, u64)> = Vec::new();
+    for now_us in (0..20_000_000).step_by(20_000) {
+        let rank = u32::from(now_us % 40_000 == 0);
+        let request = AdmissionRequest {
+            group,
+            rank,
+            is_returning: false,
+            target_us: 150_000,
+            due_us: now_us + 134_000,
+            now_us,
+        };
+        let AdmissionDecision::Admitted(place) = limiter.arrive(request) else {
+            panic!("request at {now_us} us was not admitted");
+        };
+        open.push((place, now_us));
+        if open.len() == IN_SERVICE {
+            let (place, started_us) = open.remove(0);
+            // The leaves turn slow after a second.
+            let ended_us = if now_us < 1_000_000 {
+                30_000
+            } else {
+                now_us - started_us
+            };
+            let replied_us = [vec![20_000; 30], vec![ended_us; 6]].concat();
+            limiter.record_end(&EndedRequest {
+                place,
+                route: "wide",
+                times: ReplyTimes {
+                    replied_us: &replied_us,
+                    shards: 36,
+                    min_parts: 35,
+                    ended_us,
+                    due_us: 134_000,
+                    is_overloaded: false,
+                },
+                now_us,
+            });
+            limiter.release(place, now_us);
+        }
+        limiter.adjust(group, || SLOTS, now_us);
+        let limits: Vec<f64> = limiter.levels(group).map(|(_, limit, _)| limit).collect();
+        assert!(limits.iter().all(|limit| limit.is_infinite()), "{limits:?}");
+    }
+}
