--- a/review/standin_2.rs
+++ b/review/standin_2.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -14,6 +15,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// Program of the deploy file.
 const PROGRAM: &str = "target/release/cloverrack-platform";
 
@@ -376,15 +384,22 @@
     /// Starts a process with the settings file as it is.
     pub fn run(&mut self) -> io::Result<()> {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log_path)?;
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        command
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
             .env("CLOVERRACK_NODE_FILE", &self.settings_path)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.child = Some(child);
+            .stderr(log);
+        // SAFETY: `prctl` is async-signal-safe. The process ends with this one, also if this one is killed.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
+        self.child = Some(command.spawn()?);
         Ok(())
     }
 
