--- a/review/standin_2.rs
+++ b/review/standin_2.rs
@@ -17,9 +17,11 @@
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
+const SIGHUP: i32 = 1;
 
 unsafe extern "C" {
     fn prctl(option: i32, ...) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// Program of the deploy file.
@@ -411,9 +413,13 @@
         self.child.as_ref().map_or(0, Child::id)
     }
 
-    /// Sends a signal by its name to the process that this started.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
+    /// Sends SIGHUP to the process that this started.
+    pub fn hang_up(&self) {
+        let Ok(process @ 1..) = i32::try_from(self.pid()) else {
+            return;
+        };
+        // SAFETY: the process is a child that has not been reaped, so its id is not used again.
+        unsafe { kill(process, SIGHUP) };
     }
 
     /// Returns whether the process has ended, with its status.
